--- /dev/null
+++ b/include/sailpath/adapters/http/Ingress.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <sailpath/adapters/http/CallerRequest.hpp>
+#include <sailpath/adapters/settings/Endpoint.hpp>
+#include <sailpath/core/Time.hpp>
+
+#include <cstdint>
+#include <memory>
+
+namespace sailpath::adapters::http
+{
+////////////////////////////////////////////////////////////
+/// \brief Limits on callers' connections
+////////////////////////////////////////////////////////////
+struct IngressSettings
+{
+    settings::Endpoint listen;                                 //!< Where to listen; port 0 lets the system choose
+    std::size_t        workers{128};                           //!< Requests served at once
+    std::size_t        backlog{256};                           //!< Requests that may wait for a worker
+    std::size_t        connections{4096};                      //!< Connections kept at once
+    std::size_t        longestHead{32 * 1024};                 //!< Largest head in bytes
+    std::size_t        largestBody{1024UL * 1024 * 1024};      //!< Largest body in bytes
+    core::Duration     headTime{std::chrono::seconds{5}};      //!< Longest time for a head to arrive
+    core::Duration     idleTime{std::chrono::seconds{60}};     //!< Longest time between requests
+    core::Duration     transferIdle{std::chrono::seconds{10}}; //!< Longest pause within a body, both ways
+};
+
+////////////////////////////////////////////////////////////
+/// \brief What callers' connections amounted to
+////////////////////////////////////////////////////////////
+struct IngressCounters
+{
+    std::uint64_t accepted{0};   //!< Connections accepted
+    std::uint64_t turnedAway{0}; //!< Connections or requests refused for lack of room
+    std::uint64_t malformed{0};  //!< Requests refused for their shape
+    std::uint64_t hangUps{0};    //!< Callers that hung up while being served
+    std::size_t   open{0};       //!< Connections open now
+    std::size_t   serving{0};    //!< Requests being served now
+};
+
+////////////////////////////////////////////////////////////
+/// \brief Accepts callers' connections and hands their requests to a handler
+///
+/// A reactor waits on all connections and reads heads, so that slow and idle
+/// callers hold no thread; worker threads serve whole requests.
+////////////////////////////////////////////////////////////
+class Ingress
+{
+public:
+    ////////////////////////////////////////////////////////////
+    /// \brief Listen and start the threads
+    ///
+    /// \param settings Limits
+    /// \param handler  Serves the requests; outlives the ingress
+    ///
+    /// \throws std::system_error when the address cannot be listened on
+    ////////////////////////////////////////////////////////////
+    Ingress(IngressSettings settings, RequestHandler& handler);
+
+    ~Ingress();
+    Ingress(const Ingress&) = delete;
+    Ingress& operator=(const Ingress&) = delete;
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Port that is listened on
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] std::uint16_t port() const;
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Announce the end: each answer closes its connection from here on
+    ////////////////////////////////////////////////////////////
+    void leave();
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Stop accepting, close idle connections, wait for the requests being served
+    ///
+    /// \param patience Longest wait
+    ///
+    /// \return Whether every request was finished
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] bool finish(core::Duration patience);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Counts so far
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] IngressCounters counters() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl; //!< Sockets and threads
+};
+
+} // namespace sailpath::adapters::http
--- /dev/null
+++ b/include/sailpath/adapters/peers/KeyProof.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace sailpath::adapters::peers
+{
+////////////////////////////////////////////////////////////
+/// \brief Random bytes for a challenge
+////////////////////////////////////////////////////////////
+[[nodiscard]] std::string makeNonce();
+
+////////////////////////////////////////////////////////////
+/// \brief Prove knowledge of the shared key for a challenge (HMAC-SHA256)
+////////////////////////////////////////////////////////////
+[[nodiscard]] std::string proveKey(std::string_view key, std::string_view nonce);
+
+////////////////////////////////////////////////////////////
+/// \brief Check a proof in a time that does not depend on it
+////////////////////////////////////////////////////////////
+[[nodiscard]] bool checkProof(std::string_view key, std::string_view nonce, std::string_view proof);
+
+} // namespace sailpath::adapters::peers
--- /dev/null
+++ b/include/sailpath/core/Hash.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace sailpath::core
+{
+////////////////////////////////////////////////////////////
+/// \brief Hash a text to 64 bits, the same on every VM (XXH3)
+///
+/// \param text Bytes to hash
+/// \param seed Separates uses from one another
+////////////////////////////////////////////////////////////
+[[nodiscard]] std::uint64_t hash(std::string_view text, std::uint64_t seed = 0);
+
+} // namespace sailpath::core
--- /dev/null
+++ b/include/sailpath/limits.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+#include <sailpath/limits/ConcurrencyLimit.hpp>
+#include <sailpath/limits/MeasuringBudget.hpp>
+#include <sailpath/limits/RateLimit.hpp>
+#include <sailpath/limits/WaitQueue.hpp>
+#include <sailpath/limits/WorkspaceShares.hpp>
--- /dev/null
+++ b/include/sailpath/retries/RetryBudget.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+namespace sailpath::retries
+{
+////////////////////////////////////////////////////////////
+/// \brief Allows retries as a share of first attempts
+///
+/// However many requests fail, attempts in all stay below
+/// (1 + share) x requests plus a small saved amount.
+////////////////////////////////////////////////////////////
+class RetryBudget
+{
+public:
+    static constexpr double mostSaved = 10.0; //!< Retries that may be saved up
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Create a budget
+    ///
+    /// \param share Retries as a share of first attempts
+    ////////////////////////////////////////////////////////////
+    explicit RetryBudget(double share);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Change the share; what was saved stays
+    ////////////////////////////////////////////////////////////
+    void setShare(double share);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Note a first attempt
+    ////////////////////////////////////////////////////////////
+    void firstAttempt();
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Take one retry
+    ///
+    /// \return Whether it is allowed
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] bool take();
+
+private:
+    double m_share;      //!< Retries as a share of first attempts
+    double m_saved{1.0}; //!< Retries allowed now
+};
+
+} // namespace sailpath::retries
--- /dev/null
+++ b/include/sailpath/routing/ServerChoice.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <sailpath/core/Random.hpp>
+#include <sailpath/routing/Candidate.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace sailpath::routing
+{
+////////////////////////////////////////////////////////////
+/// \brief Strategy: which of the candidates gets the request
+////////////////////////////////////////////////////////////
+class ServerChoice
+{
+public:
+    virtual ~ServerChoice() = default;
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Choose one candidate
+    ///
+    /// \param candidates Servers that may be chosen, at least one
+    /// \param random     Source of randomness
+    ///
+    /// \return Position within `candidates`
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] virtual std::size_t choose(std::span<const Candidate> candidates, core::Random& random) = 0;
+};
+
+////////////////////////////////////////////////////////////
+/// \brief Make a strategy by name
+///
+/// \param name `estimated-finish` (the product's), `random`, `round-robin`,
+///             `least-own`, `two-own` or `two-reported` (baselines)
+///
+/// \return Nothing when there is no strategy of that name
+////////////////////////////////////////////////////////////
+[[nodiscard]] std::unique_ptr<ServerChoice> makeServerChoice(std::string_view name);
+
+} // namespace sailpath::routing
--- /dev/null
+++ b/include/sailpath/state.hpp
@@ -0,0 +1,6 @@
+#pragma once
+
+#include <sailpath/state/Backoff.hpp>
+#include <sailpath/state/ConfigurationState.hpp>
+#include <sailpath/state/Document.hpp>
+#include <sailpath/state/HeldLease.hpp>
--- /dev/null
+++ b/src/programs/StopSignals.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <sailpath/core/Time.hpp>
+
+#include <csignal>
+
+namespace sailpath::programs
+{
+////////////////////////////////////////////////////////////
+/// \brief The signals that stop a program, to be waited for
+////////////////////////////////////////////////////////////
+class StopSignals
+{
+public:
+    ////////////////////////////////////////////////////////////
+    /// \brief Block the signals; before any thread is started
+    ////////////////////////////////////////////////////////////
+    StopSignals();
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Wait for one
+    ///
+    /// \return Whether one came in time
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] bool wait(core::Duration longest) const;
+
+private:
+    sigset_t m_signals{}; //!< SIGTERM and SIGINT
+};
+
+} // namespace sailpath::programs
--- /dev/null
+++ b/src/programs/Timeline.cpp
@@ -0,0 +1,78 @@
+// sailpath-timeline: merges the event logs of all processes into one time line.
+
+#include <sailpath/adapters/settings/SettingsReader.hpp>
+#include <sailpath/timeline/ClockAlignment.hpp>
+#include <sailpath/timeline/Renderer.hpp>
+
+#include <array>
+#include <fstream>
+#include <iostream>
+
+namespace
+{
+using namespace sailpath;
+using adapters::settings::Option;
+using adapters::settings::OptionKind;
+
+constexpr std::array options{
+    Option{"format", OptionKind::Name, "text", "text, jsonl or html"},
+    Option{"corrections", OptionKind::Switch, "false", "print the clock corrections to standard error"}};
+
+constexpr adapters::settings::Program program{"sailpath-timeline", "Merges event logs into one time line.", "LOG...",
+                                              options};
+
+////////////////////////////////////////////////////////////
+/// \brief Read one log; false when it cannot be opened
+////////////////////////////////////////////////////////////
+bool readLog(const std::string& path, std::vector<timeline::Event>& events, std::size_t& skipped)
+{
+    std::ifstream file(path);
+    if (!file)
+        return false;
+    for (std::string line; std::getline(file, line);)
+    {
+        if (auto event = timeline::parseEvent(line))
+            events.push_back(std::move(*event));
+        else
+            ++skipped;
+    }
+    return true;
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+int main(int argc, char** argv)
+{
+    int        code = 0;
+    const auto started = adapters::settings::startProgram(program, argc, argv, code);
+    if (!started)
+        return code;
+    const auto render = timeline::rendererNamed(started->settings.text("format"));
+    if (!render)
+    {
+        std::cerr << "--format: expected text, jsonl or html\n";
+        return adapters::settings::ExitUsage;
+    }
+    std::vector<timeline::Event> events;
+    std::size_t                  skipped = 0;
+    for (const std::string& path : started->operands)
+    {
+        if (!readLog(path, events, skipped))
+        {
+            std::cerr << path << ": cannot be read\n";
+            return adapters::settings::ExitFailed;
+        }
+    }
+    const timeline::ClockCorrections corrections = timeline::alignClocks(events);
+    timeline::applyCorrections(events, corrections);
+    std::cout << (*render)(events);
+    if (skipped > 0)
+        std::cerr << skipped << " lines are no events and were left out\n";
+    if (started->settings.isOn("corrections"))
+    {
+        for (const auto& [node, micros] : corrections)
+            std::cerr << node << " +" << micros << " us\n";
+    }
+    return adapters::settings::ExitOk;
+}
--- /dev/null
+++ b/src/sailpath/adapters/http/AnswerWriter.cpp
@@ -0,0 +1,136 @@
+#include <sailpath/adapters/http/AnswerWriter.hpp>
+
+#include <array>
+#include <cassert>
+#include <charconv>
+
+namespace sailpath::adapters::http
+{
+namespace
+{
+constexpr std::size_t flushAt = 32 * 1024; // Small answers leave in one write
+
+////////////////////////////////////////////////////////////
+std::string chunkSize(std::size_t size)
+{
+    std::array<char, 20> digits{};
+    const auto           end = std::to_chars(digits.data(), digits.data() + digits.size(), size, 16).ptr;
+    return std::string(digits.data(), end) + "\r\n";
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+AnswerWriter::AnswerWriter(const net::TcpSocket& socket, bool http10, bool keepAlive, core::Duration timeout) :
+m_socket(socket),
+m_http10(http10),
+m_keepAlive(keepAlive),
+m_timeout(timeout)
+{
+}
+
+////////////////////////////////////////////////////////////
+void AnswerWriter::begin(const AnswerHead& head)
+{
+    assert(!m_begun);
+    m_begun = true;
+    m_noBody = head.framing == BodyFraming::None;
+    m_stated = head.framing == BodyFraming::Length;
+    m_left = m_stated ? head.contentLength : 0;
+    m_chunked = (head.framing == BodyFraming::Chunked || head.framing == BodyFraming::UntilEnd) && !m_http10;
+    if (!m_noBody && !m_stated && !m_chunked)
+        m_keepAlive = false;
+
+    m_pending = "HTTP/1.1 " + std::to_string(head.status) + " " + head.reason + "\r\n";
+    for (const Header& header : head.headers)
+        m_pending.append(header.name).append(": ").append(header.value).append("\r\n");
+    if (m_chunked)
+        m_pending += "Transfer-Encoding: chunked\r\n";
+    else if (m_stated || head.keepLength)
+        m_pending += "Content-Length: " + std::to_string(head.contentLength) + "\r\n";
+    else if (m_noBody && head.status != 204 && head.status != 304)
+        m_pending += "Content-Length: 0\r\n";
+    if (!m_keepAlive)
+        m_pending += "Connection: close\r\n";
+    else if (m_http10)
+        m_pending += "Connection: keep-alive\r\n";
+    m_pending += "\r\n";
+}
+
+////////////////////////////////////////////////////////////
+bool AnswerWriter::body(std::string_view data)
+{
+    assert(m_begun);
+    if (m_broken)
+        return false;
+    if (m_noBody || data.empty())
+        return true;
+    if (m_stated && data.size() > m_left)
+    {
+        cut();
+        return false;
+    }
+    m_left -= m_stated ? data.size() : 0;
+    if (m_chunked)
+        m_pending.append(chunkSize(data.size())).append(data).append("\r\n");
+    else
+        m_pending.append(data);
+    return m_pending.size() < flushAt || flush();
+}
+
+////////////////////////////////////////////////////////////
+bool AnswerWriter::end()
+{
+    assert(m_begun);
+    if (m_broken)
+        return false;
+    if (m_stated && m_left > 0)
+    {
+        cut();
+        return false;
+    }
+    if (m_chunked)
+        m_pending += "0\r\n\r\n";
+    return flush();
+}
+
+////////////////////////////////////////////////////////////
+void AnswerWriter::cut()
+{
+    // What was held back is dropped too: a caller must not take the part for the whole.
+    m_pending.clear();
+    m_broken = true;
+    m_keepAlive = false;
+}
+
+////////////////////////////////////////////////////////////
+bool AnswerWriter::begun() const
+{
+    return m_begun;
+}
+
+////////////////////////////////////////////////////////////
+bool AnswerWriter::mayKeepAlive() const
+{
+    return m_keepAlive && !m_broken;
+}
+
+////////////////////////////////////////////////////////////
+bool AnswerWriter::flush()
+{
+    std::span<const char> left(m_pending);
+    while (!left.empty())
+    {
+        const net::IoResult result = m_socket.write(left, m_timeout);
+        if (result.status != net::IoStatus::Done)
+        {
+            cut();
+            return false;
+        }
+        left = left.subspan(result.bytes);
+    }
+    m_pending.clear();
+    return true;
+}
+
+} // namespace sailpath::adapters::http
--- /dev/null
+++ b/src/sailpath/adapters/http/BackendStream.cpp
@@ -0,0 +1,136 @@
+#include "BackendStream.hpp"
+
+#include <algorithm>
+#include <cstring>
+
+namespace sailpath::adapters::http::priv
+{
+namespace
+{
+constexpr std::size_t readAhead = 16 * 1024;
+constexpr std::size_t longestHead = 64 * 1024;
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+BackendStream::BackendStream(const net::TcpSocket& socket, Clock::time_point deadline, core::Duration idle) :
+m_socket(socket),
+m_deadline(deadline),
+m_idle(idle),
+m_buffer(readAhead)
+{
+}
+
+////////////////////////////////////////////////////////////
+bool BackendStream::mayHaveSent() const
+{
+    return m_sent;
+}
+
+////////////////////////////////////////////////////////////
+bool BackendStream::received() const
+{
+    return m_received;
+}
+
+////////////////////////////////////////////////////////////
+bool BackendStream::timedOut() const
+{
+    return m_timedOut;
+}
+
+////////////////////////////////////////////////////////////
+std::string_view BackendStream::head() const
+{
+    return m_head;
+}
+
+////////////////////////////////////////////////////////////
+void BackendStream::headComplete()
+{
+    m_headComplete = true;
+}
+
+////////////////////////////////////////////////////////////
+bool BackendStream::hasSurplus() const
+{
+    return m_next != m_end;
+}
+
+////////////////////////////////////////////////////////////
+bool BackendStream::is_readable() const
+{
+    return true;
+}
+
+////////////////////////////////////////////////////////////
+bool BackendStream::is_writable() const
+{
+    return true;
+}
+
+////////////////////////////////////////////////////////////
+ssize_t BackendStream::read(char* ptr, size_t size)
+{
+    if (m_next == m_end)
+    {
+        const net::IoResult result = m_socket.read(m_buffer, patience());
+        m_timedOut = m_timedOut || result.status == net::IoStatus::Timeout;
+        if (result.status != net::IoStatus::Done)
+            return result.status == net::IoStatus::Closed ? 0 : -1;
+        m_received = true;
+        m_next = 0;
+        m_end = result.bytes;
+    }
+    const std::size_t count = std::min(size, m_end - m_next);
+    std::memcpy(ptr, m_buffer.data() + m_next, count);
+    m_next += count;
+    if (!m_headComplete)
+    {
+        if (m_head.size() + count > longestHead)
+            return -1;
+        m_head.append(ptr, count);
+    }
+    return static_cast<ssize_t>(count);
+}
+
+////////////////////////////////////////////////////////////
+ssize_t BackendStream::write(const char* ptr, size_t size)
+{
+    // From the first call on nobody can say that nothing left.
+    m_sent = true;
+    const net::IoResult result = m_socket.write({ptr, size}, patience());
+    m_timedOut = m_timedOut || result.status == net::IoStatus::Timeout;
+    return result.status == net::IoStatus::Done ? static_cast<ssize_t>(result.bytes) : -1;
+}
+
+////////////////////////////////////////////////////////////
+void BackendStream::get_remote_ip_and_port(std::string& ip, int& port) const
+{
+    ip.clear();
+    port = 0;
+}
+
+////////////////////////////////////////////////////////////
+void BackendStream::get_local_ip_and_port(std::string& ip, int& port) const
+{
+    ip.clear();
+    port = 0;
+}
+
+////////////////////////////////////////////////////////////
+int BackendStream::socket() const
+{
+    return 0;
+}
+
+////////////////////////////////////////////////////////////
+core::Duration BackendStream::patience() const
+{
+    if (m_headComplete)
+        return m_idle;
+    const auto left = std::chrono::duration_cast<core::Duration>(m_deadline - Clock::now());
+    return std::max(left, core::Duration{0});
+}
+
+} // namespace sailpath::adapters::http::priv
--- /dev/null
+++ b/src/sailpath/adapters/http/ConnectionPool.cpp
@@ -0,0 +1,51 @@
+#include <sailpath/adapters/http/ConnectionPool.hpp>
+
+#include <algorithm>
+
+namespace sailpath::adapters::http
+{
+////////////////////////////////////////////////////////////
+ConnectionPool::ConnectionPool(std::size_t mostIdle, core::Duration longest) :
+m_mostIdle(mostIdle),
+m_longest(longest)
+{
+}
+
+////////////////////////////////////////////////////////////
+net::TcpSocket ConnectionPool::take(const std::string& server, core::Duration longest)
+{
+    const auto                        oldest = Clock::now() - std::min(longest, m_longest);
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto                        found = m_idle.find(server);
+    if (found == m_idle.end())
+        return {};
+    while (!found->second.empty())
+    {
+        Idle idle = std::move(found->second.back());
+        found->second.pop_back();
+        if (idle.since >= oldest && idle.socket.quiet())
+            return std::move(idle.socket);
+    }
+    return {};
+}
+
+////////////////////////////////////////////////////////////
+void ConnectionPool::give(const std::string& server, net::TcpSocket socket)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    auto&                             idle = m_idle[server];
+    if (idle.size() < m_mostIdle)
+        idle.push_back({std::move(socket), Clock::now()});
+}
+
+////////////////////////////////////////////////////////////
+void ConnectionPool::prune()
+{
+    const auto                        oldest = Clock::now() - m_longest;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (auto& server : m_idle)
+        std::erase_if(server.second, [oldest](const Idle& idle) { return idle.since < oldest; });
+    std::erase_if(m_idle, [](const auto& server) { return server.second.empty(); });
+}
+
+} // namespace sailpath::adapters::http
--- /dev/null
+++ b/src/sailpath/config/Host.cpp
@@ -0,0 +1,20 @@
+#include <sailpath/config/Host.hpp>
+
+namespace sailpath::config
+{
+////////////////////////////////////////////////////////////
+std::optional<HostName> parseHost(std::string_view host)
+{
+    host = host.substr(0, host.find(':'));
+    const auto first = host.find('.');
+    if (first == std::string_view::npos || first == 0)
+        return std::nullopt;
+
+    const std::string_view rest = host.substr(first + 1);
+    const std::string_view workspace = rest.substr(0, rest.find('.'));
+    if (workspace.empty())
+        return std::nullopt;
+    return HostName{host.substr(0, first), workspace};
+}
+
+} // namespace sailpath::config
--- /dev/null
+++ b/src/sailpath/control/ControlThread.cpp
@@ -0,0 +1,420 @@
+#include <sailpath/control/ControlThread.hpp>
+
+#include <sailpath/documents/StoreKeys.hpp>
+#include <sailpath/entry/HeaderNames.hpp>
+#include <sailpath/entry/SteadyClock.hpp>
+
+#include <charconv>
+
+namespace sailpath::control
+{
+namespace
+{
+using documents::configurationPrefix;
+using documents::proberPrefix;
+using documents::toDocument;
+using entry::steadyNow;
+using ports::Level;
+
+constexpr core::Duration probeTime = std::chrono::milliseconds{500};
+
+////////////////////////////////////////////////////////////
+std::vector<state::Document> toDocuments(std::span<const ports::KeyValue> items)
+{
+    std::vector<state::Document> documents;
+    for (const ports::KeyValue& item : items)
+    {
+        if (auto document = toDocument(item))
+            documents.push_back(std::move(*document));
+    }
+    return documents;
+}
+
+////////////////////////////////////////////////////////////
+node::LeaseResult resultOf(ports::StoreStatus status)
+{
+    switch (status)
+    {
+    case ports::StoreStatus::Ok:
+        return node::LeaseResult::Held;
+    case ports::StoreStatus::Conflict:
+        return node::LeaseResult::Gone;
+    default:
+        return node::LeaseResult::Failed;
+    }
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+ControlThread::ControlThread(node::ControllerSettings settings, adapters::peers::PeerSettings peers,
+                             ControlPorts ports) :
+m_settings(settings),
+m_ports(ports),
+m_controller(std::move(settings), steadyNow()),
+m_loop(std::move(peers), *this)
+{
+    m_thread = std::thread(
+        [this]
+        {
+            try
+            {
+                m_loop.run();
+            }
+            catch (const std::exception& error)
+            {
+                m_failure = error.what();
+                m_failed = true;
+            }
+        });
+}
+
+////////////////////////////////////////////////////////////
+ControlThread::~ControlThread()
+{
+    m_ending = true;
+    m_watchNumber = 0;
+    m_ports.watcher.endWatch();
+    m_storeThread.stop();
+    m_probeThread.stop();
+    m_watchThread.stop();
+    m_loop.stop();
+    m_thread.join();
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::leave()
+{
+    onLoop([this] { m_controller.leave(steadyNow(), m_actions); });
+}
+
+////////////////////////////////////////////////////////////
+ControlStatus ControlThread::status()
+{
+    ControlStatus status;
+    onLoop(
+        [this, &status]
+        {
+            status.revision = m_controller.revision();
+            status.relay = m_controller.relay();
+            status.members = m_controller.members().all();
+            status.probes = m_probes;
+            status.probeCost = m_probeCost;
+            status.storeCalls = m_storeCalls;
+        });
+    return status;
+}
+
+////////////////////////////////////////////////////////////
+std::string ControlThread::failure() const
+{
+    return m_failed ? m_failure : std::string();
+}
+
+////////////////////////////////////////////////////////////
+node::Digest ControlThread::exchangeReceived(const node::Digest& digest)
+{
+    node::Digest answer = m_controller.exchangeReceived(digest, steadyNow(), m_actions);
+    carryOut();
+    return answer;
+}
+
+////////////////////////////////////////////////////////////
+state::DocumentBatch ControlThread::documentsSince(std::uint64_t revision)
+{
+    return m_controller.documentsSince(revision);
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::exchanged(const node::Digest& answer)
+{
+    m_controller.exchanged(answer, steadyNow(), m_actions);
+    carryOut();
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::exchangeFailed(const std::string& peer)
+{
+    m_ports.log.write(Level::Info, "peer-unreachable", {{"peer", peer}});
+    m_controller.exchangeFailed(peer, steadyNow());
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::documentsReceived(const membership::Member& peer, const state::DocumentBatch& batch)
+{
+    m_controller.documentsReceived(peer, batch, steadyNow(), m_actions);
+    carryOut();
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::pullFailed(const std::string& peer)
+{
+    m_ports.log.write(Level::Info, "pull-failed", {{"peer", peer}});
+    m_controller.pullFailed();
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::tick()
+{
+    m_controller.tick(steadyNow(), m_actions);
+    carryOut();
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::carryOut()
+{
+    // Carrying out an action may not add others: answers come later, through the loop.
+    node::ControlActions actions;
+    actions.swap(m_actions);
+    for (const node::ControlAction& action : actions)
+        std::visit([this](const auto& item) { perform(item); }, action);
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::perform(const node::ExchangeWith& action)
+{
+    m_loop.exchange(action);
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::perform(const node::PullDocuments& action)
+{
+    m_loop.pull(action);
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::perform(const node::ReadStore&)
+{
+    m_storeThread.post(
+        [this]
+        {
+            ++m_storeCalls;
+            const ports::ReadAnswer answer = m_ports.store.range(configurationPrefix);
+            onLoop(
+                [this, &answer]
+                {
+                    const bool read = answer.status == ports::StoreStatus::Ok;
+                    m_ports.log.write(read ? Level::Debug : Level::Warning, read ? "store-read" : "store-unavailable",
+                                      {{"revision", answer.revision}});
+                    if (read)
+                        m_controller.storeRead(toDocuments(answer.items), answer.revision, steadyNow(), m_actions);
+                    else
+                        m_controller.storeFailed(steadyNow());
+                });
+        });
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::perform(const node::WatchStore& action)
+{
+    const std::uint64_t number = ++m_watches;
+    m_watchNumber = number;
+    m_watchThread.post(
+        [this, number, revision = action.revision]
+        {
+            ++m_storeCalls;
+            m_ports.watcher.watch(
+                configurationPrefix, revision,
+                [this, number](std::span<const ports::KeyValue> items)
+                {
+                    if (m_watchNumber != number)
+                        return false;
+                    onLoop([this, items] { m_controller.storeChanged(toDocuments(items), steadyNow(), m_actions); });
+                    return true;
+                });
+            onLoop(
+                [this, number]
+                {
+                    if (m_watchNumber != number)
+                        return;
+                    m_ports.log.write(Level::Info, "watch-ended", {});
+                    m_controller.storeFailed(steadyNow());
+                });
+        });
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::perform(const node::StopWatch&)
+{
+    m_watchNumber = 0;
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::perform(const node::ListMembers&)
+{
+    m_storeThread.post(
+        [this]
+        {
+            ++m_storeCalls;
+            if (const auto members = m_ports.vms.read())
+                onLoop([this, &members] { m_controller.membersListed(*members, steadyNow()); });
+        });
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::perform(const node::AcquireLease& action)
+{
+    m_storeThread.post(
+        [this, action]
+        {
+            const node::LeaseAnswer answer = acquire(action);
+            onLoop(
+                [this, &answer]
+                {
+                    if (answer.result == node::LeaseResult::Held)
+                        m_ports.log.write(Level::Info, "probing-acquired", {{"group", answer.group}});
+                    m_controller.leaseAnswered(answer, steadyNow());
+                });
+        });
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::perform(const node::RenewLease& action)
+{
+    m_storeThread.post(
+        [this, lease = action.lease]
+        {
+            node::LeaseAnswer answer;
+            answer.renewal = true;
+            answer.sentAt = steadyNow();
+            ++m_storeCalls;
+            const ports::LeaseGrant grant = m_ports.store.renew(lease);
+            answer.result = resultOf(grant.status);
+            answer.lease = lease;
+            answer.length = grant.length;
+            onLoop(
+                [this, &answer]
+                {
+                    if (answer.result == node::LeaseResult::Gone)
+                        m_ports.log.write(Level::Warning, "probing-lost", {});
+                    m_controller.leaseAnswered(answer, steadyNow());
+                });
+        });
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::perform(const node::SendProbe& action)
+{
+    ++m_probes;
+    m_probeCost += core::toMilliseconds(action.target->probeCost);
+    m_probeThread.post(
+        [this, target = action.target]
+        {
+            bool                     answered = false;
+            const node::ServerReport report = probe(*target, answered);
+            if (answered)
+                onLoop([this, &report] { m_controller.probed(report, steadyNow(), m_actions); });
+        });
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::perform(const node::ApplyWorkspace& action)
+{
+    m_ports.door.with([&action](node::Dispatcher& dispatcher) { dispatcher.configure(action.workspace, steadyNow()); });
+    m_ports.log.write(Level::Info, "configuration-in-force",
+                      {{"workspace", action.workspace.name}, {"revision", action.revision}});
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::perform(const node::RemoveWorkspace& action)
+{
+    m_ports.door.with([&action](node::Dispatcher& dispatcher)
+                      { dispatcher.removeWorkspace(action.workspace, steadyNow()); });
+    m_ports.log.write(Level::Info, "workspace-removed",
+                      {{"workspace", action.workspace}, {"revision", action.revision}});
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::perform(const node::RejectedDocument& action)
+{
+    m_ports.log.write(
+        Level::Error, "configuration-rejected",
+        {{"workspace", action.workspace}, {"revision", action.revision}, {"findings", action.findings.text()}});
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::perform(const node::HearReport& action)
+{
+    const node::ServerReport& report = action.report;
+    m_ports.door.with(
+        [&report](node::Dispatcher& dispatcher)
+        {
+            const auto at = steadyNow() - std::chrono::milliseconds{report.ageMs};
+            dispatcher.reported(report.workspace, report.service, report.server, report.load, report.draining, at);
+        });
+}
+
+////////////////////////////////////////////////////////////
+node::LeaseAnswer ControlThread::acquire(const node::AcquireLease& action)
+{
+    node::LeaseAnswer answer;
+    answer.group = action.group;
+    answer.lease = action.lease;
+    answer.length = m_settings.leaseLength;
+    answer.sentAt = steadyNow();
+    ++m_storeCalls;
+    const ports::LeaseGrant grant =
+        action.lease == 0 ? m_ports.store.grant(m_settings.leaseLength) : m_ports.store.renew(action.lease);
+    answer.result = resultOf(grant.status);
+    if (answer.result != node::LeaseResult::Held)
+        return answer;
+    answer.lease = grant.lease;
+    answer.length = grant.length;
+
+    const std::string key = std::string(proberPrefix) + std::to_string(action.group);
+    ++m_storeCalls;
+    const ports::WriteAnswer write = m_ports.store.compareAndSwap({key, m_settings.self.name, 0, answer.lease});
+    if (write.status == ports::StoreStatus::Conflict)
+        answer.result = node::LeaseResult::TakenByOther;
+    else if (write.status != ports::StoreStatus::Ok)
+        answer.result = node::LeaseResult::Failed;
+    return answer;
+}
+
+////////////////////////////////////////////////////////////
+node::ServerReport ControlThread::probe(const node::Target& target, bool& answered)
+{
+    node::ServerReport report;
+    report.workspace = target.workspace;
+    report.service = target.service;
+    report.server = target.server;
+
+    adapters::http::ServerRequest request;
+    request.method = "GET";
+    request.target = target.probePath;
+    request.headers.push_back({"Host", target.service + "." + target.workspace});
+    request.deadline = std::chrono::steady_clock::now() + probeTime;
+    const adapters::http::AnswerSink sink{
+        [&](const adapters::http::AnswerHead& head)
+        {
+            for (const adapters::http::Header& header : head.headers)
+            {
+                const char* const begin = header.value.data();
+                if (adapters::http::sameName(header.name, entry::headerLoad))
+                    answered =
+                        std::from_chars(begin, begin + header.value.size(), report.load.inFlight).ec == std::errc{};
+                if (adapters::http::sameName(header.name, entry::headerDraining))
+                    report.draining = header.value == "true";
+            }
+            return true;
+        },
+        [](std::string_view) { return true; }};
+    adapters::http::Cancellation cancellation;
+    (void)m_ports.client.exchange(target.address, target.port, request, sink, cancellation);
+    return report;
+}
+
+////////////////////////////////////////////////////////////
+void ControlThread::onLoop(const std::function<void()>& work)
+{
+    if (m_ending)
+        return;
+    (void)m_loop.call(
+        [this, &work]
+        {
+            work();
+            carryOut();
+        });
+}
+
+} // namespace sailpath::control
--- /dev/null
+++ b/src/sailpath/entry/DispatcherDoor.cpp
@@ -0,0 +1,81 @@
+#include <sailpath/entry/DispatcherDoor.hpp>
+
+#include <sailpath/entry/SteadyClock.hpp>
+
+namespace sailpath::entry
+{
+namespace
+{
+constexpr auto askCancelledEvery = std::chrono::milliseconds{20};
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+DispatcherDoor::DispatcherDoor(node::DispatcherSettings settings) :
+m_dispatcher(std::move(settings))
+{
+}
+
+////////////////////////////////////////////////////////////
+node::Step DispatcherDoor::admit(const node::Request& request, const std::function<bool()>& cancelled)
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    const node::Step             step = m_dispatcher.admit(request, steadyNow());
+    if (step.verdict == node::Verdict::Hold)
+        return wait(step.ticket, lock, cancelled);
+    deliver();
+    return step;
+}
+
+////////////////////////////////////////////////////////////
+node::Step DispatcherDoor::finish(node::Ticket ticket, const node::Outcome& outcome)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const node::Step                  step = m_dispatcher.finish(ticket, outcome, steadyNow());
+    deliver();
+    return step;
+}
+
+////////////////////////////////////////////////////////////
+void DispatcherDoor::tick()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_dispatcher.tick(steadyNow());
+    deliver();
+}
+
+////////////////////////////////////////////////////////////
+node::Step DispatcherDoor::wait(node::Ticket ticket, std::unique_lock<std::mutex>& lock,
+                                const std::function<bool()>& cancelled)
+{
+    Waiter waiter;
+    if (m_waiters.size() <= ticket)
+        m_waiters.resize(ticket + 1, nullptr);
+    m_waiters[ticket] = &waiter;
+    deliver();
+    while (!waiter.step)
+    {
+        waiter.wake.wait_for(lock, askCancelledEvery);
+        if (!waiter.step && cancelled() && m_dispatcher.cancelHeld(ticket, steadyNow()))
+        {
+            waiter.step.emplace();
+            waiter.step->refusal = {node::RefusalReason::CallerGone, retries::Ran::No, {}};
+        }
+    }
+    m_waiters[ticket] = nullptr;
+    return *waiter.step;
+}
+
+////////////////////////////////////////////////////////////
+void DispatcherDoor::deliver()
+{
+    m_dispatcher.takeReleased(m_released);
+    for (const node::Step& step : m_released)
+    {
+        Waiter& waiter = *m_waiters[step.ticket];
+        waiter.step = step;
+        waiter.wake.notify_one();
+    }
+}
+
+} // namespace sailpath::entry
--- /dev/null
+++ b/src/sailpath/entry/Proxy.cpp
@@ -0,0 +1,249 @@
+#include <sailpath/entry/Proxy.hpp>
+
+#include "Attempt.hpp"
+
+#include <sailpath/config/Host.hpp>
+#include <sailpath/entry/HeaderNames.hpp>
+#include <sailpath/entry/SteadyClock.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <optional>
+
+namespace sailpath::entry
+{
+namespace
+{
+using adapters::http::BodyFraming;
+using adapters::http::CallerRequest;
+using adapters::http::Header;
+using adapters::http::RequestHead;
+using adapters::http::sameName;
+using adapters::http::ServerRequest;
+using node::RefusalReason;
+using node::toString;
+
+constexpr std::size_t   bufferedBody = 64 * 1024; // Bodies up to this size are read before a server is chosen
+constexpr std::size_t   longestId = 64;
+constexpr std::uint64_t longestDeadlineMs = 3'600'000;
+
+////////////////////////////////////////////////////////////
+int statusFor(const node::Refusal& refusal)
+{
+    switch (refusal.reason)
+    {
+    case RefusalReason::UnknownService:
+        return 404;
+    case RefusalReason::WorkspaceShare:
+        return 429;
+    case RefusalReason::OutcomeUnknown:
+    case RefusalReason::NotSent:
+        return 502;
+    case RefusalReason::DeadlinePassed:
+        return 504;
+    default:
+        return 503;
+    }
+}
+
+////////////////////////////////////////////////////////////
+std::optional<core::Duration> timeLeft(const RequestHead& head)
+{
+    const std::string_view value = head.header(headerDeadlineMs);
+    std::uint64_t          milliseconds = 0;
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), milliseconds);
+    if (value.empty() || error != std::errc{} || end != value.data() + value.size())
+        return std::nullopt;
+    return std::chrono::milliseconds{std::min(milliseconds, longestDeadlineMs)};
+}
+
+////////////////////////////////////////////////////////////
+bool isNotPassedOn(const Header& header, std::string_view connection)
+{
+    static constexpr std::array<std::string_view, 4> replaced{"Content-Length", "Expect", headerRequestId,
+                                                              headerDeadlineMs};
+    return adapters::http::isHopByHop(header.name, connection) ||
+           std::any_of(replaced.begin(), replaced.end(),
+                       [&header](std::string_view name) { return sameName(header.name, name); });
+}
+
+////////////////////////////////////////////////////////////
+/// \brief Headers for the server: the caller's, and where the request came from
+////////////////////////////////////////////////////////////
+std::vector<Header> serverHeaders(const CallerRequest& caller, const std::string& id)
+{
+    const RequestHead&     head = caller.head;
+    const std::string_view connection = head.header("Connection");
+    std::vector<Header>    headers;
+    headers.reserve(head.headers.size() + 3);
+    std::string forwardedFor;
+    std::string forwarded;
+    for (const Header& header : head.headers)
+    {
+        if (sameName(header.name, "X-Forwarded-For"))
+            forwardedFor += header.value + ", ";
+        else if (sameName(header.name, "Forwarded"))
+            forwarded += header.value + ", ";
+        else if (!isNotPassedOn(header, connection))
+            headers.push_back(header);
+    }
+    const bool v6 = caller.address.find(':') != std::string::npos;
+    headers.push_back({"X-Forwarded-For", forwardedFor + caller.address});
+    headers.push_back(
+        {"Forwarded", forwarded + "for=" + (v6 ? "\"[" + caller.address + "]\"" : caller.address) + ";proto=http"});
+    headers.push_back({std::string(headerRequestId), id});
+    return headers;
+}
+
+////////////////////////////////////////////////////////////
+void writeRefusal(CallerRequest& caller, const node::Refusal& refusal, const std::string& id)
+{
+    if (caller.answer.begun())
+    {
+        caller.answer.cut();
+        return;
+    }
+    adapters::http::AnswerHead head;
+    head.status = statusFor(refusal);
+    head.reason = "Refused";
+    head.headers.push_back({std::string(headerReason), std::string(toString(refusal.reason))});
+    head.headers.push_back({std::string(headerRan), std::string(toString(refusal.ran))});
+    head.headers.push_back({std::string(headerRequestId), id});
+    head.headers.push_back({"Content-Type", "text/plain"});
+    if (refusal.retryAfter.count() > 0)
+    {
+        const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(refusal.retryAfter).count();
+        head.headers.push_back({"Retry-After", std::to_string((milliseconds + 999) / 1000)});
+        head.headers.push_back({std::string(headerRetryAfterMs), std::to_string(milliseconds)});
+    }
+    // Retries below have been made as far as the budget allows; a layer above must not multiply them.
+    if (refusal.reason == RefusalReason::OutcomeUnknown || refusal.reason == RefusalReason::NotSent)
+        head.headers.push_back({std::string(headerRetry), "never"});
+
+    const std::string text =
+        "refused: " + std::string(toString(refusal.reason)) + "; " + std::string(toString(refusal.ran)) + "\n";
+    head.framing = caller.head.method == "HEAD" ? BodyFraming::None : BodyFraming::Length;
+    head.keepLength = caller.head.method == "HEAD";
+    head.contentLength = text.size();
+    caller.answer.begin(head);
+    (void)caller.answer.body(text);
+    (void)caller.answer.end();
+}
+
+////////////////////////////////////////////////////////////
+/// \brief Read a small body ahead, so that a slow caller holds no server and a retry is possible
+////////////////////////////////////////////////////////////
+bool readSmallBody(CallerRequest& caller, std::string& body)
+{
+    body.reserve(caller.head.contentLength);
+    return caller.body(
+        [&body](std::string_view data)
+        {
+            body.append(data);
+            return true;
+        });
+}
+
+////////////////////////////////////////////////////////////
+bool isSmallBody(const RequestHead& head)
+{
+    return head.framing == BodyFraming::Length && head.contentLength <= bufferedBody;
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+Proxy::Proxy(std::string node, DispatcherDoor& door, adapters::http::BackendClient& client, TrafficMetrics& metrics,
+             ports::EventLog& log) :
+m_node(std::move(node)),
+m_door(door),
+m_client(client),
+m_metrics(metrics),
+m_log(log)
+{
+}
+
+////////////////////////////////////////////////////////////
+void Proxy::serve(CallerRequest& caller)
+{
+    const auto        start = steadyNow();
+    const std::string id = requestId(caller.head);
+    const auto        host = config::parseHost(caller.head.header("Host"));
+    if (m_log.writes(ports::Level::Debug))
+        m_log.write(ports::Level::Debug, "request-received",
+                    {{"request", id}, {"in", id}, {"host", caller.head.header("Host")}, {"path", caller.head.path}});
+
+    std::string body;
+    if (isSmallBody(caller.head) && !readSmallBody(caller, body))
+    {
+        caller.answer.cut();
+        return;
+    }
+    ServerRequest request;
+    request.method = caller.head.method;
+    request.target = caller.head.target;
+    request.framing = caller.head.framing;
+    request.contentLength = caller.head.contentLength;
+    request.body = body;
+    if (request.framing != BodyFraming::None && !isSmallBody(caller.head))
+        request.stream = caller.body;
+
+    node::Step step =
+        m_door.admit({caller.head.header("Host"), caller.head.method, caller.head.path, timeLeft(caller.head)},
+                     [&caller] { return caller.cancellation.cancelled(); });
+    std::string_view outcome = "answered";
+    while (true)
+    {
+        if (step.verdict == node::Verdict::Refuse)
+        {
+            outcome = toString(step.refusal.reason);
+            writeRefusal(caller, step.refusal, id);
+            if (m_log.writes(ports::Level::Debug))
+                m_log.write(ports::Level::Debug, "request-refused",
+                            {{"request", id}, {"reason", outcome}, {"ran", toString(step.refusal.ran)}});
+            break;
+        }
+        const std::string attemptId = id + "." + std::to_string(step.attempt);
+        request.headers = serverHeaders(caller, attemptId);
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(step.deadline - steadyNow()).count();
+        request.headers.push_back({std::string(headerDeadlineMs), std::to_string(std::max<std::int64_t>(left, 1))});
+        request.deadline = toSteady(step.deadline);
+        request.provenConnection = !step.repeatable;
+        if (m_log.writes(ports::Level::Debug))
+            m_log.write(
+                ports::Level::Debug, "attempt-sent",
+                {{"request", id}, {"out", attemptId}, {"server", step.target->server}, {"attempt", step.attempt}});
+
+        priv::Attempt       attempt(caller, request, id);
+        const node::Outcome result = attempt.run(m_client, *step.target);
+        if (m_log.writes(ports::Level::Debug))
+            m_log.write(ports::Level::Debug, "attempt-ended",
+                        {{"request", id}, {"in", attemptId + ".answer"}, {"status", attempt.status()}});
+        step = m_door.finish(step.ticket, result);
+        if (step.verdict == node::Verdict::Answer)
+        {
+            attempt.passOn();
+            break;
+        }
+    }
+    // Names that callers make up must not become metrics.
+    const bool known =
+        host && outcome != toString(RefusalReason::UnknownService) && outcome != toString(RefusalReason::NotConfigured);
+    m_metrics.record(known ? host->workspace : std::string_view{}, outcome, steadyNow() - start);
+}
+
+////////////////////////////////////////////////////////////
+std::string Proxy::requestId(const RequestHead& head)
+{
+    const std::string_view given = head.header(headerRequestId);
+    const bool             usable = !given.empty() && given.size() <= longestId &&
+                        std::all_of(given.begin(), given.end(),
+                                    [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '.'; });
+    if (usable)
+        return std::string(given);
+    return m_node + "-" + std::to_string(m_nextId++);
+}
+
+} // namespace sailpath::entry
--- /dev/null
+++ b/src/sailpath/limits/ConcurrencyLimit.cpp
@@ -0,0 +1,50 @@
+#include <sailpath/limits/ConcurrencyLimit.hpp>
+
+#include <algorithm>
+
+namespace sailpath::limits
+{
+////////////////////////////////////////////////////////////
+ConcurrencyLimit::ConcurrencyLimit(unsigned slots, unsigned most, ConcurrencySettings settings) :
+m_slots(slots),
+m_most(most),
+m_settings(settings),
+m_limit(slots)
+{
+}
+
+////////////////////////////////////////////////////////////
+void ConcurrencyLimit::answered(double occupancy, unsigned own, core::Timestamp now)
+{
+    if (occupancy > m_settings.fullness * m_slots)
+    {
+        decrease(now);
+        return;
+    }
+    // Grow only a limit that is in use, or it would grow without a reason.
+    if (own + 1.0 >= m_limit * 0.5)
+        m_limit = std::min(m_most, m_limit + m_settings.growth / std::max(1.0, m_limit));
+}
+
+////////////////////////////////////////////////////////////
+void ConcurrencyLimit::shed(core::Timestamp now)
+{
+    decrease(now);
+}
+
+////////////////////////////////////////////////////////////
+double ConcurrencyLimit::value() const
+{
+    return m_limit;
+}
+
+////////////////////////////////////////////////////////////
+void ConcurrencyLimit::decrease(core::Timestamp now)
+{
+    if (now < m_nextDecrease)
+        return;
+    m_limit = std::max(m_settings.least, m_limit * m_settings.backoff);
+    m_nextDecrease = now + m_settings.pause;
+}
+
+} // namespace sailpath::limits
--- /dev/null
+++ b/src/sailpath/membership/MemberTable.cpp
@@ -0,0 +1,236 @@
+#include <sailpath/membership/MemberTable.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace sailpath::membership
+{
+namespace
+{
+////////////////////////////////////////////////////////////
+template <typename Items>
+void shuffle(Items& items, core::Random& random)
+{
+    for (std::size_t i = items.size(); i > 1; --i)
+        std::swap(items[i - 1], items[random.below(i)]);
+}
+
+////////////////////////////////////////////////////////////
+bool isContacted(const Member& member)
+{
+    return member.status == MemberStatus::Alive || member.status == MemberStatus::Suspect;
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+MemberTable::MemberTable(Member self, MembershipSettings settings) :
+m_self(std::move(self)),
+m_settings(settings)
+{
+    m_entries[m_self.name] = {m_self, {}, 0};
+}
+
+////////////////////////////////////////////////////////////
+void MemberTable::merge(std::span<const Member> claims, core::Timestamp now)
+{
+    for (const Member& claim : claims)
+    {
+        if (claim.name != m_self.name)
+            accept(claim, now);
+        else if (supersedes(claim, m_self) && claim.status != MemberStatus::Alive)
+            deny(claim.incarnation, now);
+    }
+}
+
+////////////////////////////////////////////////////////////
+void MemberTable::hint(const Member& listed, core::Timestamp now)
+{
+    if (listed.name == m_self.name || m_entries.find(listed.name) != m_entries.end())
+        return;
+    Member unconfirmed = listed;
+    unconfirmed.incarnation = 0;
+    unconfirmed.status = MemberStatus::Alive;
+    accept(unconfirmed, now);
+}
+
+////////////////////////////////////////////////////////////
+void MemberTable::heard(const Member& peer, core::Timestamp now)
+{
+    if (peer.name != m_self.name)
+        accept(peer, now);
+}
+
+////////////////////////////////////////////////////////////
+void MemberTable::unreachable(std::string_view name, core::Timestamp now)
+{
+    const auto found = m_entries.find(name);
+    if (found == m_entries.end() || found->second.member.status != MemberStatus::Alive)
+        return;
+    Member claim = found->second.member;
+    claim.status = MemberStatus::Suspect;
+    accept(claim, now);
+}
+
+////////////////////////////////////////////////////////////
+void MemberTable::leave(core::Timestamp now)
+{
+    ++m_self.incarnation;
+    m_self.status = MemberStatus::Leaving;
+    m_entries[m_self.name] = {m_self, now, 0};
+}
+
+////////////////////////////////////////////////////////////
+void MemberTable::tick(core::Timestamp now)
+{
+    std::vector<std::string> forgotten;
+    for (auto& [name, entry] : m_entries)
+    {
+        const core::Duration age = now - entry.since;
+        const bool           fading = entry.member.status == MemberStatus::Suspect ||
+                            (entry.member.status == MemberStatus::Leaving && name != m_self.name);
+        if (fading && age > m_settings.suspicion)
+        {
+            entry.member.status = MemberStatus::Dead;
+            entry.since = now;
+            entry.told = 0;
+        }
+        else if (entry.member.status == MemberStatus::Dead && age > m_settings.forget)
+            forgotten.push_back(name);
+    }
+    for (const std::string& name : forgotten)
+        m_entries.erase(name);
+}
+
+////////////////////////////////////////////////////////////
+std::optional<Member> MemberTable::nextPeer(core::Random& random, core::Timestamp now)
+{
+    if (now >= m_nextRevive)
+    {
+        // After a network split both sides hold the other for dead; somebody has to ask.
+        m_nextRevive = now + m_settings.reviveEvery;
+        std::vector<const Member*> dead;
+        for (const auto& item : m_entries)
+        {
+            if (item.second.member.status == MemberStatus::Dead)
+                dead.push_back(&item.second.member);
+        }
+        if (!dead.empty())
+            return *dead[random.below(dead.size())];
+    }
+    if (m_round.empty())
+    {
+        for (const auto& [name, entry] : m_entries)
+        {
+            if (name != m_self.name && isContacted(entry.member))
+                m_round.push_back(name);
+        }
+        std::sort(m_round.begin(), m_round.end());
+        shuffle(m_round, random);
+    }
+    while (!m_round.empty())
+    {
+        const std::string name = std::move(m_round.back());
+        m_round.pop_back();
+        const auto found = m_entries.find(name);
+        if (found != m_entries.end() && isContacted(found->second.member))
+            return found->second.member;
+    }
+    return std::nullopt;
+}
+
+////////////////////////////////////////////////////////////
+std::vector<Member> MemberTable::randomPeers(std::size_t count, core::Random& random) const
+{
+    std::vector<Member> peers;
+    for (const auto& [name, entry] : m_entries)
+    {
+        if (name != m_self.name && entry.member.status == MemberStatus::Alive)
+            peers.push_back(entry.member);
+    }
+    std::sort(peers.begin(), peers.end(), [](const Member& a, const Member& b) { return a.name < b.name; });
+    shuffle(peers, random);
+    if (peers.size() > count)
+        peers.resize(count);
+    return peers;
+}
+
+////////////////////////////////////////////////////////////
+std::vector<Member> MemberTable::claimsToTell(std::size_t most)
+{
+    std::vector<Entry*> fresh;
+    for (auto& item : m_entries)
+    {
+        if (item.second.told < tellLimit())
+            fresh.push_back(&item.second);
+    }
+    std::sort(fresh.begin(), fresh.end(),
+              [](const Entry* a, const Entry* b)
+              { return a->told != b->told ? a->told < b->told : a->member.name < b->member.name; });
+    std::vector<Member> claims;
+    for (std::size_t i = 0; i < fresh.size() && i < most; ++i)
+    {
+        ++fresh[i]->told;
+        claims.push_back(fresh[i]->member);
+    }
+    return claims;
+}
+
+////////////////////////////////////////////////////////////
+std::vector<std::string_view> MemberTable::aliveNames() const
+{
+    std::vector<std::string_view> names;
+    for (const auto& [name, entry] : m_entries)
+    {
+        if (entry.member.status == MemberStatus::Alive)
+            names.push_back(name);
+    }
+    return names;
+}
+
+////////////////////////////////////////////////////////////
+std::vector<Member> MemberTable::all() const
+{
+    std::vector<Member> members;
+    members.reserve(m_entries.size());
+    for (const auto& item : m_entries)
+        members.push_back(item.second.member);
+    std::sort(members.begin(), members.end(), [](const Member& a, const Member& b) { return a.name < b.name; });
+    return members;
+}
+
+////////////////////////////////////////////////////////////
+const Member& MemberTable::self() const
+{
+    return m_self;
+}
+
+////////////////////////////////////////////////////////////
+void MemberTable::accept(const Member& claim, core::Timestamp now)
+{
+    const auto found = m_entries.find(claim.name);
+    if (found == m_entries.end())
+    {
+        // A stranger that is dead already is no news.
+        if (claim.status != MemberStatus::Dead)
+            m_entries[claim.name] = {claim, now, 0};
+        return;
+    }
+    if (supersedes(claim, found->second.member))
+        found->second = {claim, now, 0};
+}
+
+////////////////////////////////////////////////////////////
+void MemberTable::deny(std::uint64_t incarnation, core::Timestamp now)
+{
+    m_self.incarnation = incarnation + 1;
+    m_entries[m_self.name] = {m_self, now, 0};
+}
+
+////////////////////////////////////////////////////////////
+unsigned MemberTable::tellLimit() const
+{
+    return static_cast<unsigned>(std::ceil(m_settings.spread * std::log2(static_cast<double>(m_entries.size()) + 1.0)));
+}
+
+} // namespace sailpath::membership
--- /dev/null
+++ b/src/sailpath/node/Pool.cpp
@@ -0,0 +1,334 @@
+#include "Pool.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace sailpath::node::priv
+{
+namespace
+{
+constexpr double reportGain = 0.05;    // Share of one report in the pool's mean
+constexpr double latencyGain = 0.05;   // Share of one answer in the pool's latency
+constexpr double ejectableShare = 0.5; // Of the pool's servers, at most
+constexpr double batchHeadroom = 1.0;  // Slots of each server that batch requests leave free
+
+////////////////////////////////////////////////////////////
+std::shared_ptr<const Target> makeTarget(const std::string& workspace, const config::Service& service,
+                                         const config::BackendServer& server)
+{
+    Target target;
+    target.workspace = workspace;
+    target.service = service.name;
+    target.server = server.name;
+    target.address = server.address;
+    target.port = server.port;
+    target.probePath = service.probe.path;
+    target.probeCost = service.probe.cost;
+    target.connections = server.connections;
+    return std::make_shared<const Target>(std::move(target));
+}
+
+////////////////////////////////////////////////////////////
+core::Duration roundTripTo(const std::string& dataCentre, const DispatcherSettings& settings)
+{
+    const auto known = settings.roundTrips.find(dataCentre);
+    if (known != settings.roundTrips.end())
+        return known->second;
+    return dataCentre == settings.dataCentre ? core::Duration{0} : settings.otherDataCentre;
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+Pool::Server::Server(std::shared_ptr<const Target> where, const config::BackendServer& declared,
+                     const DispatcherSettings& settings) :
+target(std::move(where)),
+declaration(declared),
+load(declared.slots, roundTripTo(declared.dataCentre, settings), settings.load),
+health(settings.health),
+limit(declared.slots, declared.connections, settings.concurrency)
+{
+}
+
+////////////////////////////////////////////////////////////
+Pool::Pool(std::string workspace, const DispatcherSettings& settings) :
+m_workspace(std::move(workspace)),
+m_settings(settings),
+m_choice(routing::makeServerChoice(settings.choice)),
+m_queue(0),
+m_retryBudget(0),
+m_meanLatency(core::toMilliseconds(settings.load.initialWork))
+{
+    assert(m_choice);
+}
+
+////////////////////////////////////////////////////////////
+void Pool::configure(const config::Service& service, core::Timestamp now)
+{
+    const bool first = m_servers.empty();
+    m_service = service;
+    m_removed = false;
+    m_queue.setCapacity(service.queue);
+    m_retryBudget.setShare(service.retry.budget);
+    m_anyRepeatable = std::any_of(service.routes.begin(), service.routes.end(),
+                                  [](const config::Route& route) { return route.repeatable; });
+
+    std::vector<bool> declared(m_servers.size(), false);
+    for (const config::BackendServer& server : service.servers)
+    {
+        const auto same =
+            std::find_if(m_servers.begin(), m_servers.end(),
+                         [&](const auto& known) { return !known->removed && known->declaration == server; });
+        if (same != m_servers.end())
+        {
+            (*same)->target = makeTarget(m_workspace, service, server);
+            const auto index = static_cast<std::size_t>(same - m_servers.begin());
+            if (index < declared.size())
+                declared[index] = true;
+            continue;
+        }
+        auto added = std::make_unique<Server>(makeTarget(m_workspace, service, server), server, m_settings);
+        // A server that joins a running pool may be cold.
+        if (!first)
+            added->health.startRamp(now);
+        m_servers.push_back(std::move(added));
+    }
+    for (std::size_t i = 0; i < declared.size(); ++i)
+    {
+        if (!declared[i])
+            m_servers[i]->removed = true;
+    }
+    // Indexes are held by requests in flight, so only idle servers at the end may go.
+    while (!m_servers.empty() && m_servers.back()->removed && m_servers.back()->load.ownInFlight() == 0)
+        m_servers.pop_back();
+    m_candidates.reserve(m_servers.size());
+}
+
+////////////////////////////////////////////////////////////
+void Pool::remove()
+{
+    m_removed = true;
+    for (const auto& server : m_servers)
+        server->removed = true;
+}
+
+////////////////////////////////////////////////////////////
+Chosen Pool::choose(const Query& query, core::Random& random)
+{
+    m_candidates.clear();
+    m_limitSum = 0;
+    bool anyStanding = false;
+    for (std::size_t i = 0; i < m_servers.size(); ++i)
+    {
+        const Server& server = *m_servers[i];
+        if (server.removed || i == query.excluded)
+            continue;
+        const routing::Standing standing = server.health.standing(query.now);
+        if (standing == routing::Standing::Trial && trialAllowed(query))
+            return {ChoiceFailure::None, i};
+        if (standing != routing::Standing::Healthy && standing != routing::Standing::Ramping)
+            continue;
+        anyStanding = true;
+        m_limitSum += limitOf(server, query.now);
+        if (!mayBeGiven(server, query))
+            continue;
+        const double finish = server.load.finishMilliseconds(query.now, m_meanOthers);
+        m_candidates.push_back({i, finish / server.health.share(query.now), server.load.ownInFlight(),
+                                server.load.ownInFlight() + server.load.reportedOthers().value_or(0)});
+    }
+    if (!anyStanding)
+        return {ChoiceFailure::NoServer, 0};
+    const bool poolFull = m_settings.useLimits && m_ownInFlight >= std::max(1.0, m_limitSum);
+    if (m_candidates.empty() || poolFull)
+        return {ChoiceFailure::AllBusy, 0};
+    return {ChoiceFailure::None, m_candidates[m_choice->choose(m_candidates, random)].server};
+}
+
+////////////////////////////////////////////////////////////
+void Pool::sent(std::size_t server, core::Timestamp now)
+{
+    Server& chosen = *m_servers[server];
+    if (chosen.health.standing(now) == routing::Standing::Trial)
+        chosen.health.trialSent();
+    chosen.load.sent(now);
+    ++m_ownInFlight;
+    ++m_counters.attempts;
+}
+
+////////////////////////////////////////////////////////////
+void Pool::ended(std::size_t server, core::Timestamp sentAt, const Outcome& outcome, core::Timestamp now)
+{
+    Server& there = *m_servers[server];
+    there.load.ended(sentAt);
+    --m_ownInFlight;
+    if (outcome.report)
+        learnReport(there, *outcome.report, outcome.draining, now);
+
+    switch (outcome.result)
+    {
+    case retries::AttemptResult::Answered:
+        learnAnswer(there, now - sentAt, now);
+        break;
+    case retries::AttemptResult::Shed:
+        there.limit.shed(now);
+        if (there.health.ejected())
+            learnFailure(there, now);
+        break;
+    case retries::AttemptResult::Failed:
+    case retries::AttemptResult::NotSent:
+    case retries::AttemptResult::Unknown:
+        learnFailure(there, now);
+        break;
+    case retries::AttemptResult::Abandoned:
+        there.health.trialAbandoned();
+        break;
+    }
+}
+
+////////////////////////////////////////////////////////////
+void Pool::reported(std::string_view server, routing::LoadReport report, bool draining, core::Timestamp at)
+{
+    if (Server* known = findServer(server))
+        learnReport(*known, report, draining, at);
+}
+
+////////////////////////////////////////////////////////////
+core::Duration Pool::expectedWait(std::size_t ahead) const
+{
+    const double parallel = std::max(1.0, m_limitSum);
+    return core::fromMilliseconds(m_meanLatency * static_cast<double>(ahead + 1) / parallel);
+}
+
+////////////////////////////////////////////////////////////
+core::Duration Pool::usualLatency() const
+{
+    return core::fromMilliseconds(m_meanLatency);
+}
+
+////////////////////////////////////////////////////////////
+bool Pool::removed() const
+{
+    return m_removed;
+}
+
+////////////////////////////////////////////////////////////
+const std::string& Pool::workspace() const
+{
+    return m_workspace;
+}
+
+////////////////////////////////////////////////////////////
+const config::Service& Pool::service() const
+{
+    return m_service;
+}
+
+////////////////////////////////////////////////////////////
+const std::shared_ptr<const Target>& Pool::target(std::size_t server) const
+{
+    return m_servers[server]->target;
+}
+
+////////////////////////////////////////////////////////////
+limits::WaitQueue& Pool::queue()
+{
+    return m_queue;
+}
+
+////////////////////////////////////////////////////////////
+retries::RetryBudget& Pool::retryBudget()
+{
+    return m_retryBudget;
+}
+
+////////////////////////////////////////////////////////////
+DispatcherCounters& Pool::counters()
+{
+    return m_counters;
+}
+
+////////////////////////////////////////////////////////////
+const DispatcherCounters& Pool::counters() const
+{
+    return m_counters;
+}
+
+////////////////////////////////////////////////////////////
+bool Pool::mayBeGiven(const Server& server, const Query& query) const
+{
+    if (query.priority == config::Priority::Batch)
+    {
+        const double room = std::max(1.0, server.load.slots() - batchHeadroom);
+        if (server.load.occupancy(query.now, m_meanOthers) + 1.0 > room)
+            return false;
+    }
+    if (!m_settings.useLimits)
+        return true;
+    return server.load.ownInFlight() < std::max(1.0, limitOf(server, query.now));
+}
+
+////////////////////////////////////////////////////////////
+bool Pool::trialAllowed(const Query& query) const
+{
+    // A request that may not be repeated is a poor trial, unless the service has no other.
+    return query.repeatable || !m_anyRepeatable;
+}
+
+////////////////////////////////////////////////////////////
+bool Pool::mayEject() const
+{
+    if (!m_settings.useEjection)
+        return false;
+    std::size_t inForce = 0;
+    std::size_t ejected = 0;
+    for (const auto& server : m_servers)
+    {
+        inForce += server->removed ? 0 : 1;
+        ejected += !server->removed && server->health.ejected() ? 1 : 0;
+    }
+    return static_cast<double>(ejected + 1) <= ejectableShare * static_cast<double>(inForce);
+}
+
+////////////////////////////////////////////////////////////
+double Pool::limitOf(const Server& server, core::Timestamp now) const
+{
+    return server.limit.value() * server.health.share(now);
+}
+
+////////////////////////////////////////////////////////////
+Pool::Server* Pool::findServer(std::string_view name)
+{
+    const auto found =
+        std::find_if(m_servers.begin(), m_servers.end(),
+                     [name](const auto& server) { return !server->removed && server->declaration.name == name; });
+    return found == m_servers.end() ? nullptr : found->get();
+}
+
+////////////////////////////////////////////////////////////
+void Pool::learnReport(Server& server, routing::LoadReport report, bool draining, core::Timestamp at)
+{
+    server.load.reported(report, at);
+    server.health.draining(draining, at);
+    if (const auto others = server.load.reportedOthers())
+        m_meanOthers += reportGain * (*others - m_meanOthers);
+}
+
+////////////////////////////////////////////////////////////
+void Pool::learnAnswer(Server& server, core::Duration latency, core::Timestamp now)
+{
+    if (server.health.ejected())
+        server.load.resetWork();
+    server.load.learn(latency);
+    server.health.succeeded(now);
+    server.limit.answered(server.load.occupancy(now, m_meanOthers), server.load.ownInFlight(), now);
+    m_meanLatency += latencyGain * (core::toMilliseconds(latency) - m_meanLatency);
+}
+
+////////////////////////////////////////////////////////////
+void Pool::learnFailure(Server& server, core::Timestamp now)
+{
+    if (server.health.failed(now, mayEject()))
+        ++m_counters.ejections;
+}
+
+} // namespace sailpath::node::priv
--- /dev/null
+++ b/src/sailpath/node/Prober.cpp
@@ -0,0 +1,178 @@
+#include <sailpath/node/Prober.hpp>
+
+#include <sailpath/core/Hash.hpp>
+#include <sailpath/membership/Rendezvous.hpp>
+
+#include <algorithm>
+
+namespace sailpath::node
+{
+namespace
+{
+constexpr int renewalsPerLease = 3;
+
+////////////////////////////////////////////////////////////
+std::vector<std::shared_ptr<const Target>> targetsOf(const config::Workspace& workspace)
+{
+    std::vector<std::shared_ptr<const Target>> targets;
+    for (const config::Service& service : workspace.services)
+    {
+        for (const config::BackendServer& server : service.servers)
+        {
+            Target target;
+            target.workspace = workspace.name;
+            target.service = service.name;
+            target.server = server.name;
+            target.address = server.address;
+            target.port = server.port;
+            target.probePath = service.probe.path;
+            target.probeCost = service.probe.cost;
+            targets.push_back(std::make_shared<const Target>(std::move(target)));
+        }
+    }
+    return targets;
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+Prober::Prober(const ControllerSettings& settings) :
+m_settings(settings),
+m_groups(settings.probeGroups)
+{
+}
+
+////////////////////////////////////////////////////////////
+void Prober::configure(const config::Workspace& workspace, core::Timestamp now)
+{
+    Measured& measured = m_measured[workspace.name];
+    measured.rate = workspace.measuringBudget;
+    measured.group = static_cast<unsigned>(core::hash(workspace.name) % m_groups.size());
+    measured.servers = targetsOf(workspace);
+    measured.next = 0;
+    if (measured.budget)
+        measured.budget->setRate(measured.rate, now);
+    else if (m_groups[measured.group].held)
+        measured.budget.emplace(measured.rate, now);
+}
+
+////////////////////////////////////////////////////////////
+void Prober::remove(std::string_view workspace)
+{
+    if (const auto found = m_measured.find(workspace); found != m_measured.end())
+        m_measured.erase(found);
+}
+
+////////////////////////////////////////////////////////////
+void Prober::tick(std::span<const std::string_view> alive, core::Timestamp now, ControlActions& actions)
+{
+    const bool anyHeld = std::any_of(m_groups.begin(), m_groups.end(), [](const Group& group) { return group.held; });
+    if (anyHeld && !m_lease.valid(now))
+        dropAll();
+    acquire(alive, now, actions);
+    renew(now, actions);
+    probe(now, actions);
+}
+
+////////////////////////////////////////////////////////////
+void Prober::answered(const LeaseAnswer& answer, core::Timestamp now)
+{
+    m_pending = false;
+    if (answer.result == LeaseResult::Gone)
+    {
+        dropAll();
+        return;
+    }
+    if (answer.result == LeaseResult::Failed)
+        return;
+
+    m_lease.granted(answer.lease, answer.length, answer.sentAt);
+    m_renewAt = answer.sentAt + answer.length / renewalsPerLease;
+    if (answer.renewal || answer.result != LeaseResult::Held || !m_lease.valid(now))
+        return;
+    m_groups[answer.group].held = true;
+    for (auto& item : m_measured)
+    {
+        if (item.second.group == answer.group)
+            item.second.budget.emplace(item.second.rate, now);
+    }
+}
+
+////////////////////////////////////////////////////////////
+double Prober::spent(std::string_view workspace) const
+{
+    const auto found = m_measured.find(workspace);
+    return found == m_measured.end() || !found->second.budget ? 0.0 : found->second.budget->spent();
+}
+
+////////////////////////////////////////////////////////////
+bool Prober::holds(std::string_view workspace, core::Timestamp now) const
+{
+    const auto found = m_measured.find(workspace);
+    return found != m_measured.end() && m_groups[found->second.group].held && m_lease.valid(now);
+}
+
+////////////////////////////////////////////////////////////
+void Prober::dropAll()
+{
+    m_lease.lost();
+    for (Group& group : m_groups)
+        group.held = false;
+    for (auto& item : m_measured)
+        item.second.budget.reset();
+}
+
+////////////////////////////////////////////////////////////
+bool Prober::wanted(unsigned group, std::span<const std::string_view> alive) const
+{
+    const bool used =
+        std::any_of(m_measured.begin(), m_measured.end(),
+                    [group](const auto& item) { return item.second.group == group && item.second.rate > 0; });
+    return used && membership::isChosen("probe-" + std::to_string(group), m_settings.self.name, alive, 1);
+}
+
+////////////////////////////////////////////////////////////
+void Prober::acquire(std::span<const std::string_view> alive, core::Timestamp now, ControlActions& actions)
+{
+    for (unsigned group = 0; group < m_groups.size() && !m_pending; ++group)
+    {
+        Group& state = m_groups[group];
+        if (state.held || now < state.nextTry || !wanted(group, alive))
+            continue;
+        state.nextTry = now + m_settings.leaseLength / 2;
+        m_pending = true;
+        actions.emplace_back(AcquireLease{group, m_lease.id(now).value_or(0)});
+    }
+}
+
+////////////////////////////////////////////////////////////
+void Prober::renew(core::Timestamp now, ControlActions& actions)
+{
+    const auto lease = m_lease.id(now);
+    const bool held = std::any_of(m_groups.begin(), m_groups.end(), [](const Group& group) { return group.held; });
+    if (!lease || !held || m_pending || now < m_renewAt)
+        return;
+    m_pending = true;
+    m_renewAt = now + m_settings.leaseLength / renewalsPerLease;
+    actions.emplace_back(RenewLease{*lease});
+}
+
+////////////////////////////////////////////////////////////
+void Prober::probe(core::Timestamp now, ControlActions& actions)
+{
+    if (!m_lease.valid(now))
+        return;
+    for (auto& item : m_measured)
+    {
+        Measured& measured = item.second;
+        if (!measured.budget || measured.servers.empty())
+            continue;
+        const auto& target = measured.servers[measured.next % measured.servers.size()];
+        if (!measured.budget->charge(target->probeCost, now))
+            continue;
+        ++measured.next;
+        actions.emplace_back(SendProbe{target});
+    }
+}
+
+} // namespace sailpath::node
--- /dev/null
+++ b/src/sailpath/retries/RetryPolicy.cpp
@@ -0,0 +1,29 @@
+#include <sailpath/retries/RetryPolicy.hpp>
+
+namespace sailpath::retries
+{
+namespace
+{
+////////////////////////////////////////////////////////////
+bool mayRunAgain(const AttemptRecord& record)
+{
+    if (record.result == AttemptResult::NotSent)
+        return true;
+    const bool failed = record.result == AttemptResult::Failed || record.result == AttemptResult::Shed ||
+                        record.result == AttemptResult::Unknown;
+    return failed && record.repeatable;
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+bool shouldRetry(const AttemptRecord& record, const config::RetryRule& rule, RetryBudget& budget)
+{
+    if (!mayRunAgain(record) || !record.bodyAtHand || record.retryForbidden)
+        return false;
+    if (record.attempts >= rule.attempts || record.timeLeft <= record.expected)
+        return false;
+    return budget.take();
+}
+
+} // namespace sailpath::retries
--- /dev/null
+++ b/src/sailpath/routing/EstimatedFinishChoice.cpp
@@ -0,0 +1,24 @@
+#include <sailpath/routing/EstimatedFinishChoice.hpp>
+
+namespace sailpath::routing
+{
+////////////////////////////////////////////////////////////
+EstimatedFinishChoice::EstimatedFinishChoice(std::size_t draws) :
+m_draws(draws)
+{
+}
+
+////////////////////////////////////////////////////////////
+std::size_t EstimatedFinishChoice::choose(std::span<const Candidate> candidates, core::Random& random)
+{
+    std::size_t best = random.below(candidates.size());
+    for (std::size_t draw = 1; draw < m_draws; ++draw)
+    {
+        const std::size_t other = random.below(candidates.size());
+        if (candidates[other].finish < candidates[best].finish)
+            best = other;
+    }
+    return best;
+}
+
+} // namespace sailpath::routing
--- /dev/null
+++ b/src/sailpath/routing/ServerHealth.cpp
@@ -0,0 +1,101 @@
+#include <sailpath/routing/ServerHealth.hpp>
+
+#include <algorithm>
+
+namespace sailpath::routing
+{
+namespace
+{
+constexpr double   smallestShare = 0.1;
+constexpr unsigned mostDoublings = 10;
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+ServerHealth::ServerHealth(HealthSettings settings) :
+m_settings(settings)
+{
+}
+
+////////////////////////////////////////////////////////////
+void ServerHealth::succeeded(core::Timestamp now)
+{
+    m_failures = 0;
+    if (m_ejected)
+    {
+        m_ejected = false;
+        m_trialInFlight = false;
+        startRamp(now);
+        return;
+    }
+    if (now > m_rampEnd)
+        m_ejections = 0;
+}
+
+////////////////////////////////////////////////////////////
+bool ServerHealth::failed(core::Timestamp now, bool mayEject)
+{
+    ++m_failures;
+    const bool trialFailed = m_ejected && m_trialInFlight;
+    const bool tooMany = !m_ejected && mayEject && m_failures >= m_settings.failuresToEject;
+    if (!trialFailed && !tooMany)
+        return false;
+
+    const auto doublings = std::min(m_ejections, mostDoublings);
+    m_ejectedUntil = now + std::min(m_settings.longestEjection, m_settings.firstEjection * (1 << doublings));
+    ++m_ejections;
+    m_ejected = true;
+    m_trialInFlight = false;
+    return true;
+}
+
+////////////////////////////////////////////////////////////
+void ServerHealth::trialAbandoned()
+{
+    m_trialInFlight = false;
+}
+
+////////////////////////////////////////////////////////////
+void ServerHealth::trialSent()
+{
+    m_trialInFlight = true;
+}
+
+////////////////////////////////////////////////////////////
+void ServerHealth::draining(bool leaving, core::Timestamp now)
+{
+    m_drainUntil = leaving ? now + m_settings.drainMemory : core::Timestamp{};
+}
+
+////////////////////////////////////////////////////////////
+Standing ServerHealth::standing(core::Timestamp now) const
+{
+    if (now < m_drainUntil)
+        return Standing::Draining;
+    if (m_ejected)
+        return now < m_ejectedUntil || m_trialInFlight ? Standing::Ejected : Standing::Trial;
+    return now < m_rampEnd ? Standing::Ramping : Standing::Healthy;
+}
+
+////////////////////////////////////////////////////////////
+double ServerHealth::share(core::Timestamp now) const
+{
+    if (now >= m_rampEnd || m_settings.ramp.count() == 0)
+        return 1.0;
+    const double left = core::toSeconds(m_rampEnd - now) / core::toSeconds(m_settings.ramp);
+    return std::clamp(1.0 - left, smallestShare, 1.0);
+}
+
+////////////////////////////////////////////////////////////
+bool ServerHealth::ejected() const
+{
+    return m_ejected;
+}
+
+////////////////////////////////////////////////////////////
+void ServerHealth::startRamp(core::Timestamp now)
+{
+    m_rampEnd = now + m_settings.ramp;
+}
+
+} // namespace sailpath::routing
--- /dev/null
+++ b/src/sailpath/routing/ServerLoad.cpp
@@ -0,0 +1,132 @@
+#include <sailpath/routing/ServerLoad.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace sailpath::routing
+{
+namespace
+{
+// Unanswered requests count once they are older than this many times the
+// estimated work; below that an age says nothing.
+constexpr double suspiciousAge = 3.0;
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+ServerLoad::ServerLoad(unsigned slots, core::Duration roundTrip, LoadSettings settings) :
+m_slots(slots),
+m_roundTrip(core::toMilliseconds(roundTrip)),
+m_settings(settings),
+m_work(core::toMilliseconds(settings.initialWork))
+{
+    m_sentAt.reserve(static_cast<std::size_t>(slots) * 4);
+}
+
+////////////////////////////////////////////////////////////
+void ServerLoad::sent(core::Timestamp now)
+{
+    m_sentAt.push_back(now);
+}
+
+////////////////////////////////////////////////////////////
+void ServerLoad::ended(core::Timestamp sentAt)
+{
+    const auto found = std::find(m_sentAt.begin(), m_sentAt.end(), sentAt);
+    assert(found != m_sentAt.end());
+    *found = m_sentAt.back();
+    m_sentAt.pop_back();
+}
+
+////////////////////////////////////////////////////////////
+void ServerLoad::learn(core::Duration latency)
+{
+    // Waiting in the server's queue is not work: divide it out by the load
+    // that was in front of the request.
+    const double others = m_report ? m_report->others : 0.0;
+    const double present = others + static_cast<double>(m_sentAt.size()) + 1.0;
+    const double crowding = std::max(1.0, present / m_slots);
+    const double sample = std::max(0.05, (core::toMilliseconds(latency) - m_roundTrip) / crowding);
+    const double gain = sample > m_work ? m_settings.peakGain : m_settings.workGain;
+    m_work += gain * (sample - m_work);
+}
+
+////////////////////////////////////////////////////////////
+void ServerLoad::reported(LoadReport report, core::Timestamp at)
+{
+    if (m_report && m_report->at > at)
+        return;
+    const double own = static_cast<double>(m_sentAt.size());
+    m_report = StoredReport{std::max(0.0, report.inFlight - own), at};
+}
+
+////////////////////////////////////////////////////////////
+unsigned ServerLoad::ownInFlight() const
+{
+    return static_cast<unsigned>(m_sentAt.size());
+}
+
+////////////////////////////////////////////////////////////
+std::optional<double> ServerLoad::reportedOthers() const
+{
+    if (!m_report)
+        return std::nullopt;
+    return m_report->others;
+}
+
+////////////////////////////////////////////////////////////
+double ServerLoad::othersInFlight(core::Timestamp now, double expected) const
+{
+    if (!m_report || !m_settings.useReports)
+        return expected;
+    const double age = core::toMilliseconds(now - m_report->at);
+    const double trust = std::exp2(-age / core::toMilliseconds(m_settings.reportHalfLife));
+    return trust * m_report->others + (1.0 - trust) * expected;
+}
+
+////////////////////////////////////////////////////////////
+double ServerLoad::workMilliseconds(core::Timestamp now) const
+{
+    if (!m_settings.useOldestAge || m_sentAt.empty())
+        return m_work;
+    const double age = core::toMilliseconds(oldestAge(now));
+    return age > suspiciousAge * m_work ? std::max(m_work, age) : m_work;
+}
+
+////////////////////////////////////////////////////////////
+double ServerLoad::occupancy(core::Timestamp now, double expectedOthers) const
+{
+    return static_cast<double>(m_sentAt.size()) + othersInFlight(now, expectedOthers);
+}
+
+////////////////////////////////////////////////////////////
+double ServerLoad::finishMilliseconds(core::Timestamp now, double expectedOthers) const
+{
+    const double present = occupancy(now, expectedOthers) + 1.0;
+    // Below one request a slot there is no queue, but a fuller server is
+    // still the likelier one to have one by the time the request arrives.
+    const double fill = present / m_slots;
+    const double crowding = fill <= 1.0 ? 1.0 + 0.25 * fill * fill : 0.25 + fill;
+    return m_roundTrip + workMilliseconds(now) * crowding;
+}
+
+////////////////////////////////////////////////////////////
+unsigned ServerLoad::slots() const
+{
+    return m_slots;
+}
+
+////////////////////////////////////////////////////////////
+void ServerLoad::resetWork()
+{
+    m_work = core::toMilliseconds(m_settings.initialWork);
+}
+
+////////////////////////////////////////////////////////////
+core::Duration ServerLoad::oldestAge(core::Timestamp now) const
+{
+    return now - *std::min_element(m_sentAt.begin(), m_sentAt.end());
+}
+
+} // namespace sailpath::routing
--- /dev/null
+++ b/test/standins/BackendMain.cpp
@@ -0,0 +1,51 @@
+// sailpath-standin-backend: a backend server for demos and tests.
+
+#include "BackendStandIn.hpp"
+
+#include <sailpath/adapters/settings/SettingsReader.hpp>
+
+#include <array>
+#include <csignal>
+#include <iostream>
+
+namespace
+{
+using namespace sailpath;
+using adapters::settings::Option;
+using adapters::settings::OptionKind;
+
+constexpr std::array options{Option{"port", OptionKind::Whole, "0", "port on 127.0.0.1; 0 lets the system choose"},
+                             Option{"name", OptionKind::Name, "backend", "name in answers and logs"},
+                             Option{"work-us", OptionKind::Whole, "5000", "work of a request in microseconds"},
+                             Option{"slots", OptionKind::Whole, "3", "requests worked on at once"},
+                             Option{"log-file", OptionKind::Text, "", "event log; none when empty"}};
+
+constexpr adapters::settings::Program program{"sailpath-standin-backend", "A backend server for demos and tests.", "",
+                                              options};
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+int main(int argc, char** argv)
+{
+    int        code = 0;
+    const auto started = adapters::settings::startProgram(program, argc, argv, code);
+    if (!started)
+        return code;
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+    const auto&                settings = started->settings;
+    standins::BackendBehaviour behaviour;
+    behaviour.work = std::chrono::microseconds{settings.whole("work-us")};
+    behaviour.slots = static_cast<unsigned>(settings.whole("slots"));
+    const standins::BackendStandIn backend(settings.text("name"), static_cast<std::uint16_t>(settings.whole("port")),
+                                           behaviour, settings.text("log-file"));
+    std::cout << "port=" << backend.port() << std::endl;
+    int signal = 0;
+    sigwait(&signals, &signal);
+    return 0;
+}
--- /dev/null
+++ b/test/standins/KeyValueStandIn.cpp
@@ -0,0 +1,119 @@
+#include "KeyValueStandIn.hpp"
+
+namespace sailpath::standins
+{
+namespace
+{
+////////////////////////////////////////////////////////////
+bool covers(const std::string& first, const std::string& end, const std::string& key)
+{
+    return end.empty() ? key == first : key >= first && key < end;
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+std::map<std::string, StoredKey> KeyValueStandIn::range(const std::string& first, const std::string& end,
+                                                        std::int64_t& revision)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    expire();
+    revision = m_revision;
+    std::map<std::string, StoredKey> found;
+    for (const auto& [key, content] : m_keys)
+    {
+        if (covers(first, end, key))
+            found[key] = content;
+    }
+    return found;
+}
+
+////////////////////////////////////////////////////////////
+bool KeyValueStandIn::compareAndPut(const std::string& key, std::int64_t expected, const std::string& value,
+                                    std::int64_t lease, std::int64_t& revision)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    expire();
+    revision = m_revision;
+    const auto found = m_keys.find(key);
+    const auto present = found == m_keys.end() ? 0 : found->second.modified;
+    if (present != expected || (lease != 0 && m_leases.count(lease) == 0))
+        return false;
+    revision = ++m_revision;
+    StoredKey& content = m_keys[key];
+    content.created = present == 0 ? revision : content.created;
+    content.value = value;
+    content.modified = revision;
+    content.lease = lease;
+    m_history.push_back({revision, key, content, false});
+    m_changed.notify_all();
+    return true;
+}
+
+////////////////////////////////////////////////////////////
+std::int64_t KeyValueStandIn::grant(std::int64_t seconds)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_leases[++m_nextLease] = {seconds, Clock::now() + std::chrono::seconds{seconds}};
+    return m_nextLease;
+}
+
+////////////////////////////////////////////////////////////
+std::int64_t KeyValueStandIn::renew(std::int64_t lease)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    expire();
+    const auto found = m_leases.find(lease);
+    if (found == m_leases.end())
+        return 0;
+    found->second.until = Clock::now() + std::chrono::seconds{found->second.seconds};
+    return found->second.seconds;
+}
+
+////////////////////////////////////////////////////////////
+std::vector<StoredChange> KeyValueStandIn::changes(const std::string& first, const std::string& end, std::int64_t from,
+                                                   std::chrono::milliseconds patience)
+{
+    std::unique_lock<std::mutex> lock(m_mutex);
+    const auto                   until = Clock::now() + patience;
+    while (true)
+    {
+        expire();
+        std::vector<StoredChange> found;
+        for (const StoredChange& change : m_history)
+        {
+            if (change.revision >= from && covers(first, end, change.key))
+                found.push_back(change);
+        }
+        if (!found.empty() || m_changed.wait_until(lock, until) == std::cv_status::timeout)
+            return found;
+    }
+}
+
+////////////////////////////////////////////////////////////
+void KeyValueStandIn::expire()
+{
+    const auto now = Clock::now();
+    for (auto lease = m_leases.begin(); lease != m_leases.end();)
+    {
+        if (lease->second.until > now)
+        {
+            ++lease;
+            continue;
+        }
+        for (auto key = m_keys.begin(); key != m_keys.end();)
+        {
+            if (key->second.lease != lease->first)
+            {
+                ++key;
+                continue;
+            }
+            m_history.push_back({++m_revision, key->first, {}, true});
+            key = m_keys.erase(key);
+        }
+        lease = m_leases.erase(lease);
+        m_changed.notify_all();
+    }
+}
+
+} // namespace sailpath::standins
--- /dev/null
+++ b/test/standins/PlatformMain.cpp
@@ -0,0 +1,44 @@
+// sailpath-standin-platform: the platform for demos and tests.
+
+#include "PlatformStandIn.hpp"
+
+#include <sailpath/adapters/settings/SettingsReader.hpp>
+
+#include <array>
+#include <csignal>
+#include <iostream>
+
+namespace
+{
+using namespace sailpath;
+using adapters::settings::Option;
+using adapters::settings::OptionKind;
+
+constexpr std::array options{Option{"port", OptionKind::Whole, "0", "port on 127.0.0.1; 0 lets the system choose"},
+                             Option{"vms", OptionKind::Text, "[]", "list of VMs as JSON"}};
+
+constexpr adapters::settings::Program program{"sailpath-standin-platform", "The platform for demos and tests.", "",
+                                              options};
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+int main(int argc, char** argv)
+{
+    int        code = 0;
+    const auto started = adapters::settings::startProgram(program, argc, argv, code);
+    if (!started)
+        return code;
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+    standins::PlatformStandIn platform(static_cast<std::uint16_t>(started->settings.whole("port")));
+    platform.setVms(started->settings.text("vms"));
+    std::cout << "port=" << platform.port() << std::endl;
+    int signal = 0;
+    sigwait(&signals, &signal);
+    return 0;
+}
--- /dev/null
+++ b/test/standins/PlatformStandIn.cpp
@@ -0,0 +1,244 @@
+#include "PlatformStandIn.hpp"
+
+#include <sailpath/adapters/store/Base64.hpp>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <thread>
+
+namespace sailpath::standins
+{
+namespace
+{
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds watchPoll{200};
+
+////////////////////////////////////////////////////////////
+std::string decode(const json& object, const char* member)
+{
+    return adapters::store::decodeBase64(object.value(member, std::string())).value_or(std::string());
+}
+
+////////////////////////////////////////////////////////////
+std::int64_t number(const json& object, const char* member)
+{
+    const auto found = object.find(member);
+    if (found == object.end())
+        return 0;
+    return found->is_string() ? std::stoll(found->get<std::string>()) : found->get<std::int64_t>();
+}
+
+////////////////////////////////////////////////////////////
+json toJson(const std::string& key, const StoredKey& content)
+{
+    return {{"key", adapters::store::encodeBase64(key)},
+            {"value", adapters::store::encodeBase64(content.value)},
+            {"mod_revision", std::to_string(content.modified)},
+            {"create_revision", std::to_string(content.created)}};
+}
+
+////////////////////////////////////////////////////////////
+json header(std::int64_t revision)
+{
+    return {{"revision", std::to_string(revision)}};
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+struct PlatformStandIn::Impl
+{
+    using Answer = std::function<json(const json&)>;
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Serve one path, with the faults in force
+    ////////////////////////////////////////////////////////////
+    void serve(const std::string& path, Answer answer)
+    {
+        server.Post(path,
+                    [this, answer = std::move(answer)](const httplib::Request& request, httplib::Response& response)
+                    {
+                        ++calls;
+                        const FaultState fault = faults.forCall();
+                        std::this_thread::sleep_for(fault.delay);
+                        if (fault.outage)
+                        {
+                            response.status = 503;
+                            return;
+                        }
+                        const json body = json::parse(request.body, nullptr, false);
+                        const json result = answer(body);
+                        // A lost answer: the call took effect, the caller hears of an error.
+                        if (fault.dropAnswers > 0)
+                            response.status = 500;
+                        else
+                            response.set_content(result.dump(), "application/json");
+                    });
+    }
+
+    ////////////////////////////////////////////////////////////
+    json range(const json& body)
+    {
+        std::int64_t revision = 0;
+        json         items = json::array();
+        for (const auto& [key, content] : store.range(decode(body, "key"), decode(body, "range_end"), revision))
+            items.push_back(toJson(key, content));
+        return {{"header", header(revision)}, {"kvs", items}, {"count", std::to_string(items.size())}};
+    }
+
+    ////////////////////////////////////////////////////////////
+    json txn(const json& body)
+    {
+        const json&  compare = body["compare"][0];
+        const json&  put = body["success"][0]["requestPut"];
+        std::int64_t revision = 0;
+        const bool   done = store.compareAndPut(decode(compare, "key"), number(compare, "mod_revision"),
+                                                decode(put, "value"), number(put, "lease"), revision);
+        json         responses = json::array();
+        if (done)
+            responses.push_back({{"response_put", json::object()}});
+        else
+            responses.push_back({{"response_range", range(body["failure"][0]["requestRange"])}});
+        return {{"header", header(revision)}, {"succeeded", done}, {"responses", responses}};
+    }
+
+    ////////////////////////////////////////////////////////////
+    void watch(const httplib::Request& request, httplib::Response& response)
+    {
+        ++calls;
+        if (faults.forCall().outage)
+        {
+            response.status = 503;
+            return;
+        }
+        const json        create = json::parse(request.body)["create_request"];
+        const std::string first = decode(create, "key");
+        const std::string end = decode(create, "range_end");
+        auto              next = std::make_shared<std::int64_t>(number(create, "start_revision"));
+        response.set_chunked_content_provider(
+            "application/json",
+            [this, first, end, next](std::size_t, httplib::DataSink& sink)
+            {
+                const auto changes = store.changes(first, end, *next, watchPoll);
+                if (stopping || faults.forCall().outage || !sink.is_writable())
+                    return false;
+                if (changes.empty())
+                    return true;
+                json events = json::array();
+                for (const StoredChange& change : changes)
+                {
+                    events.push_back(
+                        {{"type", change.deleted ? "DELETE" : "PUT"}, {"kv", toJson(change.key, change.content)}});
+                    *next = change.revision + 1;
+                }
+                const std::string line = json{{"result", {{"events", events}}}}.dump() + "\n";
+                return sink.write(line.data(), line.size());
+            });
+    }
+
+    ////////////////////////////////////////////////////////////
+    void setFault(const json& body)
+    {
+        FaultState state;
+        state.delay = std::chrono::milliseconds{body.value("delayMs", 0)};
+        state.outage = body.value("outage", false);
+        state.dropAnswers = body.value("dropAnswers", 0);
+        faults.set(state);
+    }
+
+    httplib::Server            server;          //!< The library's server
+    KeyValueStandIn            store;           //!< The keys
+    Faults                     faults;          //!< Faults in force
+    std::atomic<std::uint64_t> calls{0};        //!< Calls so far
+    std::atomic<bool>          stopping{false}; //!< Watches end
+    std::mutex                 vmsMutex;        //!< Guards the list
+    std::string                vms{"[]"};       //!< List of VMs
+    int                        port{0};         //!< Port in use
+    std::thread                thread;          //!< Runs the server
+};
+
+////////////////////////////////////////////////////////////
+PlatformStandIn::PlatformStandIn(std::uint16_t port) :
+m_impl(std::make_unique<Impl>())
+{
+    Impl& impl = *m_impl;
+    impl.server.new_task_queue = [] { return new httplib::ThreadPool(64); };
+    impl.server.set_tcp_nodelay(true);
+    impl.serve("/v3/kv/range", [&impl](const json& body) { return impl.range(body); });
+    impl.serve("/v3/kv/txn", [&impl](const json& body) { return impl.txn(body); });
+    impl.serve("/v3/lease/grant",
+               [&impl](const json& body)
+               {
+                   const std::int64_t seconds = number(body, "TTL");
+                   return json{{"ID", std::to_string(impl.store.grant(seconds))}, {"TTL", std::to_string(seconds)}};
+               });
+    impl.serve(
+        "/v3/lease/keepalive",
+        [&impl](const json& body)
+        {
+            const std::int64_t lease = number(body, "ID");
+            return json{{"result", {{"ID", std::to_string(lease)}, {"TTL", std::to_string(impl.store.renew(lease))}}}};
+        });
+    impl.server.Post("/v3/watch", [&impl](const httplib::Request& request, httplib::Response& response)
+                     { impl.watch(request, response); });
+    impl.server.Post("/fault", [&impl](const httplib::Request& request, httplib::Response&)
+                     { impl.setFault(json::parse(request.body)); });
+    impl.server.Get("/vms",
+                    [&impl](const httplib::Request&, httplib::Response& response)
+                    {
+                        ++impl.calls;
+                        const std::lock_guard<std::mutex> lock(impl.vmsMutex);
+                        response.set_content(impl.vms, "application/json");
+                    });
+    impl.server.Put("/vms", [this](const httplib::Request& request, httplib::Response&) { setVms(request.body); });
+
+    if (port == 0)
+        impl.port = impl.server.bind_to_any_port("127.0.0.1");
+    else
+        impl.port = impl.server.bind_to_port("127.0.0.1", port) ? port : -1;
+    impl.thread = std::thread([&impl] { impl.server.listen_after_bind(); });
+}
+
+////////////////////////////////////////////////////////////
+PlatformStandIn::~PlatformStandIn()
+{
+    m_impl->stopping = true;
+    m_impl->server.stop();
+    m_impl->thread.join();
+}
+
+////////////////////////////////////////////////////////////
+std::uint16_t PlatformStandIn::port() const
+{
+    return static_cast<std::uint16_t>(m_impl->port);
+}
+
+////////////////////////////////////////////////////////////
+KeyValueStandIn& PlatformStandIn::store()
+{
+    return m_impl->store;
+}
+
+////////////////////////////////////////////////////////////
+Faults& PlatformStandIn::faults()
+{
+    return m_impl->faults;
+}
+
+////////////////////////////////////////////////////////////
+std::uint64_t PlatformStandIn::calls() const
+{
+    return m_impl->calls;
+}
+
+////////////////////////////////////////////////////////////
+void PlatformStandIn::setVms(const std::string& json)
+{
+    const std::lock_guard<std::mutex> lock(m_impl->vmsMutex);
+    m_impl->vms = json;
+}
+
+} // namespace sailpath::standins
