--- a/src/sailpath/timeline/Event.cpp
+++ b/src/sailpath/timeline/Event.cpp
@@ -58,9 +58,9 @@
 ////////////////////////////////////////////////////////////
 std::string_view Event::field(std::string_view key) const
 {
-    for (const auto& [name, value] : fields)
+    for (const auto& [known, value] : fields)
     {
-        if (name == key)
+        if (known == key)
             return value;
     }
     return {};
