--- a/include/sailpath/adapters/http/BackendClient.hpp
+++ b/include/sailpath/adapters/http/BackendClient.hpp
@@ -91,6 +91,11 @@
     [[nodiscard]] ExchangeEnd exchange(const std::string& address, std::uint16_t port, const ServerRequest& request,
                                        const AnswerSink& sink, Cancellation& cancellation);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Whether a server has closed all connections that were kept to it; false when none was
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] bool allClosed(const std::string& address, std::uint16_t port);
+
     ////////////////////////////////////////////////////////////
     /// \brief Close connections that have been idle too long
     ////////////////////////////////////////////////////////////
--- a/include/sailpath/control/ControlThread.hpp
+++ b/include/sailpath/control/ControlThread.hpp
@@ -109,23 +109,24 @@
     [[nodiscard]] node::ServerReport probe(const node::Target& target, bool& answered);
     void                             onLoop(const std::function<void()>& work);
 
-    node::ControllerSettings   m_settings;       //!< Of the control logic
-    ControlPorts               m_ports;          //!< What it works with
-    node::Controller           m_controller;     //!< The control logic
-    node::ControlActions       m_actions;        //!< Actions to carry out
-    adapters::peers::PeerLoop  m_loop;           //!< The thread's loop
-    std::atomic<std::uint64_t> m_watchNumber{0}; //!< Which watch is wanted; 0 for none
-    std::uint64_t              m_watches{0};     //!< Watches started
-    std::uint64_t              m_probes{0};      //!< Probes sent
-    double                     m_probeCost{0};   //!< Charged for them
-    std::atomic<std::uint64_t> m_storeCalls{0};  //!< Calls to the store
-    std::atomic<bool>          m_ending{false};  //!< The threads are to end
-    std::string                m_failure;        //!< Why the loop ended
-    std::atomic<bool>          m_failed{false};  //!< `m_failure` is set
-    TaskThread                 m_storeThread;    //!< For calls to the store
-    TaskThread                 m_watchThread;    //!< For the watch
-    TaskThread                 m_probeThread;    //!< For probes
-    std::thread                m_thread;         //!< Runs the loop
+    node::ControllerSettings        m_settings;       //!< Of the control logic
+    ControlPorts                    m_ports;          //!< What it works with
+    node::Controller                m_controller;     //!< The control logic
+    node::ControlActions            m_actions;        //!< Actions to carry out
+    std::vector<node::ServerReport> m_news;           //!< Reused by each tick
+    adapters::peers::PeerLoop       m_loop;           //!< The thread's loop
+    std::atomic<std::uint64_t>      m_watchNumber{0}; //!< Which watch is wanted; 0 for none
+    std::uint64_t                   m_watches{0};     //!< Watches started
+    std::uint64_t                   m_probes{0};      //!< Probes sent
+    double                          m_probeCost{0};   //!< Charged for them
+    std::atomic<std::uint64_t>      m_storeCalls{0};  //!< Calls to the store
+    std::atomic<bool>               m_ending{false};  //!< The threads are to end
+    std::string                     m_failure;        //!< Why the loop ended
+    std::atomic<bool>               m_failed{false};  //!< `m_failure` is set
+    TaskThread                      m_storeThread;    //!< For calls to the store
+    TaskThread                      m_watchThread;    //!< For the watch
+    TaskThread                      m_probeThread;    //!< For probes
+    std::thread                     m_thread;         //!< Runs the loop
 };
 
 } // namespace sailpath::control
--- a/include/sailpath/node/Controller.hpp
+++ b/include/sailpath/node/Controller.hpp
@@ -112,6 +112,11 @@
     ////////////////////////////////////////////////////////////
     void probed(const ServerReport& report, core::Timestamp now, ControlActions& actions);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Hear from the own dispatcher that a server says it is leaving; peers are told at once
+    ////////////////////////////////////////////////////////////
+    void serverLeaving(const ServerReport& report, core::Timestamp now, ControlActions& actions);
+
     ////////////////////////////////////////////////////////////
     /// \brief Announce that this VM stops
     ////////////////////////////////////////////////////////////
@@ -138,6 +143,7 @@
     };
 
     [[nodiscard]] Digest makeDigest(core::Timestamp now);
+    void                 tellReport(HeardReport& heard, bool leaving, core::Timestamp now, Digest& digest) const;
     void                 hearDigest(const Digest& digest, core::Timestamp now, ControlActions& actions);
     void                 hearReport(const ServerReport& report, core::Timestamp at, ControlActions& actions);
     [[nodiscard]] bool   takeDocuments(std::span<const state::Document> documents, core::Timestamp now,
@@ -160,6 +166,8 @@
     core::Timestamp              m_nextStore;                    //!< Next try at the store
     core::Timestamp              m_nextRound;                    //!< Next exchange
     core::Timestamp              m_nextList;                     //!< Next reading of the list of VMs
+    core::Timestamp              m_nextNews{};                   //!< Next telling of servers that leave
+    bool                         m_newsWaits{false};             //!< There is such news
     bool                         m_leaving{false};               //!< This VM stops
     core::StringMap<HeardReport> m_reports;                      //!< Fresh reports by server
 };
--- a/include/sailpath/node/Digest.hpp
+++ b/include/sailpath/node/Digest.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <sailpath/membership/Member.hpp>
-#include <sailpath/routing/LoadReport.hpp>
+#include <sailpath/node/ServerReport.hpp>
 
 #include <cstdint>
 #include <string>
@@ -9,19 +9,6 @@
 
 namespace sailpath::node
 {
-////////////////////////////////////////////////////////////
-/// \brief What a probe found, as peers tell one another
-////////////////////////////////////////////////////////////
-struct ServerReport
-{
-    std::string         workspace;       //!< Workspace
-    std::string         service;         //!< Service
-    std::string         server;          //!< Backend server
-    routing::LoadReport load;            //!< What it said
-    bool                draining{false}; //!< It says that it is leaving
-    std::uint32_t       ageMs{0};        //!< Age when it was told
-};
-
 ////////////////////////////////////////////////////////////
 /// \brief What two peers tell each other in one exchange
 ////////////////////////////////////////////////////////////
--- a/include/sailpath/node/Dispatcher.hpp
+++ b/include/sailpath/node/Dispatcher.hpp
@@ -9,6 +9,7 @@
 #include <sailpath/node/DispatcherSettings.hpp>
 #include <sailpath/node/Outcome.hpp>
 #include <sailpath/node/Request.hpp>
+#include <sailpath/node/ServerReport.hpp>
 #include <sailpath/node/Step.hpp>
 
 #include <functional>
@@ -33,6 +34,8 @@
 class Dispatcher
 {
 public:
+    using ServerVisitor = std::function<void(const std::shared_ptr<const Target>&, routing::Standing)>;
+
     ////////////////////////////////////////////////////////////
     /// \brief Create a dispatcher without configuration
     ///
@@ -90,6 +93,13 @@
     ////////////////////////////////////////////////////////////
     void takeReleased(std::vector<Step>& steps);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Move the news of servers that say they are leaving, for peers to hear
+    ///
+    /// \param news Receives the news; its old contents are dropped
+    ////////////////////////////////////////////////////////////
+    void takeNews(std::vector<ServerReport>& news);
+
     ////////////////////////////////////////////////////////////
     /// \brief Hear a report about a server from a probe or a peer
     ////////////////////////////////////////////////////////////
@@ -113,11 +123,16 @@
         const std::function<void(std::string_view, std::string_view, const DispatcherCounters&)>& visit) const;
 
     ////////////////////////////////////////////////////////////
-    /// \brief Visit each server in force
+    /// \brief Visit each server in force with what it may be given now
+    ////////////////////////////////////////////////////////////
+    void visitServers(core::Timestamp now, const ServerVisitor& visit) const;
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Note that a server that was leaving has closed its connections
     ///
-    /// \param visit Receives the target and the requests this node has there
+    /// From here on it is tried again by single requests, as it may be back.
     ////////////////////////////////////////////////////////////
-    void visitServers(const std::function<void(const std::shared_ptr<const Target>&, unsigned)>& visit) const;
+    void serverGone(const Target& target, core::Timestamp now);
 
 private:
     struct Workspace
@@ -155,6 +170,7 @@
     std::vector<Pending>       m_pending;     //!< By ticket
     std::vector<Ticket>        m_freeTickets; //!< Tickets to use again
     std::vector<Step>          m_released;    //!< Steps for held requests
+    std::vector<ServerReport>  m_news;        //!< Servers that began to leave
     std::size_t                m_held{0};     //!< Requests held
 };
 
--- a/include/sailpath/node/DispatcherSettings.hpp
+++ b/include/sailpath/node/DispatcherSettings.hpp
@@ -21,12 +21,14 @@
     std::string    choice{"estimated-finish"};                    //!< Name of the choice strategy
     core::Duration otherDataCentre{std::chrono::milliseconds{3}}; //!< Round trip to another data centre
     core::StringMap<core::Duration> roundTrips;                   //!< Round trips that are known better
-    routing::LoadSettings           load;                         //!< Constants of the load view
-    routing::HealthSettings         health;                       //!< Constants of ejection
-    limits::ConcurrencySettings     concurrency;                  //!< Constants of the adaptive limits
-    bool                            useEjection{true};            //!< Off only to measure what it is worth
-    bool                            useLimits{true};              //!< Off only to measure what it is worth
-    std::uint64_t                   seed{1};                      //!< Seed of all random choices
+    core::Duration initialWork{std::chrono::milliseconds{5}};     //!< Work of a request assumed before the first answer
+    routing::LoadSettings       load;                             //!< Constants of the load view
+    routing::HealthSettings     health;                           //!< Constants of ejection
+    limits::ConcurrencySettings concurrency;                      //!< Constants of the adaptive limits
+    bool                        useEjection{true};                //!< Off only to measure what it is worth
+    bool                        useLimits{true};                  //!< Off only to measure what it is worth
+    bool                        usePatience{true};                //!< Off only to measure what it is worth
+    std::uint64_t               seed{1};                          //!< Seed of all random choices
 };
 
 } // namespace sailpath::node
--- a/include/sailpath/replay/FakeServer.hpp
+++ b/include/sailpath/replay/FakeServer.hpp
@@ -63,6 +63,11 @@
     ////////////////////////////////////////////////////////////
     void arrive(core::Duration work, Nested nested, Done done);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief A probe reaches the server; it takes a slot but is no work of callers
+    ////////////////////////////////////////////////////////////
+    void probe(core::Duration work, Done done);
+
     ////////////////////////////////////////////////////////////
     /// \brief Change behaviour
     ////////////////////////////////////////////////////////////
@@ -85,6 +90,7 @@
         Done           done;   //!< Told at the end
     };
 
+    void                         enter(core::Duration work, Nested nested, Done done);
     void                         start(Waiting request);
     void                         finish(std::uint64_t life, const Done& done, bool failed, bool retryForbidden);
     [[nodiscard]] unsigned       load();
--- a/include/sailpath/replay/Replay.hpp
+++ b/include/sailpath/replay/Replay.hpp
@@ -17,6 +17,7 @@
     node::DispatcherSettings decisions;            //!< Settings of the real logic
     bool                     answerReports{true};  //!< Load reports on answers count
     bool                     budgetedProbes{true}; //!< One prober within the workspace's budget
+    bool                     peers{true};          //!< Nodes tell one another of servers that leave
     core::Duration           probeEvery{0};        //!< Each node probes each server so often; 0 never
     bool                     omniscient{false};    //!< The bound that sees true state in place of the logic
 };
--- a/include/sailpath/routing/LoadSettings.hpp
+++ b/include/sailpath/routing/LoadSettings.hpp
@@ -9,10 +9,10 @@
 ////////////////////////////////////////////////////////////
 struct LoadSettings
 {
-    core::Duration initialWork{std::chrono::milliseconds{5}};     //!< Assumed before the first answer
-    double         workGain{0.1};                                 //!< Share of a new sample in the work estimate
-    double         peakGain{0.3};                                 //!< The same for samples above the estimate
-    core::Duration reportHalfLife{std::chrono::milliseconds{80}}; //!< Age at which a report counts half
+    double         workGain{0.03};  //!< Share of a new sample in the usual work
+    double         recentGain{0.3}; //!< The same for the recent work, which shows peaks
+    double         peak{2.5};       //!< Recent work counts in place of the usual when it is so many times as long
+    core::Duration reportHalfLife{std::chrono::milliseconds{20}}; //!< Age at which a report counts half
     bool           useReports{true};                              //!< Whether load reports count at all
     bool           useOldestAge{true}; //!< Whether unanswered requests count before their answer
 };
--- a/include/sailpath/routing/ServerHealth.hpp
+++ b/include/sailpath/routing/ServerHealth.hpp
@@ -25,7 +25,7 @@
     core::Duration firstEjection{std::chrono::milliseconds{500}}; //!< Length of the first ejection; doubles
     core::Duration longestEjection{std::chrono::seconds{8}};      //!< Longest ejection
     core::Duration ramp{std::chrono::seconds{2}};                 //!< Time from return to a full share
-    core::Duration drainMemory{std::chrono::seconds{10}}; //!< Draining is believed this long after it was last said
+    core::Duration drainMemory{std::chrono::minutes{10}}; //!< Draining is believed this long after it was last said
 };
 
 ////////////////////////////////////////////////////////////
@@ -71,8 +71,18 @@
 
     ////////////////////////////////////////////////////////////
     /// \brief Note whether the server says that it is leaving
+    ///
+    /// \param leaving What it says
+    /// \param at      When it said so; older news is ignored
+    ///
+    /// \return Whether it was not believed to be leaving before
+    ////////////////////////////////////////////////////////////
+    bool draining(bool leaving, core::Timestamp at);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Note that a server that was leaving has closed its connections; trials tell when it is back
     ////////////////////////////////////////////////////////////
-    void draining(bool leaving, core::Timestamp now);
+    void gone(core::Timestamp now);
 
     ////////////////////////////////////////////////////////////
     /// \brief What the server may be given
@@ -103,6 +113,7 @@
     core::Timestamp m_ejectedUntil{};       //!< No trial before this
     core::Timestamp m_rampEnd{};            //!< Full share from here on
     core::Timestamp m_drainUntil{};         //!< Believed to be leaving until then
+    core::Timestamp m_drainHeardAt{};       //!< When it was last said whether it is leaving
 };
 
 } // namespace sailpath::routing
--- a/include/sailpath/routing/ServerLoad.hpp
+++ b/include/sailpath/routing/ServerLoad.hpp
@@ -46,9 +46,12 @@
     /// Answers that report an error must not be passed: a server that fails
     /// fast would look quick.
     ///
-    /// \param latency Time from sending to the whole answer
+    /// \param latency  Time from sending to the whole answer
+    /// \param expected Work that such a request usually is in the pool, milliseconds
+    ///
+    /// \return The request's work without network and waiting, milliseconds
     ////////////////////////////////////////////////////////////
-    void learn(core::Duration latency);
+    double learn(core::Duration latency, double expected);
 
     ////////////////////////////////////////////////////////////
     /// \brief Note a report, which replaces an older one
@@ -79,17 +82,19 @@
     ////////////////////////////////////////////////////////////
     /// \brief Estimated time that a request takes when it need not wait, in milliseconds
     ///
-    /// \param now Current time, for the age of unanswered requests
+    /// \param now  Current time, for the age of unanswered requests
+    /// \param work Work that such a request usually is in the pool, milliseconds
     ////////////////////////////////////////////////////////////
-    [[nodiscard]] double workMilliseconds(core::Timestamp now) const;
+    [[nodiscard]] double workMilliseconds(core::Timestamp now, double work) const;
 
     ////////////////////////////////////////////////////////////
     /// \brief Estimated milliseconds until a request sent now is answered
     ///
     /// \param now            Current time
     /// \param expectedOthers Others' requests in flight when no fresh report says
+    /// \param work           Work that such a request usually is in the pool, milliseconds
     ////////////////////////////////////////////////////////////
-    [[nodiscard]] double finishMilliseconds(core::Timestamp now, double expectedOthers) const;
+    [[nodiscard]] double finishMilliseconds(core::Timestamp now, double expectedOthers, double work) const;
 
     ////////////////////////////////////////////////////////////
     /// \brief Estimated requests in flight of all nodes
@@ -121,7 +126,8 @@
     unsigned                     m_slots;     //!< Requests worked on at once
     double                       m_roundTrip; //!< Network time, milliseconds
     LoadSettings                 m_settings;  //!< Constants
-    double                       m_work;      //!< Estimated work per request, milliseconds
+    double                       m_usual{1};  //!< Usual work here over usual work in the pool
+    double                       m_recent{1}; //!< The same for the last few requests
     std::vector<core::Timestamp> m_sentAt;    //!< Start of each request in flight
     std::optional<StoredReport>  m_report;    //!< Last report
 };
--- a/src/programs/Entry.cpp
+++ b/src/programs/Entry.cpp
@@ -9,6 +9,7 @@
 #include <sailpath/adapters/store/EtcdStore.hpp>
 #include <sailpath/control/ControlThread.hpp>
 #include <sailpath/entry/Proxy.hpp>
+#include <sailpath/entry/SteadyClock.hpp>
 
 #include <array>
 #include <iostream>
@@ -48,6 +49,7 @@
 constexpr core::Duration              storeTimeout = std::chrono::seconds{2};
 constexpr core::Duration              bodyIdle = std::chrono::seconds{30};
 constexpr auto                        dispatcherTick = std::chrono::milliseconds{2};
+constexpr auto                        noticeGoneEvery = std::chrono::milliseconds{500};
 constexpr auto                        pruneEvery = std::chrono::seconds{5};
 
 ////////////////////////////////////////////////////////////
@@ -111,6 +113,29 @@
     return ingress;
 }
 
+////////////////////////////////////////////////////////////
+/// \brief Notice leaving servers that have closed their connections
+////////////////////////////////////////////////////////////
+void noticeGone(entry::DispatcherDoor& door, adapters::http::BackendClient& client)
+{
+    std::vector<std::shared_ptr<const node::Target>> leaving;
+    door.with(
+        [&leaving](const node::Dispatcher& dispatcher)
+        {
+            dispatcher.visitServers(entry::steadyNow(),
+                                    [&leaving](const auto& target, routing::Standing standing)
+                                    {
+                                        if (standing == routing::Standing::Draining)
+                                            leaving.push_back(target);
+                                    });
+        });
+    for (const auto& target : leaving)
+    {
+        if (client.allClosed(target->address, target->port))
+            door.with([&target](node::Dispatcher& dispatcher) { dispatcher.serverGone(*target, entry::steadyNow()); });
+    }
+}
+
 ////////////////////////////////////////////////////////////
 int run(const Settings& settings)
 {
@@ -139,6 +164,7 @@
     std::atomic<bool>       leaving{false};
     programs::EntryStatus status(settings.endpoint("status-listen"), {name, control, door, metrics, ingress, leaving});
     const Repeater        ticker(dispatcherTick, [&door] { door.tick(); });
+    const Repeater        goneNoticer(noticeGoneEvery, [&] { noticeGone(door, client); });
     const Repeater        pruner(pruneEvery, [&client] { client.prune(); });
     log.write(ports::Level::Info, "started",
               {{"port", ingress.port()}, {"statusPort", status.port()}, {"dataCentre", decisions.dataCentre}});
--- a/src/sailpath/adapters/http/BackendClient.cpp
+++ b/src/sailpath/adapters/http/BackendClient.cpp
@@ -228,6 +228,12 @@
     return end;
 }
 
+////////////////////////////////////////////////////////////
+bool BackendClient::allClosed(const std::string& address, std::uint16_t port)
+{
+    return m_pool.allClosed(address + ":" + std::to_string(port));
+}
+
 ////////////////////////////////////////////////////////////
 void BackendClient::prune()
 {
--- a/src/sailpath/adapters/http/ConnectionPool.cpp
+++ b/src/sailpath/adapters/http/ConnectionPool.cpp
@@ -38,6 +38,17 @@
         idle.push_back({std::move(socket), Clock::now()});
 }
 
+////////////////////////////////////////////////////////////
+bool ConnectionPool::allClosed(const std::string& server)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto                        found = m_idle.find(server);
+    if (found == m_idle.end() || found->second.empty())
+        return false;
+    std::erase_if(found->second, [](const Idle& idle) { return !idle.socket.quiet(); });
+    return found->second.empty();
+}
+
 ////////////////////////////////////////////////////////////
 void ConnectionPool::prune()
 {
--- a/src/sailpath/control/ControlThread.cpp
+++ b/src/sailpath/control/ControlThread.cpp
@@ -156,6 +156,13 @@
 ////////////////////////////////////////////////////////////
 void ControlThread::tick()
 {
+    m_ports.door.with([this](node::Dispatcher& dispatcher) { dispatcher.takeNews(m_news); });
+    for (const node::ServerReport& report : m_news)
+    {
+        m_ports.log.write(Level::Info, "server-leaving",
+                          {{"workspace", report.workspace}, {"service", report.service}, {"server", report.server}});
+        m_controller.serverLeaving(report, steadyNow(), m_actions);
+    }
     m_controller.tick(steadyNow(), m_actions);
     carryOut();
 }
--- a/src/sailpath/node/Controller.cpp
+++ b/src/sailpath/node/Controller.cpp
@@ -12,6 +12,7 @@
 constexpr core::Duration   firstBackoff = std::chrono::milliseconds{200};
 constexpr core::Duration   longestBackoff = std::chrono::seconds{10};
 constexpr core::Duration   reportLife = std::chrono::seconds{3};
+constexpr core::Duration   newsEvery = std::chrono::milliseconds{250};
 constexpr unsigned         reportTold = 4; // Times that one VM tells a report
 constexpr std::string_view relayTask = "store-relay";
 
@@ -58,6 +59,12 @@
         if (const auto peer = m_members.nextPeer(m_random, now))
             exchangeWith(*peer, now, actions);
     }
+    if (m_newsWaits && now >= m_nextNews)
+    {
+        m_newsWaits = false;
+        m_nextNews = now + newsEvery;
+        tellNews(now, actions);
+    }
     std::erase_if(m_reports, [now](const auto& item) { return now - item.second.at > reportLife; });
 }
 
@@ -157,6 +164,12 @@
     hearReport(report, now, actions);
 }
 
+////////////////////////////////////////////////////////////
+void Controller::serverLeaving(const ServerReport& report, core::Timestamp now, ControlActions& actions)
+{
+    hearReport(report, now, actions);
+}
+
 ////////////////////////////////////////////////////////////
 void Controller::leave(core::Timestamp now, ControlActions& actions)
 {
@@ -196,19 +209,25 @@
     digest.from = m_members.self();
     digest.revision = m_configuration.revision();
     digest.claims = m_members.claimsToTell(m_settings.mostClaims);
-    for (auto& item : m_reports)
+    for (const bool leaving : {true, false})
     {
-        HeardReport& heard = item.second;
-        if (heard.told >= reportTold || digest.reports.size() >= m_settings.mostReports)
-            continue;
-        ++heard.told;
-        ServerReport report = heard.report;
-        report.ageMs = static_cast<std::uint32_t>(core::toMilliseconds(now - heard.at));
-        digest.reports.push_back(std::move(report));
+        for (auto& item : m_reports)
+            tellReport(item.second, leaving, now, digest);
     }
     return digest;
 }
 
+////////////////////////////////////////////////////////////
+void Controller::tellReport(HeardReport& heard, bool leaving, core::Timestamp now, Digest& digest) const
+{
+    if (heard.report.draining != leaving || heard.told >= reportTold || digest.reports.size() >= m_settings.mostReports)
+        return;
+    ++heard.told;
+    ServerReport report = heard.report;
+    report.ageMs = static_cast<std::uint32_t>(core::toMilliseconds(now - heard.at));
+    digest.reports.push_back(std::move(report));
+}
+
 ////////////////////////////////////////////////////////////
 void Controller::hearDigest(const Digest& digest, core::Timestamp now, ControlActions& actions)
 {
@@ -229,6 +248,8 @@
     HeardReport& heard = m_reports[reportKey(report)];
     if (heard.at >= at)
         return;
+    // That a server leaves must be everywhere within seconds, so it is passed on at once.
+    m_newsWaits = m_newsWaits || (report.draining && !heard.report.draining);
     heard = {report, at, 0};
     actions.emplace_back(HearReport{report});
 }
--- a/src/sailpath/node/Dispatcher.cpp
+++ b/src/sailpath/node/Dispatcher.cpp
@@ -145,7 +145,12 @@
     const Pending& pending = m_pending[ticket];
     assert(pending.pool && !pending.held);
     priv::Pool& pool = *pending.pool;
-    pool.ended(pending.server, pending.sentAt, outcome, now);
+    if (pool.ended(pending.server, {pending.sentAt, pending.priority}, outcome, now))
+    {
+        const Target& target = *pool.target(pending.server);
+        const auto    load = outcome.report.value_or(routing::LoadReport{});
+        m_news.push_back({target.workspace, target.service, target.server, load, true, 0});
+    }
 
     const Step step = conclude(ticket, outcome, now);
     pump(pool, now);
@@ -185,6 +190,13 @@
     steps.swap(m_released);
 }
 
+////////////////////////////////////////////////////////////
+void Dispatcher::takeNews(std::vector<ServerReport>& news)
+{
+    news.clear();
+    news.swap(m_news);
+}
+
 ////////////////////////////////////////////////////////////
 void Dispatcher::reported(std::string_view workspace, std::string_view service, std::string_view server,
                           routing::LoadReport report, bool draining, core::Timestamp at)
@@ -197,6 +209,17 @@
         pool->second->reported(server, report, draining, at);
 }
 
+////////////////////////////////////////////////////////////
+void Dispatcher::serverGone(const Target& target, core::Timestamp now)
+{
+    const auto found = m_workspaces.find(target.workspace);
+    if (found == m_workspaces.end())
+        return;
+    const auto pool = found->second.pools.find(target.service);
+    if (pool != found->second.pools.end())
+        pool->second->gone(target.server, now);
+}
+
 ////////////////////////////////////////////////////////////
 std::size_t Dispatcher::held() const
 {
@@ -221,12 +244,12 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Dispatcher::visitServers(const std::function<void(const std::shared_ptr<const Target>&, unsigned)>& visit) const
+void Dispatcher::visitServers(core::Timestamp now, const ServerVisitor& visit) const
 {
     for (const auto& workspace : m_workspaces)
     {
         for (const auto& item : workspace.second.pools)
-            item.second->visitServers(visit);
+            item.second->visitServers(now, visit);
     }
 }
 
@@ -294,7 +317,7 @@
     Pending&             pending = m_pending[ticket];
     priv::Pool&          pool = *pending.pool;
     const core::Duration wait = pool.expectedWait(pool.queue().ahead(pending.priority));
-    const core::Duration bearable = std::min(pool.service().maxWait, pending.deadline - now - pool.usualLatency());
+    const core::Duration bearable = std::min(pool.bearableWait(now), pending.deadline - now - pool.usualLatency());
     if (wait > bearable)
         return refuse(ticket, refusal(RefusalReason::WaitTooLong, retries::Ran::No, wait));
 
--- a/src/sailpath/node/Pool.cpp
+++ b/src/sailpath/node/Pool.cpp
@@ -8,6 +8,7 @@
 namespace
 {
 constexpr double reportGain = 0.05;    // Share of one report in the pool's mean
+constexpr double workGain = 0.02;      // Share of one answer in the usual work of its class
 constexpr double latencyGain = 0.05;   // Share of one answer in the pool's latency
 constexpr double ejectableShare = 0.5; // Of the pool's servers, at most
 constexpr double batchHeadroom = 1.0;  // Slots of each server that batch requests leave free
@@ -57,9 +58,10 @@
 m_choice(routing::makeServerChoice(settings.choice)),
 m_queue(0),
 m_retryBudget(0),
-m_meanLatency(core::toMilliseconds(settings.load.initialWork))
+m_meanLatency(core::toMilliseconds(settings.initialWork))
 {
     assert(m_choice);
+    m_classWork.fill(core::toMilliseconds(settings.initialWork));
 }
 
 ////////////////////////////////////////////////////////////
@@ -117,7 +119,8 @@
 {
     m_candidates.clear();
     m_limitSum = 0;
-    bool anyStanding = false;
+    const double work = classWork(query.priority);
+    bool         anyStanding = false;
     for (std::size_t i = 0; i < m_servers.size(); ++i)
     {
         const Server& server = *m_servers[i];
@@ -132,7 +135,7 @@
         m_limitSum += limitOf(server, query.now);
         if (!mayBeGiven(server, query))
             continue;
-        const double finish = server.load.finishMilliseconds(query.now, m_meanOthers);
+        const double finish = server.load.finishMilliseconds(query.now, m_meanOthers, work);
         m_candidates.push_back({i, finish / server.health.share(query.now), server.load.ownInFlight(),
                                 server.load.ownInFlight() + server.load.reportedOthers().value_or(0)});
     }
@@ -156,18 +159,20 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Pool::ended(std::size_t server, core::Timestamp sentAt, const Outcome& outcome, core::Timestamp now)
+bool Pool::ended(std::size_t server, const Attempted& attempt, const Outcome& outcome, core::Timestamp now)
 {
     Server& there = *m_servers[server];
-    there.load.ended(sentAt);
+    there.load.ended(attempt.sentAt);
     --m_ownInFlight;
     if (outcome.report)
-        learnReport(there, *outcome.report, outcome.draining, now);
+        learnReport(there, *outcome.report, now);
+    const bool spoke = outcome.report || outcome.draining;
+    const bool news = spoke && there.health.draining(outcome.draining, now);
 
     switch (outcome.result)
     {
     case retries::AttemptResult::Answered:
-        learnAnswer(there, now - sentAt, now);
+        learnAnswer(there, attempt, now);
         break;
     case retries::AttemptResult::Shed:
         there.limit.shed(now);
@@ -183,13 +188,24 @@
         there.health.trialAbandoned();
         break;
     }
+    return news;
 }
 
 ////////////////////////////////////////////////////////////
 void Pool::reported(std::string_view server, routing::LoadReport report, bool draining, core::Timestamp at)
 {
     if (Server* known = findServer(server))
-        learnReport(*known, report, draining, at);
+    {
+        learnReport(*known, report, at);
+        (void)known->health.draining(draining, at);
+    }
+}
+
+////////////////////////////////////////////////////////////
+void Pool::gone(std::string_view server, core::Timestamp now)
+{
+    if (Server* known = findServer(server))
+        known->health.gone(now);
 }
 
 ////////////////////////////////////////////////////////////
@@ -205,6 +221,15 @@
     return core::fromMilliseconds(m_meanLatency);
 }
 
+////////////////////////////////////////////////////////////
+core::Duration Pool::bearableWait(core::Timestamp now)
+{
+    if (!m_settings.usePatience)
+        return m_service.maxWait;
+    m_patience.observe(m_queue.size() == 0, now);
+    return m_patience.longest(m_service.maxWait, usualLatency(), now);
+}
+
 ////////////////////////////////////////////////////////////
 bool Pool::removed() const
 {
@@ -295,6 +320,12 @@
     return server.limit.value() * server.health.share(now);
 }
 
+////////////////////////////////////////////////////////////
+double& Pool::classWork(config::Priority priority)
+{
+    return m_classWork.at(static_cast<std::size_t>(priority));
+}
+
 ////////////////////////////////////////////////////////////
 Pool::Server* Pool::findServer(std::string_view name)
 {
@@ -305,20 +336,21 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Pool::learnReport(Server& server, routing::LoadReport report, bool draining, core::Timestamp at)
+void Pool::learnReport(Server& server, routing::LoadReport report, core::Timestamp at)
 {
     server.load.reported(report, at);
-    server.health.draining(draining, at);
     if (const auto others = server.load.reportedOthers())
         m_meanOthers += reportGain * (*others - m_meanOthers);
 }
 
 ////////////////////////////////////////////////////////////
-void Pool::learnAnswer(Server& server, core::Duration latency, core::Timestamp now)
+void Pool::learnAnswer(Server& server, const Attempted& attempt, core::Timestamp now)
 {
     if (server.health.ejected())
         server.load.resetWork();
-    server.load.learn(latency);
+    const core::Duration latency = now - attempt.sentAt;
+    double&              usual = classWork(attempt.priority);
+    usual += workGain * (server.load.learn(latency, usual) - usual);
     server.health.succeeded(now);
     server.limit.answered(server.load.occupancy(now, m_meanOthers), server.load.ownInFlight(), now);
     m_meanLatency += latencyGain * (core::toMilliseconds(latency) - m_meanLatency);
--- a/src/sailpath/node/Pool.hpp
+++ b/src/sailpath/node/Pool.hpp
@@ -3,6 +3,7 @@
 #include <sailpath/config/Service.hpp>
 #include <sailpath/core/Random.hpp>
 #include <sailpath/limits/ConcurrencyLimit.hpp>
+#include <sailpath/limits/WaitPatience.hpp>
 #include <sailpath/limits/WaitQueue.hpp>
 #include <sailpath/node/DispatcherCounters.hpp>
 #include <sailpath/node/DispatcherSettings.hpp>
@@ -13,6 +14,7 @@
 #include <sailpath/routing/ServerHealth.hpp>
 #include <sailpath/routing/ServerLoad.hpp>
 
+#include <array>
 #include <limits>
 #include <memory>
 #include <string>
@@ -33,6 +35,15 @@
     core::Timestamp  now{};                                   //!< Current time
 };
 
+////////////////////////////////////////////////////////////
+/// \brief What is known of an attempt when it ends
+////////////////////////////////////////////////////////////
+struct Attempted
+{
+    core::Timestamp  sentAt{};                                //!< When it was sent
+    config::Priority priority{config::Priority::Interactive}; //!< Class of the request
+};
+
 ////////////////////////////////////////////////////////////
 /// \brief Why a choice gave no server
 ////////////////////////////////////////////////////////////
@@ -88,14 +99,21 @@
 
     ////////////////////////////////////////////////////////////
     /// \brief Learn from an attempt that ended
+    ///
+    /// \return Whether the server said for the first time that it is leaving
     ////////////////////////////////////////////////////////////
-    void ended(std::size_t server, core::Timestamp sentAt, const Outcome& outcome, core::Timestamp now);
+    bool ended(std::size_t server, const Attempted& attempt, const Outcome& outcome, core::Timestamp now);
 
     ////////////////////////////////////////////////////////////
     /// \brief Hear a report about a server; unknown servers are ignored
     ////////////////////////////////////////////////////////////
     void reported(std::string_view server, routing::LoadReport report, bool draining, core::Timestamp at);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Note that a server that was leaving has closed its connections
+    ////////////////////////////////////////////////////////////
+    void gone(std::string_view server, core::Timestamp now);
+
     ////////////////////////////////////////////////////////////
     /// \brief Estimated wait behind a number of waiting requests
     ////////////////////////////////////////////////////////////
@@ -106,6 +124,11 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] core::Duration usualLatency() const;
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Longest wait that a request may be let in for now
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] core::Duration bearableWait(core::Timestamp now);
+
     [[nodiscard]] bool                                 removed() const;
     [[nodiscard]] const std::string&                   workspace() const;
     [[nodiscard]] const config::Service&               service() const;
@@ -116,15 +139,15 @@
     [[nodiscard]] const DispatcherCounters&            counters() const;
 
     ////////////////////////////////////////////////////////////
-    /// \brief Visit each server in force with its own requests in flight
+    /// \brief Visit each server in force with its standing
     ////////////////////////////////////////////////////////////
     template <typename Visit>
-    void visitServers(Visit visit) const
+    void visitServers(core::Timestamp now, Visit visit) const
     {
         for (const auto& server : m_servers)
         {
             if (!server->removed)
-                visit(server->target, server->load.ownInFlight());
+                visit(server->target, server->health.standing(now));
         }
     }
 
@@ -146,9 +169,10 @@
     [[nodiscard]] bool    trialAllowed(const Query& query) const;
     [[nodiscard]] bool    mayEject() const;
     [[nodiscard]] double  limitOf(const Server& server, core::Timestamp now) const;
+    [[nodiscard]] double& classWork(config::Priority priority);
     [[nodiscard]] Server* findServer(std::string_view name);
-    void                  learnReport(Server& server, routing::LoadReport report, bool draining, core::Timestamp at);
-    void                  learnAnswer(Server& server, core::Duration latency, core::Timestamp now);
+    void                  learnReport(Server& server, routing::LoadReport report, core::Timestamp at);
+    void                  learnAnswer(Server& server, const Attempted& attempt, core::Timestamp now);
     void                  learnFailure(Server& server, core::Timestamp now);
 
     std::string                            m_workspace;            //!< Name of the workspace
@@ -159,10 +183,12 @@
     std::vector<std::unique_ptr<Server>>   m_servers;              //!< Index is stable while requests are there
     std::unique_ptr<routing::ServerChoice> m_choice;               //!< Strategy
     limits::WaitQueue                      m_queue;                //!< Requests that wait
+    limits::WaitPatience                   m_patience;             //!< Shrinks while the queue stands
     retries::RetryBudget                   m_retryBudget;          //!< Retries allowed
     DispatcherCounters                     m_counters;             //!< Since the start
     double                                 m_meanOthers{0};        //!< Others' requests a server, by recent reports
     double                                 m_meanLatency;          //!< Recent latency, milliseconds
+    std::array<double, 2>                  m_classWork;            //!< Usual work by class, milliseconds
     unsigned                               m_ownInFlight{0};       //!< Own requests at all servers
     double                                 m_limitSum{1};          //!< Sum of the limits at the last choice
     std::vector<routing::Candidate>        m_candidates;           //!< Reused by each choice
--- a/src/sailpath/replay/FakeServer.cpp
+++ b/src/sailpath/replay/FakeServer.cpp
@@ -24,8 +24,20 @@
 ////////////////////////////////////////////////////////////
 void FakeServer::arrive(core::Duration work, Nested nested, Done done)
 {
-    if (m_drains && m_events.now() > m_drainSince + drainGrace)
+    if (m_drains && !m_down && m_events.now() > m_drainSince + drainGrace)
         ++m_afterDrain;
+    enter(work, std::move(nested), std::move(done));
+}
+
+////////////////////////////////////////////////////////////
+void FakeServer::probe(core::Duration work, Done done)
+{
+    enter(work, {}, std::move(done));
+}
+
+////////////////////////////////////////////////////////////
+void FakeServer::enter(core::Duration work, Nested nested, Done done)
+{
     if (m_down)
     {
         answer(FakeAnswer::Kind::Refused, done, false);
--- a/src/sailpath/replay/Replay.cpp
+++ b/src/sailpath/replay/Replay.cpp
@@ -18,6 +18,7 @@
     variant.decisions.useLimits = false;
     variant.answerReports = false;
     variant.budgetedProbes = false;
+    variant.peers = false;
     return variant;
 }
 
@@ -53,6 +54,8 @@
     variants.push_back(without("no-reports", [](Variant& v) { v.decisions.load.useReports = false; }));
     variants.push_back(without("no-oldest-age", [](Variant& v) { v.decisions.load.useOldestAge = false; }));
     variants.push_back(without("no-probes", [](Variant& v) { v.budgetedProbes = false; }));
+    variants.push_back(without("no-patience", [](Variant& v) { v.decisions.usePatience = false; }));
+    variants.push_back(without("no-peers", [](Variant& v) { v.peers = false; }));
     return variants;
 }
 
--- a/src/sailpath/replay/Simulation.cpp
+++ b/src/sailpath/replay/Simulation.cpp
@@ -1,7 +1,7 @@
 #include "Simulation.hpp"
 
 #include <algorithm>
-#include <limits>
+#include <utility>
 
 namespace sailpath::replay::priv
 {
@@ -9,8 +9,10 @@
 {
 constexpr core::Duration   tickEvery = std::chrono::milliseconds{2};
 constexpr core::Duration   proberTick = std::chrono::milliseconds{50};
-constexpr core::Duration   tellDelay = std::chrono::milliseconds{100}; // Until peers hear what a probe found
-constexpr core::Duration   settle = std::chrono::seconds{10};          // After the last arrival
+constexpr core::Duration   tellDelay = std::chrono::milliseconds{100};   // Until peers hear what a probe found
+constexpr core::Duration   noticeDelay = std::chrono::milliseconds{500}; // Until closed connections are noticed
+constexpr core::Duration   newsDelay = std::chrono::seconds{1};          // Until all peers hear that a server leaves
+constexpr core::Duration   settle = std::chrono::seconds{10};            // After the last arrival
 constexpr std::string_view proberName = "entry-0";
 
 ////////////////////////////////////////////////////////////
@@ -141,6 +143,8 @@
                     {
                         if (const auto found = m_servers.find(event.server); found != m_servers.end())
                             found->second->apply(event);
+                        if (event.kind == ServerEventKind::Down)
+                            closeConnections(event.server);
                     });
     }
     for (const EntryEvent& event : m_trace.entries)
@@ -156,6 +160,26 @@
     }
 }
 
+////////////////////////////////////////////////////////////
+void Simulation::closeConnections(const std::string& server)
+{
+    m_events.after(noticeDelay,
+                   [this, &server]
+                   {
+                       for (Node& node : m_nodes)
+                       {
+                           if (std::exchange(node.idle[server], 0) == 0)
+                               continue;
+                           node.dispatcher->visitServers(m_events.now(),
+                                                         [this, &node, &server](const auto& target, routing::Standing)
+                                                         {
+                                                             if (target->server == server)
+                                                                 node.dispatcher->serverGone(*target, m_events.now());
+                                                         });
+                       }
+                   });
+}
+
 ////////////////////////////////////////////////////////////
 void Simulation::arrive(const LoadPhase* load, std::size_t depth, std::string_view host, std::string_view method,
                         std::string_view path, core::Duration work, std::function<void(bool, bool)> over)
@@ -253,6 +277,26 @@
     else
         act(call, step);
     release(call->entry);
+    tellNews(call->entry);
+}
+
+////////////////////////////////////////////////////////////
+void Simulation::tellNews(unsigned entry)
+{
+    if (!m_variant.peers)
+        return;
+    std::vector<node::ServerReport> news;
+    m_nodes[entry].dispatcher->takeNews(news);
+    for (const node::ServerReport& report : news)
+    {
+        m_events.after(newsDelay,
+                       [this, report, at = m_events.now()]
+                       {
+                           for (Node& node : m_nodes)
+                               node.dispatcher->reported(report.workspace, report.service, report.server, report.load,
+                                                         report.draining, at);
+                       });
+    }
 }
 
 ////////////////////////////////////////////////////////////
@@ -364,6 +408,9 @@
 ////////////////////////////////////////////////////////////
 void Simulation::tickProber()
 {
+    // The settling time after the last arrival is no part of what is measured.
+    if (m_events.now() > m_end)
+        return;
     const std::array<std::string_view, 1> alive{proberName};
     node::ControlActions                  actions;
     m_prober->tick(alive, m_events.now(), actions);
@@ -387,10 +434,13 @@
 ////////////////////////////////////////////////////////////
 void Simulation::probeAll()
 {
+    if (m_events.now() > m_end)
+        return;
     for (unsigned i = 0; i < m_nodes.size(); ++i)
     {
         m_nodes[i].dispatcher->visitServers(
-            [this, i](const std::shared_ptr<const node::Target>& target, unsigned)
+            m_events.now(),
+            [this, i](const std::shared_ptr<const node::Target>& target, routing::Standing)
             {
                 // Spread over the interval, as real probers are.
                 const auto delay =
@@ -427,7 +477,7 @@
                                tell(i);
                        });
     };
-    m_events.after(m_trace.setup.oneWay, [&server, heard, cost = target.probeCost] { server.arrive(cost, {}, heard); });
+    m_events.after(m_trace.setup.oneWay, [&server, heard, cost = target.probeCost] { server.probe(cost, heard); });
 }
 
 } // namespace sailpath::replay::priv
--- a/src/sailpath/replay/Simulation.hpp
+++ b/src/sailpath/replay/Simulation.hpp
@@ -66,6 +66,8 @@
     void startNode(Node& node, unsigned index);
     void scheduleLoads();
     void scheduleNext(const LoadPhase& load, core::Timestamp at);
+    void tellNews(unsigned entry);
+    void closeConnections(const std::string& server);
     void arrive(const LoadPhase* load, std::size_t depth, std::string_view host, std::string_view method,
                 std::string_view path, core::Duration work, std::function<void(bool, bool)> over);
     void act(const CallPtr& call, const node::Step& step);
--- a/src/sailpath/routing/BaselineChoices.cpp
+++ b/src/sailpath/routing/BaselineChoices.cpp
@@ -66,7 +66,7 @@
 ////////////////////////////////////////////////////////////
 std::unique_ptr<ServerChoice> makeServerChoice(std::string_view name)
 {
-    constexpr std::size_t draws = 4;
+    constexpr std::size_t draws = 8;
     if (name == "estimated-finish")
         return std::make_unique<EstimatedFinishChoice>(draws);
     if (name == "random")
--- a/src/sailpath/routing/ServerHealth.cpp
+++ b/src/sailpath/routing/ServerHealth.cpp
@@ -62,9 +62,27 @@
 }
 
 ////////////////////////////////////////////////////////////
-void ServerHealth::draining(bool leaving, core::Timestamp now)
+bool ServerHealth::draining(bool leaving, core::Timestamp at)
 {
-    m_drainUntil = leaving ? now + m_settings.drainMemory : core::Timestamp{};
+    // News travels by several ways; what is older must not undo what is newer.
+    if (at < m_drainHeardAt)
+        return false;
+    const bool news = leaving && at >= m_drainUntil;
+    m_drainHeardAt = at;
+    m_drainUntil = leaving ? at + m_settings.drainMemory : core::Timestamp{};
+    return news;
+}
+
+////////////////////////////////////////////////////////////
+void ServerHealth::gone(core::Timestamp now)
+{
+    if (now >= m_drainUntil)
+        return;
+    m_drainUntil = {};
+    m_drainHeardAt = now;
+    m_ejected = true;
+    m_trialInFlight = false;
+    m_ejectedUntil = now + m_settings.firstEjection;
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/routing/ServerLoad.cpp
+++ b/src/sailpath/routing/ServerLoad.cpp
@@ -18,8 +18,7 @@
 ServerLoad::ServerLoad(unsigned slots, core::Duration roundTrip, LoadSettings settings) :
 m_slots(slots),
 m_roundTrip(core::toMilliseconds(roundTrip)),
-m_settings(settings),
-m_work(core::toMilliseconds(settings.initialWork))
+m_settings(settings)
 {
     m_sentAt.reserve(static_cast<std::size_t>(slots) * 4);
 }
@@ -40,7 +39,7 @@
 }
 
 ////////////////////////////////////////////////////////////
-void ServerLoad::learn(core::Duration latency)
+double ServerLoad::learn(core::Duration latency, double expected)
 {
     // Waiting in the server's queue is not work: divide it out by the load
     // that was in front of the request.
@@ -48,8 +47,12 @@
     const double present = others + static_cast<double>(m_sentAt.size()) + 1.0;
     const double crowding = std::max(1.0, present / m_slots);
     const double sample = std::max(0.05, (core::toMilliseconds(latency) - m_roundTrip) / crowding);
-    const double gain = sample > m_work ? m_settings.peakGain : m_settings.workGain;
-    m_work += gain * (sample - m_work);
+    const double ratio = sample / expected;
+    m_recent += m_settings.recentGain * (ratio - m_recent);
+    m_usual += m_settings.workGain * (ratio - m_usual);
+    // What was learned of a slow time must not outlast it.
+    m_usual = std::min(m_usual, m_recent * m_settings.peak);
+    return sample;
 }
 
 ////////////////////////////////////////////////////////////
@@ -86,12 +89,14 @@
 }
 
 ////////////////////////////////////////////////////////////
-double ServerLoad::workMilliseconds(core::Timestamp now) const
+double ServerLoad::workMilliseconds(core::Timestamp now, double work) const
 {
+    // Single samples scatter too much to rank servers by; only a clear peak counts at once.
+    const double here = work * (m_recent > m_settings.peak * m_usual ? m_recent : m_usual);
     if (!m_settings.useOldestAge || m_sentAt.empty())
-        return m_work;
+        return here;
     const double age = core::toMilliseconds(oldestAge(now));
-    return age > suspiciousAge * m_work ? std::max(m_work, age) : m_work;
+    return age > suspiciousAge * here ? std::max(here, age) : here;
 }
 
 ////////////////////////////////////////////////////////////
@@ -101,14 +106,14 @@
 }
 
 ////////////////////////////////////////////////////////////
-double ServerLoad::finishMilliseconds(core::Timestamp now, double expectedOthers) const
+double ServerLoad::finishMilliseconds(core::Timestamp now, double expectedOthers, double work) const
 {
     const double present = occupancy(now, expectedOthers) + 1.0;
     // Below one request a slot there is no queue, but a fuller server is
     // still the likelier one to have one by the time the request arrives.
     const double fill = present / m_slots;
     const double crowding = fill <= 1.0 ? 1.0 + 0.25 * fill * fill : 0.25 + fill;
-    return m_roundTrip + workMilliseconds(now) * crowding;
+    return m_roundTrip + workMilliseconds(now, work) * crowding;
 }
 
 ////////////////////////////////////////////////////////////
@@ -120,7 +125,8 @@
 ////////////////////////////////////////////////////////////
 void ServerLoad::resetWork()
 {
-    m_work = core::toMilliseconds(m_settings.initialWork);
+    m_usual = 1;
+    m_recent = 1;
 }
 
 ////////////////////////////////////////////////////////////
