Control logic proved over whole groups in virtual time; two faults it found mended

Cause 2: after a cut of a data centre healed, members stayed dead: a claim of death at the same incarnation was never told to who could deny it. Now who is heard while held for dead is told at once. Ruled out: too few tries of the dead (one each 5 s per node sufficed once the claim was told).

--- a/include/sailpath/adapters/store/EtcdStore.hpp
+++ b/include/sailpath/adapters/store/EtcdStore.hpp
@@ -30,6 +30,7 @@
     [[nodiscard]] ports::WriteAnswer compareAndSwap(const ports::ConditionalWrite& write) override;
     [[nodiscard]] ports::LeaseGrant  grant(core::Duration length) override;
     [[nodiscard]] ports::LeaseGrant  renew(std::int64_t lease) override;
+    void                             revoke(std::int64_t lease) override;
     void                             watch(std::string_view prefix, std::uint64_t revision,
                                            const std::function<bool(std::span<const ports::KeyValue>)>& changes) override;
     void                             endWatch() override;
--- a/include/sailpath/control/ControlThread.hpp
+++ b/include/sailpath/control/ControlThread.hpp
@@ -99,6 +99,7 @@
     void perform(const node::ListMembers& action);
     void perform(const node::AcquireLease& action);
     void perform(const node::RenewLease& action);
+    void perform(const node::ReleaseLease& action);
     void perform(const node::SendProbe& action);
     void perform(const node::ApplyWorkspace& action);
     void perform(const node::RemoveWorkspace& action);
--- a/include/sailpath/membership/MemberTable.hpp
+++ b/include/sailpath/membership/MemberTable.hpp
@@ -55,8 +55,10 @@
 
     ////////////////////////////////////////////////////////////
     /// \brief Note that a member answered or called
+    ///
+    /// \return Whether it must be told that it is held for suspect or dead, so that it can deny it
     ////////////////////////////////////////////////////////////
-    void heard(const Member& peer, core::Timestamp now);
+    bool heard(const Member& peer, core::Timestamp now);
 
     ////////////////////////////////////////////////////////////
     /// \brief Note that a member could not be reached
@@ -100,7 +102,8 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] std::vector<Member> all() const;
 
-    [[nodiscard]] const Member& self() const; //!< The owner
+    [[nodiscard]] const Member& self() const;    //!< The owner
+    [[nodiscard]] std::uint64_t version() const; //!< Rises whenever `aliveNames` may have changed
 
 private:
     struct Entry
@@ -119,6 +122,7 @@
     core::StringMap<Entry>   m_entries;      //!< By name, the owner included
     std::vector<std::string> m_round;        //!< Names left to contact in this turn
     core::Timestamp          m_nextRevive{}; //!< Next try of a dead member
+    std::uint64_t            m_version{0};   //!< Changes of who is alive
 };
 
 } // namespace sailpath::membership
--- a/include/sailpath/node/ControlAction.hpp
+++ b/include/sailpath/node/ControlAction.hpp
@@ -79,6 +79,14 @@
     std::int64_t lease{0}; //!< The store's id
 };
 
+////////////////////////////////////////////////////////////
+/// \brief Give a lease back, so that another VM need not wait for its end
+////////////////////////////////////////////////////////////
+struct ReleaseLease
+{
+    std::int64_t lease{0}; //!< The store's id
+};
+
 ////////////////////////////////////////////////////////////
 /// \brief Probe a server; report with `probed`
 ////////////////////////////////////////////////////////////
@@ -128,7 +136,7 @@
 ////////////////////////////////////////////////////////////
 using ControlAction =
     std::variant<ExchangeWith, PullDocuments, ReadStore, WatchStore, StopWatch, ListMembers, AcquireLease, RenewLease,
-                 SendProbe, ApplyWorkspace, RemoveWorkspace, RejectedDocument, HearReport>;
+                 ReleaseLease, SendProbe, ApplyWorkspace, RemoveWorkspace, RejectedDocument, HearReport>;
 
 ////////////////////////////////////////////////////////////
 /// \brief Actions in the order in which they are to be done
--- a/include/sailpath/node/Controller.hpp
+++ b/include/sailpath/node/Controller.hpp
@@ -11,10 +11,12 @@
 #include <sailpath/state/Backoff.hpp>
 #include <sailpath/state/ConfigurationState.hpp>
 
+#include <limits>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace sailpath::node
 {
@@ -144,32 +146,37 @@
 
     [[nodiscard]] Digest makeDigest(core::Timestamp now);
     void                 tellReport(HeardReport& heard, bool leaving, core::Timestamp now, Digest& digest) const;
-    void                 hearDigest(const Digest& digest, core::Timestamp now, ControlActions& actions);
+    [[nodiscard]] bool   hearDigest(const Digest& digest, core::Timestamp now, ControlActions& actions);
     void                 hearReport(const ServerReport& report, core::Timestamp at, ControlActions& actions);
     [[nodiscard]] bool   takeDocuments(std::span<const state::Document> documents, core::Timestamp now,
                                        ControlActions& actions);
     void                 putInForce(const state::Document& document, core::Timestamp now, ControlActions& actions);
     void                 tellNews(core::Timestamp now, ControlActions& actions);
-    void driveStore(std::span<const std::string_view> alive, core::Timestamp now, ControlActions& actions);
-    void exchangeWith(const membership::Member& peer, core::Timestamp now, ControlActions& actions);
+    void                 driveStore(core::Timestamp now, ControlActions& actions);
+    void                 exchangeWith(const membership::Member& peer, core::Timestamp now, ControlActions& actions);
     [[nodiscard]] core::Duration jittered(core::Duration duration);
 
-    ControllerSettings           m_settings;                     //!< Constants
-    core::Random                 m_random;                       //!< For choices
-    membership::MemberTable      m_members;                      //!< Membership
-    state::ConfigurationState    m_configuration;                //!< Documents
-    Prober                       m_prober;                       //!< Measuring
-    state::Backoff               m_storeBackoff;                 //!< After failures of the store
-    StoreState                   m_storeState{StoreState::Idle}; //!< What is under way with the store
-    bool                         m_relay{false};                 //!< Chosen to watch the store
-    bool                         m_pulling{false};               //!< A `PullDocuments` is under way
-    core::Timestamp              m_nextStore;                    //!< Next try at the store
-    core::Timestamp              m_nextRound;                    //!< Next exchange
-    core::Timestamp              m_nextList;                     //!< Next reading of the list of VMs
-    core::Timestamp              m_nextNews{};                   //!< Next telling of servers that leave
-    bool                         m_newsWaits{false};             //!< There is such news
-    bool                         m_leaving{false};               //!< This VM stops
-    core::StringMap<HeardReport> m_reports;                      //!< Fresh reports by server
+    ControllerSettings        m_settings;                     //!< Constants
+    core::Random              m_random;                       //!< For choices
+    membership::MemberTable   m_members;                      //!< Membership
+    state::ConfigurationState m_configuration;                //!< Documents
+    Prober                    m_prober;                       //!< Measuring
+    state::Backoff            m_storeBackoff;                 //!< After failures of the store
+    StoreState                m_storeState{StoreState::Idle}; //!< What is under way with the store
+    bool                      m_relay{false};                 //!< Chosen to watch the store
+    bool                      m_pulling{false};               //!< A `PullDocuments` is under way
+    core::Timestamp           m_nextStore;                    //!< Next try at the store
+    core::Timestamp           m_nextRound;                    //!< Next exchange
+    core::Timestamp           m_nextList;                     //!< Next reading of the list of VMs
+    core::Timestamp           m_nextNews{};                   //!< Next telling of servers that leave
+    bool                      m_newsWaits{false};             //!< There is such news
+    bool                      m_leaving{false};               //!< This VM stops
+    bool                      m_askedStore{false};            //!< The store was asked since the start
+    std::uint64_t             m_seenMembers{
+        std::numeric_limits<std::uint64_t>::max()}; //!< Version of the members that the next two belong to
+    std::vector<std::string_view> m_alive;                      //!< Names of the live VMs, this one included
+    bool                          m_chosenRelay{false};         //!< Among the live VMs, chosen to watch the store
+    core::StringMap<HeardReport>  m_reports;                    //!< Fresh reports by server
 };
 
 } // namespace sailpath::node
--- a/include/sailpath/node/Prober.hpp
+++ b/include/sailpath/node/Prober.hpp
@@ -43,20 +43,31 @@
     ////////////////////////////////////////////////////////////
     void remove(std::string_view workspace);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Learn who is alive, which decides who is to probe for which group
+    ///
+    /// \param alive Names of the live VMs, this one included
+    ////////////////////////////////////////////////////////////
+    void membersChanged(std::span<const std::string_view> alive);
+
     ////////////////////////////////////////////////////////////
     /// \brief Acquire, renew and use the right to probe
     ///
-    /// \param alive   Names of the live VMs, this one included
     /// \param now     Current time
     /// \param actions Receives what is to be done
     ////////////////////////////////////////////////////////////
-    void tick(std::span<const std::string_view> alive, core::Timestamp now, ControlActions& actions);
+    void tick(core::Timestamp now, ControlActions& actions);
 
     ////////////////////////////////////////////////////////////
     /// \brief Learn what came of a lease request
     ////////////////////////////////////////////////////////////
     void answered(const LeaseAnswer& answer, core::Timestamp now);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Give up the right to probe at once, as this VM stops
+    ////////////////////////////////////////////////////////////
+    void release(core::Timestamp now, ControlActions& actions);
+
     ////////////////////////////////////////////////////////////
     /// \brief Server-milliseconds that this VM has charged to a workspace since it took up its group
     ////////////////////////////////////////////////////////////
@@ -79,13 +90,14 @@
 
     struct Group
     {
-        bool            held{false}; //!< The key is ours
-        core::Timestamp nextTry{};   //!< Next acquisition
+        bool            chosen{false}; //!< This VM is to probe for it
+        bool            held{false};   //!< The key is ours
+        core::Timestamp nextTry{};     //!< Next acquisition
     };
 
     void               dropAll();
-    [[nodiscard]] bool wanted(unsigned group, std::span<const std::string_view> alive) const;
-    void               acquire(std::span<const std::string_view> alive, core::Timestamp now, ControlActions& actions);
+    [[nodiscard]] bool wanted(unsigned group) const;
+    void               acquire(core::Timestamp now, ControlActions& actions);
     void               renew(core::Timestamp now, ControlActions& actions);
     void               probe(core::Timestamp now, ControlActions& actions);
 
--- a/include/sailpath/ports/Store.hpp
+++ b/include/sailpath/ports/Store.hpp
@@ -110,6 +110,11 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] virtual LeaseGrant renew(std::int64_t lease) = 0;
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Give a lease back; its keys go with it. Nothing is lost when the call is: the lease ends by itself
+    ////////////////////////////////////////////////////////////
+    virtual void revoke(std::int64_t lease) = 0;
+
     ////////////////////////////////////////////////////////////
     /// \brief Watch all keys that begin with a prefix, until it ends by itself
     ///
--- a/src/sailpath/adapters/store/EtcdStore.cpp
+++ b/src/sailpath/adapters/store/EtcdStore.cpp
@@ -228,6 +228,12 @@
         });
 }
 
+////////////////////////////////////////////////////////////
+void EtcdStore::revoke(std::int64_t lease)
+{
+    (void)m_impl->client.Post("/v3/lease/revoke", json{{"ID", std::to_string(lease)}}.dump(), "application/json");
+}
+
 ////////////////////////////////////////////////////////////
 void EtcdStore::watch(std::string_view prefix, std::uint64_t revision,
                       const std::function<bool(std::span<const ports::KeyValue>)>& changes)
--- a/src/sailpath/control/ControlThread.cpp
+++ b/src/sailpath/control/ControlThread.cpp
@@ -299,6 +299,17 @@
         });
 }
 
+////////////////////////////////////////////////////////////
+void ControlThread::perform(const node::ReleaseLease& action)
+{
+    m_storeThread.post(
+        [this, lease = action.lease]
+        {
+            ++m_storeCalls;
+            m_ports.store.revoke(lease);
+        });
+}
+
 ////////////////////////////////////////////////////////////
 void ControlThread::perform(const node::SendProbe& action)
 {
--- a/src/sailpath/membership/MemberTable.cpp
+++ b/src/sailpath/membership/MemberTable.cpp
@@ -55,10 +55,18 @@
 }
 
 ////////////////////////////////////////////////////////////
-void MemberTable::heard(const Member& peer, core::Timestamp now)
+bool MemberTable::heard(const Member& peer, core::Timestamp now)
 {
-    if (peer.name != m_self.name)
-        accept(peer, now);
+    if (peer.name == m_self.name)
+        return false;
+    accept(peer, now);
+    const auto found = m_entries.find(peer.name);
+    if (found == m_entries.end() || peer.status != MemberStatus::Alive ||
+        found->second.member.status == MemberStatus::Alive)
+        return false;
+    // It lives, but only it may take the claim back: others have heard the claim too.
+    found->second.told = 0;
+    return true;
 }
 
 ////////////////////////////////////////////////////////////
@@ -78,6 +86,7 @@
     ++m_self.incarnation;
     m_self.status = MemberStatus::Leaving;
     m_entries[m_self.name] = {m_self, now, 0};
+    ++m_version;
 }
 
 ////////////////////////////////////////////////////////////
@@ -94,12 +103,16 @@
             entry.member.status = MemberStatus::Dead;
             entry.since = now;
             entry.told = 0;
+            ++m_version;
         }
         else if (entry.member.status == MemberStatus::Dead && age > m_settings.forget)
             forgotten.push_back(name);
     }
     for (const std::string& name : forgotten)
+    {
         m_entries.erase(name);
+        ++m_version;
+    }
 }
 
 ////////////////////////////////////////////////////////////
@@ -205,6 +218,12 @@
     return m_self;
 }
 
+////////////////////////////////////////////////////////////
+std::uint64_t MemberTable::version() const
+{
+    return m_version;
+}
+
 ////////////////////////////////////////////////////////////
 void MemberTable::accept(const Member& claim, core::Timestamp now)
 {
@@ -213,11 +232,16 @@
     {
         // A stranger that is dead already is no news.
         if (claim.status != MemberStatus::Dead)
+        {
             m_entries[claim.name] = {claim, now, 0};
+            ++m_version;
+        }
         return;
     }
-    if (supersedes(claim, found->second.member))
-        found->second = {claim, now, 0};
+    if (!supersedes(claim, found->second.member))
+        return;
+    m_version += claim.status != found->second.member.status ? 1 : 0;
+    found->second = {claim, now, 0};
 }
 
 ////////////////////////////////////////////////////////////
@@ -225,6 +249,7 @@
 {
     m_self.incarnation = incarnation + 1;
     m_entries[m_self.name] = {m_self, now, 0};
+    ++m_version;
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/node/Controller.cpp
+++ b/src/sailpath/node/Controller.cpp
@@ -41,13 +41,19 @@
 void Controller::tick(core::Timestamp now, ControlActions& actions)
 {
     m_members.tick(now);
-    const std::vector<std::string_view> alive = m_members.aliveNames();
-    driveStore(alive, now, actions);
+    if (m_members.version() != m_seenMembers)
+    {
+        m_seenMembers = m_members.version();
+        m_alive = m_members.aliveNames();
+        m_chosenRelay = membership::isChosen(relayTask, m_members.self().name, m_alive, m_settings.relays);
+        m_prober.membersChanged(m_alive);
+    }
+    driveStore(now, actions);
     if (!m_leaving)
-        m_prober.tick(alive, now, actions);
+        m_prober.tick(now, actions);
 
     // The list of VMs is for those that know nobody, and for relays to keep up with it.
-    const bool lonely = alive.size() <= 1;
+    const bool lonely = m_alive.size() <= 1;
     if (now >= m_nextList && (m_relay || lonely))
     {
         m_nextList = now + jittered(lonely ? m_settings.listEvery / 10 : m_settings.listEvery);
@@ -71,14 +77,15 @@
 ////////////////////////////////////////////////////////////
 Digest Controller::exchangeReceived(const Digest& digest, core::Timestamp now, ControlActions& actions)
 {
-    hearDigest(digest, now, actions);
+    (void)hearDigest(digest, now, actions);
     return makeDigest(now);
 }
 
 ////////////////////////////////////////////////////////////
 void Controller::exchanged(const Digest& answer, core::Timestamp now, ControlActions& actions)
 {
-    hearDigest(answer, now, actions);
+    if (hearDigest(answer, now, actions))
+        exchangeWith(answer.from, now, actions);
 }
 
 ////////////////////////////////////////////////////////////
@@ -175,6 +182,7 @@
 {
     m_leaving = true;
     m_members.leave(now);
+    m_prober.release(now, actions);
     tellNews(now, actions);
 }
 
@@ -229,9 +237,9 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Controller::hearDigest(const Digest& digest, core::Timestamp now, ControlActions& actions)
+bool Controller::hearDigest(const Digest& digest, core::Timestamp now, ControlActions& actions)
 {
-    m_members.heard(digest.from, now);
+    const bool mustDeny = m_members.heard(digest.from, now);
     m_members.merge(digest.claims, now);
     for (const ServerReport& report : digest.reports)
         hearReport(report, now - std::chrono::milliseconds{report.ageMs}, actions);
@@ -240,6 +248,7 @@
         m_pulling = true;
         actions.emplace_back(PullDocuments{digest.from.name, digest.from.address, m_configuration.revision()});
     }
+    return mustDeny;
 }
 
 ////////////////////////////////////////////////////////////
@@ -300,19 +309,21 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Controller::driveStore(std::span<const std::string_view> alive, core::Timestamp now, ControlActions& actions)
+void Controller::driveStore(core::Timestamp now, ControlActions& actions)
 {
-    const bool chosen = !m_leaving && membership::isChosen(relayTask, m_members.self().name, alive, m_settings.relays);
+    const bool chosen = !m_leaving && m_chosenRelay;
     if (m_relay && !chosen && m_storeState == StoreState::Watching)
     {
         m_storeState = StoreState::Idle;
         actions.emplace_back(StopWatch{});
     }
     m_relay = chosen;
-    const bool needed = m_relay || m_configuration.revision() == 0;
-    if (needed && m_storeState == StoreState::Idle && now >= m_nextStore && !m_pulling)
+    // Without a configuration a VM asks the store once, and again only if it has no peers to ask.
+    const bool newcomer = m_configuration.revision() == 0 && (!m_askedStore || m_alive.size() <= 1);
+    if ((m_relay || newcomer) && m_storeState == StoreState::Idle && now >= m_nextStore && !m_pulling)
     {
         m_storeState = StoreState::Reading;
+        m_askedStore = true;
         actions.emplace_back(ReadStore{});
     }
 }
--- a/src/sailpath/node/Prober.cpp
+++ b/src/sailpath/node/Prober.cpp
@@ -64,12 +64,19 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Prober::tick(std::span<const std::string_view> alive, core::Timestamp now, ControlActions& actions)
+void Prober::membersChanged(std::span<const std::string_view> alive)
+{
+    for (unsigned group = 0; group < m_groups.size(); ++group)
+        m_groups[group].chosen = membership::isChosen("probe-" + std::to_string(group), m_settings.self.name, alive, 1);
+}
+
+////////////////////////////////////////////////////////////
+void Prober::tick(core::Timestamp now, ControlActions& actions)
 {
     const bool anyHeld = std::any_of(m_groups.begin(), m_groups.end(), [](const Group& group) { return group.held; });
     if (anyHeld && !m_lease.valid(now))
         dropAll();
-    acquire(alive, now, actions);
+    acquire(now, actions);
     renew(now, actions);
     probe(now, actions);
 }
@@ -98,6 +105,14 @@
     }
 }
 
+////////////////////////////////////////////////////////////
+void Prober::release(core::Timestamp now, ControlActions& actions)
+{
+    if (const auto lease = m_lease.id(now))
+        actions.emplace_back(ReleaseLease{*lease});
+    dropAll();
+}
+
 ////////////////////////////////////////////////////////////
 double Prober::spent(std::string_view workspace) const
 {
@@ -123,21 +138,21 @@
 }
 
 ////////////////////////////////////////////////////////////
-bool Prober::wanted(unsigned group, std::span<const std::string_view> alive) const
+bool Prober::wanted(unsigned group) const
 {
-    const bool used =
-        std::any_of(m_measured.begin(), m_measured.end(),
-                    [group](const auto& item) { return item.second.group == group && item.second.rate > 0; });
-    return used && membership::isChosen("probe-" + std::to_string(group), m_settings.self.name, alive, 1);
+    if (!m_groups[group].chosen)
+        return false;
+    return std::any_of(m_measured.begin(), m_measured.end(),
+                       [group](const auto& item) { return item.second.group == group && item.second.rate > 0; });
 }
 
 ////////////////////////////////////////////////////////////
-void Prober::acquire(std::span<const std::string_view> alive, core::Timestamp now, ControlActions& actions)
+void Prober::acquire(core::Timestamp now, ControlActions& actions)
 {
     for (unsigned group = 0; group < m_groups.size() && !m_pending; ++group)
     {
         Group& state = m_groups[group];
-        if (state.held || now < state.nextTry || !wanted(group, alive))
+        if (state.held || now < state.nextTry || !wanted(group))
             continue;
         state.nextTry = now + m_settings.leaseLength / 2;
         m_pending = true;
--- a/src/sailpath/replay/Simulation.cpp
+++ b/src/sailpath/replay/Simulation.cpp
@@ -62,6 +62,7 @@
 
     m_control.self.name = proberName;
     m_prober.emplace(m_control);
+    m_prober->membersChanged(std::array{proberName});
     for (const config::Workspace& workspace : trace.setup.workspaces)
         m_prober->configure(workspace, m_events.now());
 }
@@ -411,9 +412,8 @@
     // The settling time after the last arrival is no part of what is measured.
     if (m_events.now() > m_end)
         return;
-    const std::array<std::string_view, 1> alive{proberName};
-    node::ControlActions                  actions;
-    m_prober->tick(alive, m_events.now(), actions);
+    node::ControlActions actions;
+    m_prober->tick(m_events.now(), actions);
     for (const node::ControlAction& action : actions)
     {
         if (const auto* send = std::get_if<node::SendProbe>(&action))
--- /dev/null
+++ b/test/node/Controller.test.cpp
@@ -0,0 +1,259 @@
+#include "support/ControlGroup.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <numeric>
+
+namespace
+{
+using namespace sailpath;
+using namespace std::chrono_literals;
+using membership::MemberStatus;
+using support::ControlGroup;
+using support::GroupSettings;
+
+////////////////////////////////////////////////////////////
+std::string declaration(const std::string& workspace, double budget = 0)
+{
+    return R"({"workspace": ")" + workspace + R"(", "measuringBudgetMsPerS": )" + std::to_string(budget) +
+           R"(, "services": [{"name": "portal", "servers":
+               [{"name": "p1", "address": "127.0.0.1", "port": 9001, "dataCentre": "0"}]}]})";
+}
+
+////////////////////////////////////////////////////////////
+/// \brief Whether any node went back to an older revision within one life; the rule of the history check
+////////////////////////////////////////////////////////////
+bool wentBack(const std::vector<support::InForce>& history)
+{
+    std::map<std::tuple<unsigned, unsigned, std::string>, std::uint64_t> newest;
+    for (const support::InForce& change : history)
+    {
+        auto& revision = newest[{change.node, change.life, change.workspace}];
+        if (change.revision <= revision)
+            return true;
+        revision = change.revision;
+    }
+    return false;
+}
+
+////////////////////////////////////////////////////////////
+double costWithin(const std::vector<support::ProbeSent>& probes, core::Timestamp from, core::Duration length)
+{
+    return std::accumulate(probes.begin(), probes.end(), 0.0,
+                           [&](double sum, const support::ProbeSent& probe)
+                           { return probe.at >= from && probe.at < from + length ? sum + probe.cost : sum; });
+}
+
+////////////////////////////////////////////////////////////
+/// \brief The most that was spent in any window of a length
+////////////////////////////////////////////////////////////
+double mostWithin(const std::vector<support::ProbeSent>& probes, core::Duration length)
+{
+    double most = 0;
+    for (const support::ProbeSent& probe : probes)
+        most = std::max(most, costWithin(probes, probe.at, length));
+    return most;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Controller)
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(theHistoryCheckSeesABrokenHistory)
+{
+    BOOST_TEST(!wentBack({{{}, 1, "a", 2, 1}, {{}, 1, "a", 3, 1}, {{}, 1, "a", 2, 2}, {{}, 2, "a", 2, 1}}));
+    BOOST_TEST(wentBack({{{}, 1, "a", 3, 1}, {{}, 1, "a", 2, 1}}));
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aChangeIsInForceEverywhereWithinTwoSeconds)
+{
+    ControlGroup group({.nodes = 18});
+    group.run(10s);
+    for (int i = 0; i < 10; ++i)
+    {
+        const auto revision = group.put("admissa", declaration("admissa"));
+        BOOST_TEST(group.runUntil([&] { return group.everywhere("admissa", revision); }, 2s));
+    }
+    const auto revision = group.remove("admissa");
+    BOOST_TEST(group.runUntil([&] { return group.everywhere("admissa", revision); }, 2s));
+    BOOST_TEST(!wentBack(group.history));
+    BOOST_TEST(group.relays() == 3U);
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(allKnowOneAnotherAndAKilledNodeIsNoticed)
+{
+    ControlGroup group({.nodes = 18});
+    group.run(30s);
+    for (unsigned i = 0; i < 18; ++i)
+        BOOST_TEST(group.allAlive(i));
+    group.stop(7);
+    group.run(30s);
+    for (unsigned i = 0; i < 18; ++i)
+        BOOST_TEST((i == 7 || group.believes(i, 7, MemberStatus::Dead)));
+    group.start(7);
+    group.run(20s);
+    for (unsigned i = 0; i < 18; ++i)
+        BOOST_TEST(group.allAlive(i));
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(relaysThatAreKilledAreReplaced)
+{
+    ControlGroup group({.nodes = 18, .loss = 0.1});
+    group.run(10s);
+    for (int round = 0; round < 3; ++round)
+    {
+        group.stop(static_cast<unsigned>(round));
+        group.stop(static_cast<unsigned>(17 - round));
+        group.run(1s);
+        const auto revision = group.put("admissa", declaration("admissa"));
+        BOOST_TEST(group.runUntil([&] { return group.everywhere("admissa", revision); }, 15s));
+    }
+    BOOST_TEST(!wentBack(group.history));
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aNewNodeGetsTheConfigurationFromPeersInAnOutage)
+{
+    ControlGroup group({.nodes = 16});
+    const auto   revision = group.put("admissa", declaration("admissa"));
+    group.run(10s);
+    group.setOutage(true);
+    group.stop(5);
+    group.run(20s);
+    group.start(5);
+    // The platform's list is out too: peers find the node by trying the dead now and then.
+    BOOST_TEST(group.runUntil([&] { return group.everywhere("admissa", revision); }, 60s));
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(anOutageOfAnHourEndsWithoutAStampede)
+{
+    ControlGroup group({.nodes = 100, .dataCentres = 7});
+    group.run(20s);
+    group.setOutage(true);
+    const auto before = group.storeCalls;
+    group.run(1h);
+    const double during = static_cast<double>(group.storeCalls - before) / 3600;
+    BOOST_TEST(during < 5.0);
+    group.setOutage(false);
+    const auto resumed = group.storeCalls;
+    const auto revision = group.put("admissa", declaration("admissa"));
+    BOOST_TEST(group.runUntil([&] { return group.everywhere("admissa", revision); }, 15s));
+    BOOST_TEST(group.storeCalls - resumed < 100U);
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aStoreRestoredFromABackupTakesNothingBack)
+{
+    ControlGroup group({.nodes = 16});
+    for (int i = 0; i < 5; ++i)
+        (void)group.put("admissa", declaration("admissa"));
+    group.run(10s);
+    group.restoreStore(2);
+    group.run(30s);
+    group.stop(3);
+    group.start(3);
+    group.run(30s);
+    BOOST_TEST(!wentBack(group.history));
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aCutDataCentreCatchesUpWhenItIsBack)
+{
+    ControlGroup group({.nodes = 16});
+    group.run(20s);
+    group.cutDataCentre(1, true);
+    group.run(60s);
+    // The cut side keeps its own relays, so the change reaches it through the store.
+    auto revision = group.put("admissa", declaration("admissa"));
+    BOOST_TEST(group.runUntil([&] { return group.everywhere("admissa", revision); }, 15s));
+    group.cutDataCentre(1, false);
+    BOOST_TEST(group.runUntil([&] { return group.allAlive(0) && group.allAlive(1); }, 120s));
+    revision = group.put("admissa", declaration("admissa"));
+    BOOST_TEST(group.runUntil([&] { return group.everywhere("admissa", revision); }, 2s));
+    BOOST_TEST(!wentBack(group.history));
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aStaleListOfVmsDoesNoHarm)
+{
+    ControlGroup group({.nodes = 16});
+    group.stop(3);
+    group.stop(4);
+    group.setVmList({3, 4, 0, 1});
+    group.run(60s);
+    const auto revision = group.put("admissa", declaration("admissa"));
+    BOOST_TEST(group.runUntil([&] { return group.everywhere("admissa", revision); }, 5s));
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(theMeasuringBudgetHoldsWhileProbersComeAndGo)
+{
+    constexpr double budget = 30;
+    ControlGroup     group({.nodes = 16});
+    (void)group.put("admissa", declaration("admissa", budget));
+    group.run(20s);
+    BOOST_TEST(!group.probes.empty());
+    for (unsigned round = 0; round < 12; ++round)
+    {
+        // Whoever probes at present is killed, frozen beyond its lease, or cut off.
+        const unsigned holder = group.probes.back().node;
+        if (round % 3 == 0)
+            group.stop(holder);
+        else if (round % 3 == 1)
+            group.freeze(holder);
+        else
+            group.cutDataCentre(holder % 4, true);
+        group.run(25s);
+        if (round % 3 == 0)
+            group.start(holder);
+        else if (round % 3 == 1)
+            group.thaw(holder);
+        else
+            group.cutDataCentre(holder % 4, false);
+        group.run(5s);
+    }
+    // One probe may be saved up and one may be under way when the right changes hands.
+    for (const core::Duration window : {core::Duration{1s}, core::Duration{10s}, core::Duration{60s}})
+        BOOST_TEST(mostWithin(group.probes, window) <= budget * core::toSeconds(window) + 12.0);
+    BOOST_TEST(group.probes.size() > 300U);
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(nobodyProbesWithoutTheStoreOrABudget)
+{
+    ControlGroup group({.nodes = 16});
+    (void)group.put("admissa", declaration("admissa", 30));
+    (void)group.put("quetzal", declaration("quetzal", 0));
+    group.run(20s);
+    group.setOutage(true);
+    group.run(20s);
+    const auto before = group.probes.size();
+    group.run(60s);
+    BOOST_TEST(group.probes.size() == before);
+    BOOST_TEST(std::none_of(group.probes.begin(), group.probes.end(),
+                            [](const auto& probe) { return probe.workspace == "quetzal"; }));
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aBadDocumentLeavesTheOneBeforeInForce)
+{
+    ControlGroup group({.nodes = 4});
+    const auto   good = group.put("admissa", declaration("admissa"));
+    group.run(10s);
+    (void)group.put("admissa", "{\"workspace\": \"quetzal\"}");
+    (void)group.put("admissa", "nonsense");
+    group.run(10s);
+    BOOST_TEST(group.everywhere("admissa", good));
+    BOOST_TEST(group.history.back().revision == good);
+    const auto better = group.put("admissa", declaration("admissa"));
+    BOOST_TEST(group.runUntil([&] { return group.everywhere("admissa", better); }, 2s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/routing/ServerLoad.test.cpp
@@ -0,0 +1,81 @@
+#include <sailpath/routing/ServerLoad.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+namespace
+{
+using namespace sailpath;
+using namespace std::chrono_literals;
+
+constexpr core::Timestamp start{1h};
+constexpr double          usualWork = 10;
+
+////////////////////////////////////////////////////////////
+void answerIn(routing::ServerLoad& load, core::Duration latency)
+{
+    load.sent(start);
+    load.ended(start);
+    (void)load.learn(latency, usualWork);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ServerLoad)
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(reportsFadeToWhatIsUsual)
+{
+    routing::ServerLoad load(3, 0ms, {});
+    BOOST_TEST(load.othersInFlight(start, 2.0) == 2.0);
+    load.reported({8}, start);
+    BOOST_TEST(load.othersInFlight(start, 2.0) == 8.0);
+    BOOST_TEST(load.othersInFlight(start + 20ms, 2.0) == 5.0);
+    BOOST_TEST(load.othersInFlight(start + 1s, 2.0) == 2.0, boost::test_tools::tolerance(1e-9));
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(anOlderReportIsIgnored)
+{
+    routing::ServerLoad load(3, 0ms, {});
+    load.reported({8}, start);
+    load.reported({0}, start - 1ms);
+    BOOST_TEST(load.othersInFlight(start, 2.0) == 8.0);
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(ownRequestsAreNotCountedTwice)
+{
+    routing::ServerLoad load(3, 0ms, {});
+    load.sent(start);
+    load.sent(start);
+    load.reported({5}, start);
+    BOOST_TEST(load.occupancy(start, 0.0) == 5.0);
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aPeakCountsAtOnceAndIsForgotten)
+{
+    routing::ServerLoad load(3, 0ms, {});
+    for (int i = 0; i < 50; ++i)
+        answerIn(load, 10ms);
+    BOOST_TEST(load.workMilliseconds(start, usualWork) < 11.0);
+    for (int i = 0; i < 2; ++i)
+        answerIn(load, 100ms);
+    BOOST_TEST(load.workMilliseconds(start, usualWork) > 40.0);
+    for (int i = 0; i < 30; ++i)
+        answerIn(load, 10ms);
+    BOOST_TEST(load.workMilliseconds(start, usualWork) < 25.0);
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(anUnansweredRequestShowsASlowServer)
+{
+    routing::ServerLoad load(3, 0ms, {});
+    for (int i = 0; i < 50; ++i)
+        answerIn(load, 10ms);
+    load.sent(start);
+    BOOST_TEST(load.workMilliseconds(start + 20ms, usualWork) < 12.0);
+    BOOST_TEST(load.workMilliseconds(start + 90ms, usualWork) == 90.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/standins/KeyValueStandIn.cpp
+++ b/test/standins/KeyValueStandIn.cpp
@@ -70,6 +70,16 @@
     return found->second.seconds;
 }
 
+////////////////////////////////////////////////////////////
+void KeyValueStandIn::revoke(std::int64_t lease)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto                        found = m_leases.find(lease);
+    if (found != m_leases.end())
+        found->second.until = {};
+    expire();
+}
+
 ////////////////////////////////////////////////////////////
 std::vector<StoredChange> KeyValueStandIn::changes(const std::string& first, const std::string& end, std::int64_t from,
                                                    std::chrono::milliseconds patience)
--- a/test/standins/KeyValueStandIn.hpp
+++ b/test/standins/KeyValueStandIn.hpp
@@ -56,6 +56,7 @@
 
     [[nodiscard]] std::int64_t grant(std::int64_t seconds); //!< New lease
     [[nodiscard]] std::int64_t renew(std::int64_t lease);   //!< Seconds granted; 0 when it is gone
+    void                       revoke(std::int64_t lease);  //!< End a lease and remove its keys
 
     ////////////////////////////////////////////////////////////
     /// \brief Changes of a range from a revision on; waits for some
--- a/test/standins/PlatformStandIn.cpp
+++ b/test/standins/PlatformStandIn.cpp
@@ -182,6 +182,12 @@
             const std::int64_t lease = number(body, "ID");
             return json{{"result", {{"ID", std::to_string(lease)}, {"TTL", std::to_string(impl.store.renew(lease))}}}};
         });
+    impl.serve("/v3/lease/revoke",
+               [&impl](const json& body)
+               {
+                   impl.store.revoke(number(body, "ID"));
+                   return json::object();
+               });
     impl.server.Post("/v3/watch", [&impl](const httplib::Request& request, httplib::Response& response)
                      { impl.watch(request, response); });
     impl.server.Post("/fault", [&impl](const httplib::Request& request, httplib::Response&)
