Tests of adapters and of the live data path; faults they found mended

Found by tests that failed first: a ticket used again cleared the place of its new waiter in DispatcherDoor (crash under a full entry); a small answer cut by the server closed the caller's connection although nothing had left, now the caller is told 'unknown' or a repeatable request is sent again; a stop of the library's server before it ran was lost; only the first stray operand was reported.

--- a/include/sailpath/adapters/http/AnswerWriter.hpp
+++ b/include/sailpath/adapters/http/AnswerWriter.hpp
@@ -62,28 +62,36 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] bool end();
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Take back what was begun, so that another answer can be given
+    ///
+    /// \return False when some of it has been handed over already
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] bool takeBack();
+
     ////////////////////////////////////////////////////////////
     /// \brief Break off; the connection will be closed
     ////////////////////////////////////////////////////////////
     void cut();
 
-    [[nodiscard]] bool begun() const;        //!< Whether any part may have been handed over
+    [[nodiscard]] bool begun() const;        //!< Whether an answer was begun
     [[nodiscard]] bool mayKeepAlive() const; //!< Whether the connection can serve another request
 
 private:
     [[nodiscard]] bool flush();
 
-    const net::TcpSocket& m_socket;         //!< The caller's connection
-    bool                  m_http10;         //!< The caller speaks HTTP/1.0
-    bool                  m_keepAlive;      //!< Keep the connection
-    core::Duration        m_timeout;        //!< Longest wait
-    std::string           m_pending;        //!< Bytes not handed over yet
-    bool                  m_begun{false};   //!< The head is written
-    bool                  m_broken{false};  //!< Cut, or the caller is gone
-    bool                  m_chunked{false}; //!< The body is written in chunks
-    bool                  m_noBody{false};  //!< No body follows
-    std::uint64_t         m_left{0};        //!< Bytes still owed when a length was stated
-    bool                  m_stated{false};  //!< A length was stated
+    const net::TcpSocket& m_socket;            //!< The caller's connection
+    bool                  m_http10;            //!< The caller speaks HTTP/1.0
+    bool                  m_keepAlive;         //!< Keep the connection
+    core::Duration        m_timeout;           //!< Longest wait
+    std::string           m_pending;           //!< Bytes not handed over yet
+    bool                  m_begun{false};      //!< The head is written
+    bool                  m_handedOver{false}; //!< Some bytes have left
+    bool                  m_broken{false};     //!< Cut, or the caller is gone
+    bool                  m_chunked{false};    //!< The body is written in chunks
+    bool                  m_noBody{false};     //!< No body follows
+    std::uint64_t         m_left{0};           //!< Bytes still owed when a length was stated
+    bool                  m_stated{false};     //!< A length was stated
 };
 
 } // namespace sailpath::adapters::http
--- a/src/programs/ApiServer.cpp
+++ b/src/programs/ApiServer.cpp
@@ -1,5 +1,6 @@
 #include "ApiServer.hpp"
 
+#include <sailpath/adapters/http/ServerThread.hpp>
 #include <sailpath/adapters/store/EtcdStore.hpp>
 #include <sailpath/api/ChangeWriter.hpp>
 #include <sailpath/api/Tokens.hpp>
@@ -13,6 +14,7 @@
 
 #include <charconv>
 #include <mutex>
+#include <optional>
 #include <stdexcept>
 #include <thread>
 
@@ -295,16 +297,15 @@
             answerLater(response, "store-unavailable", "unknown");
     }
 
-    ApiSettings                settings; //!< Constants
-    ports::EventLog&           log;      //!< Audit events
-    std::mutex                 mutex;    //!< One request at a time
-    adapters::store::EtcdStore store;    //!< The store
-    api::Tokens                tokens;   //!< Who calls
-    api::ChangeWriter          writer;   //!< Writes changes
-    limits::RateLimit          rate;     //!< Changes by workspace
-    httplib::Server            server;   //!< The library's server
-    int                        port{0};  //!< Port in use
-    std::thread                thread;   //!< Runs the server
+    ApiSettings                                 settings; //!< Constants
+    ports::EventLog&                            log;      //!< Audit events
+    std::mutex                                  mutex;    //!< One request at a time
+    adapters::store::EtcdStore                  store;    //!< The store
+    api::Tokens                                 tokens;   //!< Who calls
+    api::ChangeWriter                           writer;   //!< Writes changes
+    limits::RateLimit                           rate;     //!< Changes by workspace
+    httplib::Server                             server;   //!< The library's server
+    std::optional<adapters::http::ServerThread> thread;   //!< Runs the server
 };
 
 ////////////////////////////////////////////////////////////
@@ -320,27 +321,19 @@
     impl.server.Put("/v1/workspaces/([a-z0-9-]{1,63})", impl.guarded(&Impl::put));
     impl.server.Delete("/v1/workspaces/([a-z0-9-]{1,63})", impl.guarded(&Impl::remove));
     impl.server.Post("/v1/workspaces/([a-z0-9-]{1,63})/tokens", impl.guarded(&Impl::makeToken));
-    const adapters::settings::Endpoint& listen = impl.settings.listen;
-    if (listen.port == 0)
-        impl.port = impl.server.bind_to_any_port(listen.address);
-    else
-        impl.port = impl.server.bind_to_port(listen.address, listen.port) ? listen.port : -1;
-    if (impl.port <= 0)
-        throw std::runtime_error("cannot listen on " + listen.text());
-    impl.thread = std::thread([&impl] { impl.server.listen_after_bind(); });
+    impl.thread.emplace(impl.server, impl.settings.listen);
 }
 
 ////////////////////////////////////////////////////////////
 ApiServer::~ApiServer()
 {
-    m_impl->server.stop();
-    m_impl->thread.join();
+    m_impl->thread.reset();
 }
 
 ////////////////////////////////////////////////////////////
 std::uint16_t ApiServer::port() const
 {
-    return static_cast<std::uint16_t>(m_impl->port);
+    return m_impl->thread->port();
 }
 
 } // namespace sailpath::programs
--- a/src/programs/EntryStatus.cpp
+++ b/src/programs/EntryStatus.cpp
@@ -2,7 +2,9 @@
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
+#include <sailpath/adapters/http/ServerThread.hpp>
 
+#include <optional>
 #include <stdexcept>
 #include <thread>
 
@@ -110,10 +112,9 @@
             });
     }
 
-    EntryParts      parts;   //!< What is shown
-    httplib::Server server;  //!< The library's server
-    int             port{0}; //!< Port in use
-    std::thread     thread;  //!< Runs the server
+    EntryParts                                  parts;  //!< What is shown
+    httplib::Server                             server; //!< The library's server
+    std::optional<adapters::http::ServerThread> thread; //!< Runs the server
 };
 
 ////////////////////////////////////////////////////////////
@@ -128,26 +129,19 @@
                     [&impl](const httplib::Request&, httplib::Response& response) { impl.status(response); });
     impl.server.Get("/metrics",
                     [&impl](const httplib::Request&, httplib::Response& response) { impl.metrics(response); });
-    if (listen.port == 0)
-        impl.port = impl.server.bind_to_any_port(listen.address);
-    else
-        impl.port = impl.server.bind_to_port(listen.address, listen.port) ? listen.port : -1;
-    if (impl.port <= 0)
-        throw std::runtime_error("cannot listen on " + listen.text());
-    impl.thread = std::thread([&impl] { impl.server.listen_after_bind(); });
+    impl.thread.emplace(impl.server, listen);
 }
 
 ////////////////////////////////////////////////////////////
 EntryStatus::~EntryStatus()
 {
-    m_impl->server.stop();
-    m_impl->thread.join();
+    m_impl->thread.reset();
 }
 
 ////////////////////////////////////////////////////////////
 std::uint16_t EntryStatus::port() const
 {
-    return static_cast<std::uint16_t>(m_impl->port);
+    return m_impl->thread->port();
 }
 
 } // namespace sailpath::programs
--- a/src/sailpath/adapters/http/AnswerWriter.cpp
+++ b/src/sailpath/adapters/http/AnswerWriter.cpp
@@ -94,6 +94,16 @@
     return flush();
 }
 
+////////////////////////////////////////////////////////////
+bool AnswerWriter::takeBack()
+{
+    if (m_handedOver || m_broken)
+        return false;
+    m_begun = false;
+    m_pending.clear();
+    return true;
+}
+
 ////////////////////////////////////////////////////////////
 void AnswerWriter::cut()
 {
@@ -121,6 +131,7 @@
     std::span<const char> left(m_pending);
     while (!left.empty())
     {
+        m_handedOver = true;
         const net::IoResult result = m_socket.write(left, m_timeout);
         if (result.status != net::IoStatus::Done)
         {
--- a/src/sailpath/adapters/http/Ingress.cpp
+++ b/src/sailpath/adapters/http/Ingress.cpp
@@ -65,6 +65,7 @@
     IngressSettings                                            settings;          //!< Limits
     asio::io_context                                           context{1};        //!< The reactor's
     asio::ip::tcp::acceptor                                    acceptor{context}; //!< Listens
+    std::uint16_t                                              port{0};           //!< Port that is listened on
     asio::steady_timer                                         timer{context};    //!< For sweeps
     asio::executor_work_guard<asio::io_context::executor_type> work{
         asio::make_work_guard(context)};                             //!< Keeps it running
@@ -87,6 +88,7 @@
     acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
     acceptor.bind(endpoint);
     acceptor.listen(1024);
+    port = acceptor.local_endpoint().port();
 
     for (std::size_t i = 0; i < settings.workers; ++i)
         servers.push_back(std::make_unique<priv::CallerServer>(handler, settings.largestBody));
@@ -360,7 +362,7 @@
 ////////////////////////////////////////////////////////////
 std::uint16_t Ingress::port() const
 {
-    return m_impl->acceptor.local_endpoint().port();
+    return m_impl->port;
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/adapters/settings/SettingsReader.cpp
+++ b/src/sailpath/adapters/settings/SettingsReader.cpp
@@ -267,8 +267,11 @@
     if (result.exitCode)
         return result;
     reader.fillDefaults();
-    if (program.operands.empty() && !result.operands.empty())
-        result.findings.add(result.operands.front(), "unexpected operand");
+    if (program.operands.empty())
+    {
+        for (const std::string& operand : result.operands)
+            result.findings.add(operand, "unexpected operand");
+    }
     if (!result.findings.empty())
         result.exitCode = ExitUsage;
     else if (reader.onlyCheck())
--- a/src/sailpath/entry/Attempt.cpp
+++ b/src/sailpath/entry/Attempt.cpp
@@ -134,7 +134,9 @@
 node::Outcome Attempt::judge(ExchangeEnd end)
 {
     node::Outcome outcome = m_outcome;
-    const bool    passedOn = m_caller.answer.begun();
+    // Nothing of a small answer that was cut has left yet; the caller can be told, or the request sent again.
+    const bool    complete = end == ExchangeEnd::Whole;
+    const bool    passedOn = m_caller.answer.begun() && (complete || !m_caller.answer.takeBack());
     outcome.bodyAtHand = !m_request.stream && !passedOn;
     switch (end)
     {
--- a/src/sailpath/entry/DispatcherDoor.cpp
+++ b/src/sailpath/entry/DispatcherDoor.cpp
@@ -2,6 +2,8 @@
 
 #include <sailpath/entry/SteadyClock.hpp>
 
+#include <utility>
+
 namespace sailpath::entry
 {
 namespace
@@ -60,9 +62,9 @@
         {
             waiter.step.emplace();
             waiter.step->refusal = {node::RefusalReason::CallerGone, retries::Ran::No, {}};
+            m_waiters[ticket] = nullptr;
         }
     }
-    m_waiters[ticket] = nullptr;
     return *waiter.step;
 }
 
@@ -72,7 +74,9 @@
     m_dispatcher.takeReleased(m_released);
     for (const node::Step& step : m_released)
     {
-        Waiter& waiter = *m_waiters[step.ticket];
+        // A refused ticket may be given to another request before this waiter wakes,
+        // so its place is cleared here and not by the waiter.
+        Waiter& waiter = *std::exchange(m_waiters[step.ticket], nullptr);
         waiter.step = step;
         waiter.wake.notify_one();
     }
--- /dev/null
+++ b/test/entry/Proxy.test.cpp
@@ -0,0 +1,404 @@
+#include "standins/BackendStandIn.hpp"
+
+#include <sailpath/adapters/http/Ingress.hpp>
+#include <sailpath/adapters/logging/Log4cplusEventLog.hpp>
+#include <sailpath/entry/Proxy.hpp>
+#include <sailpath/entry/SteadyClock.hpp>
+
+#include <boost/test/unit_test.hpp>
+#include <httplib.h>
+
+#include <atomic>
+#include <fstream>
+#include <thread>
+
+namespace
+{
+using namespace sailpath;
+using namespace std::chrono_literals;
+using adapters::net::TcpSocket;
+using standins::BackendBehaviour;
+using standins::BackendStandIn;
+
+////////////////////////////////////////////////////////////
+class SilentLog : public ports::EventLog
+{
+public:
+    [[nodiscard]] bool writes(ports::Level) const override
+    {
+        return false;
+    }
+
+    void write(ports::Level, std::string_view, std::initializer_list<ports::Field>) override
+    {
+    }
+};
+
+////////////////////////////////////////////////////////////
+/// \brief An entry in this process, in front of backend stand-ins
+////////////////////////////////////////////////////////////
+struct Fixture
+{
+    Fixture()
+    {
+        adapters::http::IngressSettings settings;
+        settings.listen = {"127.0.0.1", 0};
+        settings.workers = 32;
+        settings.backlog = 32;
+        settings.headTime = 300ms;
+        ingress.emplace(settings, proxy);
+        ticker = std::thread(
+            [this]
+            {
+                while (!ending)
+                {
+                    std::this_thread::sleep_for(2ms);
+                    door.tick();
+                }
+            });
+    }
+
+    ~Fixture()
+    {
+        ending = true;
+        ticker.join();
+        ingress.reset();
+    }
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Put servers in force for the host `portal.admissa`
+    ////////////////////////////////////////////////////////////
+    void serve(const std::vector<std::uint16_t>& ports)
+    {
+        config::Service service;
+        service.name = "portal";
+        service.routes = {{"/", {"GET", "HEAD"}, true, config::Priority::Interactive}};
+        service.retry.budget = 1;
+        for (const std::uint16_t port : ports)
+            service.servers.push_back({"s" + std::to_string(port), "127.0.0.1", port, "", 3, 200});
+        door.with(
+            [&](node::Dispatcher& dispatcher) {
+                dispatcher.configure({"admissa", 0, {service}}, entry::steadyNow());
+            });
+    }
+
+    [[nodiscard]] httplib::Client client() const
+    {
+        httplib::Client made("127.0.0.1", ingress->port());
+        made.set_default_headers({{"Host", "portal.admissa"}});
+        made.set_read_timeout(20s);
+        made.set_decompress(false);
+        made.set_url_encode(false);
+        return made;
+    }
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Send raw bytes and read until the connection closes or falls silent
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] std::string raw(const std::string& bytes, core::Duration silence = 2s) const
+    {
+        const TcpSocket socket = TcpSocket::connect("127.0.0.1", ingress->port(), 1s);
+        (void)socket.write(bytes, 1s);
+        std::string             answer;
+        std::array<char, 65536> buffer{};
+        for (auto read = socket.read(buffer, silence); read.status == adapters::net::IoStatus::Done;
+             read = socket.read(buffer, silence))
+            answer.append(buffer.data(), read.bytes);
+        return answer;
+    }
+
+    SilentLog                              log;
+    entry::DispatcherDoor                  door{{}};
+    adapters::http::BackendClient          backend{200ms, 5s};
+    entry::TrafficMetrics                  metrics;
+    entry::Proxy                           proxy{"vm-1", door, backend, metrics, log};
+    std::optional<adapters::http::Ingress> ingress;
+    std::atomic<bool>                      ending{false};
+    std::thread                            ticker;
+};
+
+////////////////////////////////////////////////////////////
+/// \brief Peak resident memory of this process in kilobytes
+////////////////////////////////////////////////////////////
+long peakMemory()
+{
+    std::ifstream status("/proc/self/status");
+    for (std::string line; std::getline(status, line);)
+    {
+        if (line.starts_with("VmHWM:"))
+            return std::stol(line.substr(6));
+    }
+    return 0;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Proxy, Fixture)
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(anAnswerComesThroughWithItsRequestId)
+{
+    const BackendStandIn server("s", 0, {});
+    serve({server.port()});
+    const auto answer =
+        client().Get("/status/7?q=%20x", {{"X-Request-Id", "mine-1"}, {"Connection", "x-private"}, {"X-Private", "1"}});
+    BOOST_REQUIRE(answer);
+    BOOST_TEST(answer->status == 200);
+    BOOST_TEST(answer->get_header_value("X-Request-Id") == "mine-1");
+    BOOST_TEST(answer->body.find("/status/7") != std::string::npos);
+    BOOST_TEST(!answer->has_header("Sailpath-Load"));
+    BOOST_TEST(server.lastHeader("X-Forwarded-For") == "127.0.0.1");
+    BOOST_TEST(server.lastHeader("X-Request-Id") == "mine-1.1");
+    BOOST_TEST(server.lastHeader("X-Private").empty());
+    BOOST_TEST(!server.lastHeader("Sailpath-Deadline-Ms").empty());
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(allMethodsAndBodiesComeThrough)
+{
+    const BackendStandIn server("s", 0, {});
+    serve({server.port()});
+    auto              http = client();
+    const std::string large(300'000, 'x');
+    BOOST_TEST(http.Post("/a", large, "application/octet-stream")->body.find("\"received\":300000") !=
+               std::string::npos);
+    BOOST_TEST(http.Put("/a", "12", "text/plain")->body.find("\"received\":2") != std::string::npos);
+    BOOST_TEST(http.Patch("/a", "1", "text/plain")->status == 200);
+    BOOST_TEST(http.Delete("/a")->status == 200);
+    BOOST_TEST(http.Options("/a")->status == 200);
+    BOOST_TEST(http.Head("/a")->status == 200);
+    BOOST_TEST(http.Post("/a")->status == 200);
+    const auto chunked =
+        raw("POST /c HTTP/1.1\r\nHost: portal.admissa\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+            "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n");
+    BOOST_TEST(chunked.find("\"received\":11") != std::string::npos);
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aBodyIsNotChangedOnItsWay)
+{
+    const BackendStandIn server("s", 0, {});
+    serve({server.port()});
+    // The server undoes the coding; if the entry had done so before, it would fail.
+    auto http = client();
+    http.set_compress(true);
+    const auto answer = http.Post("/a", {{"X-Value", "50%25"}}, std::string(700'000, 'z'), "text/plain");
+    BOOST_REQUIRE(answer);
+    BOOST_TEST(answer->body.find("\"received\":700000") != std::string::npos);
+    BOOST_TEST(server.lastHeader("Content-Encoding") == "gzip");
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aCutAnswerNeverLooksWhole)
+{
+    const BackendStandIn server("s", 0, {.work = 100us, .cutAnswer = true});
+    serve({server.port()});
+    for (const bool chunked : {false, true})
+    {
+        const BackendStandIn cutting("s", 0,
+                                     {.work = 100us, .cutAnswer = true, .bodyBytes = 200'000, .chunked = chunked});
+        serve({cutting.port()});
+        const std::string answer = raw("GET /a HTTP/1.1\r\nHost: portal.admissa\r\n\r\n");
+        BOOST_TEST(!answer.ends_with("0\r\n\r\n"));
+        BOOST_TEST(answer.size() < 200'000U);
+        const auto parsed = client().Get("/a");
+        BOOST_TEST(!parsed);
+    }
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aLostAnswerIsUnknownAndTheRequestRanOnce)
+{
+    const BackendStandIn first("s", 0, {.work = 100us, .dropAnswer = true});
+    const BackendStandIn second("s", 0, {.work = 100us, .dropAnswer = true});
+    serve({first.port(), second.port()});
+    auto http = client();
+    for (int i = 0; i < 10; ++i)
+    {
+        const std::string operation = "fee-" + std::to_string(i);
+        const auto        answer = http.Post("/fees", {{"Operation", operation}}, "{}", "application/json");
+        BOOST_REQUIRE(answer);
+        BOOST_TEST(answer->status == 502);
+        BOOST_TEST(answer->get_header_value("Sailpath-Ran") == "unknown");
+        BOOST_TEST(answer->get_header_value("Sailpath-Retry") == "never");
+        BOOST_TEST(first.executions(operation) + second.executions(operation) == 1U);
+    }
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(whatNeverLeftIsRefusedAsNotRun)
+{
+    std::uint16_t port = 0;
+    {
+        const BackendStandIn gone("s", 0, {});
+        port = gone.port();
+    }
+    serve({port});
+    const auto answer = client().Post("/fees", "{}", "application/json");
+    BOOST_REQUIRE(answer);
+    BOOST_TEST(answer->get_header_value("Sailpath-Ran") == "not-run");
+    BOOST_TEST(answer->has_header("Retry-After"));
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aFailingServerIsCoveredByARetry)
+{
+    const BackendStandIn bad("s", 0, {.reject = true});
+    const BackendStandIn good("s", 0, {.work = 100us});
+    serve({bad.port(), good.port()});
+    auto http = client();
+    for (int i = 0; i < 40; ++i)
+        BOOST_TEST(http.Get("/a")->status == 200);
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aSilentServerIsGivenUpAtTheDeadline)
+{
+    const BackendStandIn slow("s", 0, {.work = 3s});
+    serve({slow.port()});
+    const auto start = std::chrono::steady_clock::now();
+    const auto answer = client().Get("/a", {{"Sailpath-Deadline-Ms", "200"}});
+    BOOST_REQUIRE(answer);
+    BOOST_TEST(answer->get_header_value("Sailpath-Ran") == "unknown");
+    BOOST_TEST((std::chrono::steady_clock::now() - start < 2s));
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aHangUpReachesTheServer)
+{
+    const BackendStandIn server("s", 0, {.work = 100us, .bodyBytes = 4'000'000'000, .chunked = true});
+    serve({server.port()});
+    {
+        const TcpSocket socket = TcpSocket::connect("127.0.0.1", ingress->port(), 1s);
+        (void)socket.write(std::string("GET /a HTTP/1.1\r\nHost: portal.admissa\r\n\r\n"), 1s);
+        std::array<char, 1000> buffer{};
+        (void)socket.read(buffer, 5s);
+    }
+    for (int i = 0; i < 500 && server.cancelled() == 0; ++i)
+        std::this_thread::sleep_for(10ms);
+    BOOST_TEST(server.cancelled() == 1U);
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aCallerThatHangsUpWhileItsAnswerIsAwaitedIsNoticed)
+{
+    const BackendStandIn server("s", 0, {.work = 1s});
+    serve({server.port()});
+    {
+        const TcpSocket socket = TcpSocket::connect("127.0.0.1", ingress->port(), 1s);
+        (void)socket.write(std::string("GET /a HTTP/1.1\r\nHost: portal.admissa\r\n\r\n"), 1s);
+        std::this_thread::sleep_for(50ms);
+    }
+    for (int i = 0; i < 500 && ingress->counters().hangUps == 0; ++i)
+        std::this_thread::sleep_for(10ms);
+    BOOST_TEST(ingress->counters().hangUps == 1U);
+    BOOST_TEST(ingress->counters().serving == 0U);
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(largeAnswersStreamInBoundedMemory)
+{
+    constexpr std::uint64_t size = 200'000'000;
+    const BackendStandIn    server("s", 0, {.work = 100us, .bodyBytes = size});
+    serve({server.port()});
+    (void)client().Get("/warm", [](const char*, std::size_t) { return false; });
+    const long    before = peakMemory();
+    std::uint64_t received = 0;
+    const auto    answer = client().Get("/a",
+                                        [&](const char*, std::size_t length)
+                                        {
+                                         received += length;
+                                         return true;
+                                     });
+    BOOST_REQUIRE(answer);
+    BOOST_TEST(received == size);
+    BOOST_TEST(peakMemory() - before < 16'000);
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(malformedRequestsAreRefusedAndTheConnectionClosed)
+{
+    const BackendStandIn server("s", 0, {});
+    serve({server.port()});
+    const std::string smuggled =
+        raw("POST /a HTTP/1.1\r\nHost: portal.admissa\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "0\r\n\r\nGET /b HTTP/1.1\r\nHost: portal.admissa\r\n\r\n");
+    BOOST_TEST(smuggled.find("HTTP/1.1 400") == 0U);
+    BOOST_TEST(smuggled.find("HTTP/1.1", 1) == std::string::npos);
+    BOOST_TEST(raw("GET /" + std::string(40'000, 'a')).find("HTTP/1.1 431") == 0U);
+    BOOST_TEST(raw("GET /a HTT").find("HTTP/1.1 408") == 0U);
+    BOOST_TEST(raw("GET /a HTTP/1.1\r\nHost: other.place\r\nConnection: close\r\n\r\n").find("HTTP/1.1 404") == 0U);
+    BOOST_TEST(server.executions() == 0U);
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(pipelinedRequestsGetTheirOwnAnswersInOrder)
+{
+    const BackendStandIn server("s", 0, {.work = 100us});
+    serve({server.port()});
+    std::string requests;
+    for (int i = 0; i < 20; ++i)
+        requests += "GET /n/" + std::to_string(i) + " HTTP/1.1\r\nHost: portal.admissa\r\n" +
+                    (i == 19 ? "Connection: close\r\n" : "") + "\r\n";
+    const std::string answers = raw(requests);
+    std::size_t       position = 0;
+    for (int i = 0; i < 20; ++i)
+    {
+        position = answers.find("\"path\":\"/n/" + std::to_string(i) + "\"", position);
+        BOOST_REQUIRE(position != std::string::npos);
+    }
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aFullEntryRefusesAtOnce)
+{
+    const BackendStandIn server("s", 0, {.work = 2s, .slots = 100});
+    serve({server.port()});
+    std::vector<std::thread> callers;
+    std::atomic<int>         refused{0};
+    std::atomic<int>         withTime{0};
+    for (int i = 0; i < 60; ++i)
+        callers.emplace_back(
+            [&]
+            {
+                const auto answer = client().Post("/a", "{}", "text/plain");
+                if (answer && (answer->status == 503 || answer->status == 429))
+                {
+                    ++refused;
+                    withTime +=
+                        answer->has_header("Retry-After") && answer->get_header_value("Sailpath-Ran") == "not-run" ? 1
+                                                                                                                   : 0;
+                }
+            });
+    for (std::thread& caller : callers)
+        caller.join();
+    BOOST_TEST(refused > 0);
+    BOOST_TEST(refused == withTime);
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aPlannedStopCutsNothing)
+{
+    const BackendStandIn server("s", 0, {.work = 300ms, .slots = 20});
+    serve({server.port()});
+    std::atomic<int>         answered{0};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 10; ++i)
+        callers.emplace_back(
+            [&]
+            {
+                const auto answer = client().Get("/a");
+                answered +=
+                    answer && answer->status == 200 && answer->get_header_value("Connection") == "close" ? 1 : 0;
+            });
+    while (ingress->counters().serving < 3)
+        std::this_thread::sleep_for(1ms);
+    ingress->leave();
+    BOOST_TEST(ingress->finish(20s));
+    for (std::thread& caller : callers)
+        caller.join();
+    BOOST_TEST(answered >= 3);
+    BOOST_TEST(ingress->counters().open == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/standins/BackendMain.cpp
+++ b/test/standins/BackendMain.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 namespace
@@ -41,11 +42,13 @@
     const auto&                settings = started->settings;
     standins::BackendBehaviour behaviour;
     behaviour.work = std::chrono::microseconds{settings.whole("work-us")};
+    behaviour.keepAlive = std::chrono::seconds{60};
     behaviour.slots = static_cast<unsigned>(settings.whole("slots"));
     const standins::BackendStandIn backend(settings.text("name"), static_cast<std::uint16_t>(settings.whole("port")),
                                            behaviour, settings.text("log-file"));
     std::cout << "port=" << backend.port() << std::endl;
     int signal = 0;
     sigwait(&signals, &signal);
-    return 0;
+    // The library would wait for idle connections.
+    std::_Exit(0);
 }
--- a/test/standins/BackendStandIn.cpp
+++ b/test/standins/BackendStandIn.cpp
@@ -1,5 +1,6 @@
 #include "BackendStandIn.hpp"
 
+#include <sailpath/adapters/http/ServerThread.hpp>
 #include <sailpath/adapters/logging/Log4cplusEventLog.hpp>
 
 #include <httplib.h>
@@ -140,7 +141,10 @@
             if (how.cutAnswer && offset >= size / 2)
                 return false;
             const std::string piece(std::min<std::size_t>(length, 64 * 1024), 'x');
-            return sink.write(piece.data(), how.cutAnswer ? std::min(piece.size(), size / 2) : piece.size());
+            const bool        taken =
+                sink.write(piece.data(), how.cutAnswer ? std::min(piece.size(), size / 2) : piece.size());
+            gone += taken ? 0 : 1;
+            return taken;
         };
         if (how.dropAnswer)
             response.set_content_provider(size, "application/octet-stream",
@@ -172,8 +176,7 @@
     httplib::Headers                                    lastHeaders; //!< Of the last request
     std::atomic<std::uint64_t>                          gone{0};     //!< Callers that left
     std::optional<adapters::logging::Log4cplusEventLog> log;         //!< Events
-    int                                                 port{0};     //!< Port in use
-    std::thread                                         thread;      //!< Runs the server
+    std::optional<adapters::http::ServerThread>         thread;      //!< Runs the server
 };
 
 ////////////////////////////////////////////////////////////
@@ -189,7 +192,7 @@
     impl.server.new_task_queue = [] { return new httplib::ThreadPool(160); };
     impl.server.set_tcp_nodelay(true);
     impl.server.set_keep_alive_max_count(1'000'000);
-    impl.server.set_keep_alive_timeout(60);
+    impl.server.set_keep_alive_timeout(behaviour.keepAlive.count());
     impl.server.Get("/load", [&impl](const httplib::Request&, httplib::Response& response) { impl.addLoad(response); });
     impl.server.Get("/count", [&impl](const httplib::Request&, httplib::Response& response)
                     { response.set_content(std::to_string(impl.executed), "text/plain"); });
@@ -204,24 +207,19 @@
     impl.server.Delete(".*", serve);
     impl.server.Options(".*", serve);
 
-    if (port == 0)
-        impl.port = impl.server.bind_to_any_port("127.0.0.1");
-    else
-        impl.port = impl.server.bind_to_port("127.0.0.1", port) ? port : -1;
-    impl.thread = std::thread([&impl] { impl.server.listen_after_bind(); });
+    impl.thread.emplace(impl.server, adapters::settings::Endpoint{"127.0.0.1", port});
 }
 
 ////////////////////////////////////////////////////////////
 BackendStandIn::~BackendStandIn()
 {
-    m_impl->server.stop();
-    m_impl->thread.join();
+    m_impl->thread.reset();
 }
 
 ////////////////////////////////////////////////////////////
 std::uint16_t BackendStandIn::port() const
 {
-    return static_cast<std::uint16_t>(m_impl->port);
+    return m_impl->thread->port();
 }
 
 ////////////////////////////////////////////////////////////
--- a/test/standins/BackendStandIn.hpp
+++ b/test/standins/BackendStandIn.hpp
@@ -21,6 +21,7 @@
     bool                      dropAnswer{false}; //!< Closes without an answer after the work
     std::uint64_t             bodyBytes{0};      //!< Size of the answer's body; 0 for a short one
     bool                      chunked{false};    //!< Sends the body in chunks
+    std::chrono::seconds      keepAlive{1};      //!< Idle connections are closed after this; fixed at the start
 };
 
 ////////////////////////////////////////////////////////////
--- a/test/standins/PlatformMain.cpp
+++ b/test/standins/PlatformMain.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 namespace
@@ -40,5 +41,6 @@
     std::cout << "port=" << platform.port() << std::endl;
     int signal = 0;
     sigwait(&signals, &signal);
-    return 0;
+    // The library would wait for idle connections.
+    std::_Exit(0);
 }
--- a/test/standins/PlatformStandIn.cpp
+++ b/test/standins/PlatformStandIn.cpp
@@ -1,11 +1,13 @@
 #include "PlatformStandIn.hpp"
 
+#include <sailpath/adapters/http/ServerThread.hpp>
 #include <sailpath/adapters/store/Base64.hpp>
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <functional>
+#include <optional>
 #include <thread>
 
 namespace sailpath::standins
@@ -149,15 +151,14 @@
         faults.set(state);
     }
 
-    httplib::Server            server;          //!< The library's server
-    KeyValueStandIn            store;           //!< The keys
-    Faults                     faults;          //!< Faults in force
-    std::atomic<std::uint64_t> calls{0};        //!< Calls so far
-    std::atomic<bool>          stopping{false}; //!< Watches end
-    std::mutex                 vmsMutex;        //!< Guards the list
-    std::string                vms{"[]"};       //!< List of VMs
-    int                        port{0};         //!< Port in use
-    std::thread                thread;          //!< Runs the server
+    httplib::Server                             server;          //!< The library's server
+    KeyValueStandIn                             store;           //!< The keys
+    Faults                                      faults;          //!< Faults in force
+    std::atomic<std::uint64_t>                  calls{0};        //!< Calls so far
+    std::atomic<bool>                           stopping{false}; //!< Watches end
+    std::mutex                                  vmsMutex;        //!< Guards the list
+    std::string                                 vms{"[]"};       //!< List of VMs
+    std::optional<adapters::http::ServerThread> thread;          //!< Runs the server
 };
 
 ////////////////////////////////////////////////////////////
@@ -167,6 +168,7 @@
     Impl& impl = *m_impl;
     impl.server.new_task_queue = [] { return new httplib::ThreadPool(64); };
     impl.server.set_tcp_nodelay(true);
+    impl.server.set_keep_alive_timeout(1);
     impl.serve("/v3/kv/range", [&impl](const json& body) { return impl.range(body); });
     impl.serve("/v3/kv/txn", [&impl](const json& body) { return impl.txn(body); });
     impl.serve("/v3/lease/grant",
@@ -201,25 +203,20 @@
                     });
     impl.server.Put("/vms", [this](const httplib::Request& request, httplib::Response&) { setVms(request.body); });
 
-    if (port == 0)
-        impl.port = impl.server.bind_to_any_port("127.0.0.1");
-    else
-        impl.port = impl.server.bind_to_port("127.0.0.1", port) ? port : -1;
-    impl.thread = std::thread([&impl] { impl.server.listen_after_bind(); });
+    impl.thread.emplace(impl.server, adapters::settings::Endpoint{"127.0.0.1", port});
 }
 
 ////////////////////////////////////////////////////////////
 PlatformStandIn::~PlatformStandIn()
 {
     m_impl->stopping = true;
-    m_impl->server.stop();
-    m_impl->thread.join();
+    m_impl->thread.reset();
 }
 
 ////////////////////////////////////////////////////////////
 std::uint16_t PlatformStandIn::port() const
 {
-    return static_cast<std::uint16_t>(m_impl->port);
+    return m_impl->thread->port();
 }
 
 ////////////////////////////////////////////////////////////
