Workers: the thread idle last gets the next job

Cause looked for: 0.73 ms added at p99 at 250 calls/s (0.34 at 2,000). Hypothesis: 128 workers woken in turn are cold.

--- a/include/sailpath/adapters/http/Ingress.hpp
+++ b/include/sailpath/adapters/http/Ingress.hpp
@@ -18,7 +18,7 @@
     std::size_t        workers{128};                           //!< Requests served at once
     std::size_t        backlog{256};                           //!< Requests that may wait for a worker
     std::size_t        connections{4096};                      //!< Connections kept at once
-    std::size_t        longestHead{32 * 1024};                 //!< Largest head in bytes
+    std::size_t        longestHead{32UL * 1024};               //!< Largest head in bytes
     std::size_t        largestBody{1024UL * 1024 * 1024};      //!< Largest body in bytes
     core::Duration     headTime{std::chrono::seconds{5}};      //!< Longest time for a head to arrive
     core::Duration     idleTime{std::chrono::seconds{60}};     //!< Longest time between requests
--- a/include/sailpath/core/Time.hpp
+++ b/include/sailpath/core/Time.hpp
@@ -23,7 +23,8 @@
     using duration = Duration;
     using time_point = std::chrono::time_point<ProcessClock, Duration>;
 
-    static constexpr bool is_steady = true; //!< Readings never go back
+    static constexpr bool is_steady =
+        true; //!< Readings never go back NOLINT(readability-identifier-naming): the standard's name
 };
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/adapters/http/AnswerWriter.cpp
+++ b/src/sailpath/adapters/http/AnswerWriter.cpp
@@ -8,7 +8,7 @@
 {
 namespace
 {
-constexpr std::size_t flushAt = 32 * 1024; // Small answers leave in one write
+constexpr std::size_t flushAt = 32UL * 1024; // Small answers leave in one write
 
 ////////////////////////////////////////////////////////////
 std::string chunkSize(std::size_t size)
--- a/src/sailpath/adapters/http/BackendStream.cpp
+++ b/src/sailpath/adapters/http/BackendStream.cpp
@@ -7,8 +7,8 @@
 {
 namespace
 {
-constexpr std::size_t readAhead = 16 * 1024;
-constexpr std::size_t longestHead = 64 * 1024;
+constexpr std::size_t readAhead = 16UL * 1024;
+constexpr std::size_t longestHead = 64UL * 1024;
 
 } // namespace
 
--- a/src/sailpath/adapters/http/CallerStream.cpp
+++ b/src/sailpath/adapters/http/CallerStream.cpp
@@ -9,7 +9,7 @@
 {
 namespace
 {
-constexpr std::size_t      readAhead = 16 * 1024;
+constexpr std::size_t      readAhead = 16UL * 1024;
 constexpr std::string_view interimAnswer = "HTTP/1.1 100";
 
 } // namespace
--- a/src/sailpath/adapters/http/Ingress.cpp
+++ b/src/sailpath/adapters/http/Ingress.cpp
@@ -25,6 +25,7 @@
 
 constexpr core::Duration   sweepEvery = std::chrono::milliseconds{10};
 constexpr core::Duration   lingerTime = std::chrono::milliseconds{200};
+constexpr std::size_t      readAhead = 16UL * 1024;
 constexpr std::size_t      lingerBytes = 1024UL * 1024;
 constexpr std::string_view headEnd = "\r\n\r\n";
 
@@ -161,7 +162,7 @@
 ////////////////////////////////////////////////////////////
 void Ingress::Impl::readBytes(const ConnectionPtr& connection)
 {
-    std::array<char, 16 * 1024> bytes{};
+    std::array<char, readAhead> bytes{};
     const net::IoResult         result = connection->io.read(bytes, core::Duration{0});
     if (result.status == net::IoStatus::Timeout)
     {
@@ -261,7 +262,7 @@
     // way, so what the caller still sends is read for a moment.
     asio::error_code ignored;
     connection->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    std::array<char, 16 * 1024> bytes{};
+    std::array<char, readAhead> bytes{};
     std::size_t                 read = 0;
     while (read < lingerBytes)
     {
--- a/src/sailpath/adapters/http/ServerThread.cpp
+++ b/src/sailpath/adapters/http/ServerThread.cpp
@@ -10,6 +10,13 @@
 ////////////////////////////////////////////////////////////
 struct ServerThread::Impl
 {
+    Impl(httplib::Server& served, int used) :
+    server(served),
+    port(used),
+    thread([&served] { served.listen_after_bind(); })
+    {
+    }
+
     httplib::Server& server; //!< The library's server
     int              port;   //!< Port in use
     std::thread      thread; //!< Runs the server
@@ -26,7 +33,7 @@
     if (port <= 0)
         throw std::runtime_error("cannot listen on " + listen.text());
 
-    m_impl.reset(new Impl{server, port, std::thread([&server] { server.listen_after_bind(); })});
+    m_impl = std::make_unique<Impl>(server, port);
     // A stop before the server runs would be lost.
     while (!server.is_running())
         std::this_thread::sleep_for(std::chrono::milliseconds{1});
--- a/src/sailpath/adapters/http/WorkerPool.hpp
+++ b/src/sailpath/adapters/http/WorkerPool.hpp
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <deque>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <thread>
 #include <vector>
@@ -12,6 +13,9 @@
 {
 ////////////////////////////////////////////////////////////
 /// \brief A fixed number of threads that serve jobs from a bounded queue
+///
+/// The thread that became idle last gets the next job: its stack and caches
+/// are warm, and under light load few threads do all the work.
 ////////////////////////////////////////////////////////////
 class WorkerPool
 {
@@ -38,14 +42,21 @@
     [[nodiscard]] bool submit(Job job);
 
 private:
-    void run(std::size_t worker);
-
-    std::size_t              m_backlog;       //!< Jobs that may wait
-    std::mutex               m_mutex;         //!< Guards what follows
-    std::condition_variable  m_wake;          //!< Signals a job or the end
-    std::deque<Job>          m_jobs;          //!< Jobs that wait
-    bool                     m_ending{false}; //!< Threads return when set
-    std::vector<std::thread> m_threads;       //!< The workers
+    struct Worker
+    {
+        std::condition_variable wake;   //!< Signals a job or the end
+        Job                     job;    //!< Next job; empty while there is none
+        std::thread             thread; //!< Serves jobs
+    };
+
+    void run(std::size_t index);
+
+    std::size_t                          m_backlog;       //!< Jobs that may wait
+    std::mutex                           m_mutex;         //!< Guards what follows
+    std::deque<Job>                      m_jobs;          //!< Jobs that wait, as all workers are busy
+    std::vector<std::size_t>             m_idle;          //!< Idle workers, the one that became idle last at the end
+    bool                                 m_ending{false}; //!< Workers return when set
+    std::vector<std::unique_ptr<Worker>> m_workers;       //!< All workers
 };
 
 } // namespace sailpath::adapters::http::priv
--- a/src/sailpath/entry/Attempt.cpp
+++ b/src/sailpath/entry/Attempt.cpp
@@ -15,7 +15,7 @@
 using adapters::http::sameName;
 using retries::AttemptResult;
 
-constexpr std::size_t mostKept = 64 * 1024; // Larger answers are passed on without waiting for a decision
+constexpr std::size_t mostKept = 64UL * 1024; // Larger answers are passed on without waiting for a decision
 
 ////////////////////////////////////////////////////////////
 template <typename Number>
--- a/src/sailpath/entry/DispatcherDoor.cpp
+++ b/src/sailpath/entry/DispatcherDoor.cpp
@@ -22,7 +22,7 @@
 node::Step DispatcherDoor::admit(const node::Request& request, const std::function<bool()>& cancelled)
 {
     std::unique_lock<std::mutex> lock(m_mutex);
-    const node::Step             step = m_dispatcher.admit(request, steadyNow());
+    node::Step                   step = m_dispatcher.admit(request, steadyNow());
     if (step.verdict == node::Verdict::Hold)
         return wait(step.ticket, lock, cancelled);
     deliver();
@@ -33,7 +33,7 @@
 node::Step DispatcherDoor::finish(node::Ticket ticket, const node::Outcome& outcome)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    const node::Step                  step = m_dispatcher.finish(ticket, outcome, steadyNow());
+    node::Step                        step = m_dispatcher.finish(ticket, outcome, steadyNow());
     deliver();
     return step;
 }
--- a/src/sailpath/entry/Proxy.cpp
+++ b/src/sailpath/entry/Proxy.cpp
@@ -25,7 +25,7 @@
 using node::RefusalReason;
 using node::toString;
 
-constexpr std::size_t   bufferedBody = 64 * 1024; // Bodies up to this size are read before a server is chosen
+constexpr std::size_t   bufferedBody = 64UL * 1024; // Bodies up to this size are read before a server is chosen
 constexpr std::size_t   longestId = 64;
 constexpr std::uint64_t longestDeadlineMs = 3'600'000;
 
--- a/src/sailpath/entry/TrafficMetrics.cpp
+++ b/src/sailpath/entry/TrafficMetrics.cpp
@@ -79,8 +79,13 @@
     for (const auto& [name, metrics] : m_impl->byWorkspace)
     {
         for (const auto& [outcome, count] : metrics.outcomes)
-            text += "sailpath_requests_total{workspace=\"" + name + "\",outcome=\"" + outcome + "\"} " +
-                    std::to_string(count) + "\n";
+            text.append("sailpath_requests_total{workspace=\"")
+                .append(name)
+                .append("\",outcome=\"")
+                .append(outcome)
+                .append("\"} ")
+                .append(std::to_string(count))
+                .append("\n");
     }
     text += "# TYPE sailpath_answer_seconds summary\n";
     for (const auto& [name, metrics] : m_impl->byWorkspace)
--- a/src/sailpath/node/Dispatcher.cpp
+++ b/src/sailpath/node/Dispatcher.cpp
@@ -59,12 +59,13 @@
 void Dispatcher::configure(const config::Workspace& workspace, core::Timestamp now)
 {
     auto& pools = m_workspaces[workspace.name].pools;
-    for (auto& [name, pool] : pools)
+    for (auto& item : pools)
     {
-        const bool declared = std::any_of(workspace.services.begin(), workspace.services.end(),
-                                          [&](const config::Service& service) { return service.name == name; });
+        const std::string& name = item.first;
+        const bool         declared = std::any_of(workspace.services.begin(), workspace.services.end(),
+                                                  [&](const config::Service& service) { return service.name == name; });
         if (!declared)
-            pool->remove();
+            item.second->remove();
     }
     for (const config::Service& service : workspace.services)
     {
@@ -152,7 +153,7 @@
         m_news.push_back({target.workspace, target.service, target.server, load, true, 0});
     }
 
-    const Step step = conclude(ticket, outcome, now);
+    Step step = conclude(ticket, outcome, now);
     pump(pool, now);
     return step;
 }
--- a/src/sailpath/replay/Simulation.cpp
+++ b/src/sailpath/replay/Simulation.cpp
@@ -361,7 +361,7 @@
 {
     if (!call->load || call->depth >= call->load->chain.size())
         return {};
-    return [this, call](std::function<void(bool, bool)> over)
+    return [this, call](const std::function<void(bool, bool)>& over)
     {
         const LoadPhase& load = *call->load;
         const bool       pass = load.passRetrySign;
--- a/test/adapters/Settings.test.cpp
+++ b/test/adapters/Settings.test.cpp
@@ -23,6 +23,7 @@
 {
     arguments.insert(arguments.begin(), "sailpath-entry");
     std::vector<char*> pointers;
+    pointers.reserve(arguments.size());
     for (std::string& argument : arguments)
         pointers.push_back(argument.data());
     return readSettings(program, pointers, environment);
--- a/test/entry/Proxy.test.cpp
+++ b/test/entry/Proxy.test.cpp
@@ -357,6 +357,7 @@
     std::vector<std::thread> callers;
     std::atomic<int>         refused{0};
     std::atomic<int>         withTime{0};
+    callers.reserve(60);
     for (int i = 0; i < 60; ++i)
         callers.emplace_back(
             [&]
@@ -383,6 +384,7 @@
     serve({server.port()});
     std::atomic<int>         answered{0};
     std::vector<std::thread> callers;
+    callers.reserve(10);
     for (int i = 0; i < 10; ++i)
         callers.emplace_back(
             [&]
--- a/test/standins/BackendStandIn.cpp
+++ b/test/standins/BackendStandIn.cpp
@@ -140,7 +140,7 @@
             }
             if (how.cutAnswer && offset >= size / 2)
                 return false;
-            const std::string piece(std::min<std::size_t>(length, 64 * 1024), 'x');
+            const std::string piece(std::min<std::size_t>(length, 64UL * 1024), 'x');
             const bool        taken =
                 sink.write(piece.data(), how.cutAnswer ? std::min(piece.size(), size / 2) : piece.size());
             gone += taken ? 0 : 1;
--- a/test/support/ControlGroup.cpp
+++ b/test/support/ControlGroup.cpp
@@ -122,7 +122,7 @@
     settings.self.dataCentre = std::to_string(node % m_settings.dataCentres);
     settings.self.incarnation = static_cast<std::uint64_t>(m_events.now().time_since_epoch().count() / 1000 + 1);
     settings.probeGroups = m_settings.probeGroups;
-    settings.seed = m_settings.seed * 10'000 + node * 100 + started.life;
+    settings.seed = m_settings.seed * 10'000 + node * 100UL + started.life;
     started.controller = std::make_unique<node::Controller>(settings, m_events.now());
     started.frozen = false;
     started.inForce.clear();
