--- a/include/sailpath/adapters/http/Ingress.hpp
+++ b/include/sailpath/adapters/http/Ingress.hpp
@@ -16,7 +16,6 @@
 {
     settings::Endpoint listen;                                 //!< Where to listen; port 0 lets the system choose
     std::size_t        workers{128};                           //!< Requests served at once
-    std::size_t        backlog{256};                           //!< Requests that may wait for a worker
     std::size_t        connections{4096};                      //!< Connections kept at once
     std::size_t        longestHead{32UL * 1024};               //!< Largest head in bytes
     std::size_t        largestBody{1024UL * 1024 * 1024};      //!< Largest body in bytes
@@ -41,8 +40,9 @@
 ////////////////////////////////////////////////////////////
 /// \brief Accepts callers' connections and hands their requests to a handler
 ///
-/// A reactor waits on all connections and reads heads, so that slow and idle
-/// callers hold no thread; worker threads serve whole requests.
+/// Slow and idle callers hold no thread: a reactor waits for them. The thread
+/// that reads the end of a head serves the request itself, without handing
+/// it to another, while others go on running the reactor.
 ////////////////////////////////////////////////////////////
 class Ingress
 {
--- a/src/programs/Entry.cpp
+++ b/src/programs/Entry.cpp
@@ -107,7 +107,6 @@
     adapters::http::IngressSettings ingress;
     ingress.listen = settings.endpoint("listen");
     ingress.workers = settings.whole("workers");
-    ingress.backlog = ingress.workers;
     ingress.connections = settings.whole("connections");
     ingress.largestBody = settings.whole("largest-body");
     return ingress;
--- a/src/sailpath/adapters/http/Cancellation.cpp
+++ b/src/sailpath/adapters/http/Cancellation.cpp
@@ -28,6 +28,14 @@
         m_socket->shutdown();
 }
 
+////////////////////////////////////////////////////////////
+void Cancellation::reset()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_socket = nullptr;
+    m_cancelled = false;
+}
+
 ////////////////////////////////////////////////////////////
 bool Cancellation::cancelled() const
 {
--- a/src/sailpath/adapters/http/Ingress.cpp
+++ b/src/sailpath/adapters/http/Ingress.cpp
@@ -3,16 +3,15 @@
 #include "CallerServer.hpp"
 #include "CallerStream.hpp"
 #include "Connection.hpp"
-#include "WorkerPool.hpp"
 
 #include <asio.hpp>
 
-#include <algorithm>
 #include <array>
+#include <atomic>
 #include <mutex>
-#include <optional>
 #include <thread>
 #include <unordered_set>
+#include <vector>
 
 namespace sailpath::adapters::http
 {
@@ -23,9 +22,10 @@
 using Clock = Connection::Clock;
 using ConnectionPtr = std::shared_ptr<Connection>;
 
+constexpr std::size_t      spareThreads = 3; // For the reactor while others serve
+constexpr std::size_t      readAhead = 16UL * 1024;
 constexpr core::Duration   sweepEvery = std::chrono::milliseconds{10};
 constexpr core::Duration   lingerTime = std::chrono::milliseconds{200};
-constexpr std::size_t      readAhead = 16UL * 1024;
 constexpr std::size_t      lingerBytes = 1024UL * 1024;
 constexpr std::string_view headEnd = "\r\n\r\n";
 
@@ -50,39 +50,42 @@
     Impl(IngressSettings limits, RequestHandler& handler);
     ~Impl();
 
-    void accept();
-    void open(asio::ip::tcp::socket socket);
-    void awaitBytes(const ConnectionPtr& connection);
-    void readBytes(const ConnectionPtr& connection);
-    void dispatchIfComplete(const ConnectionPtr& connection);
-    void refuseEarly(const ConnectionPtr& connection, int status, std::string_view message);
-    void serve(const ConnectionPtr& connection, std::size_t headLength, std::size_t worker);
-    void linger(const ConnectionPtr& connection) const;
-    void resume(const ConnectionPtr& connection, bool keep);
-    void close(const ConnectionPtr& connection);
-    void scheduleSweep();
-    void sweep();
-
-    IngressSettings                                            settings;          //!< Limits
-    asio::io_context                                           context{1};        //!< The reactor's
-    asio::ip::tcp::acceptor                                    acceptor{context}; //!< Listens
-    std::uint16_t                                              port{0};           //!< Port that is listened on
-    asio::steady_timer                                         timer{context};    //!< For sweeps
-    asio::executor_work_guard<asio::io_context::executor_type> work{
-        asio::make_work_guard(context)};                             //!< Keeps it running
-    std::vector<std::unique_ptr<priv::CallerServer>> servers;        //!< One for each worker
-    std::unordered_set<ConnectionPtr>                connections;    //!< All; touched by the reactor only
-    mutable std::mutex                               countersMutex;  //!< Guards the counts
-    IngressCounters                                  counts;         //!< Counts so far
-    std::atomic<bool>                                leaving{false}; //!< Answers close their connections
-    std::atomic<bool>                                closing{false}; //!< Idle connections are closed
-    std::optional<priv::WorkerPool>                  workers;        //!< Serve requests
-    std::thread                                      reactor;        //!< Runs the context
+    void               addThread();
+    void               accept();
+    void               open(asio::ip::tcp::socket socket);
+    void               awaitBytes(const ConnectionPtr& connection);
+    void               readBytes(const ConnectionPtr& connection);
+    void               serveIfComplete(const ConnectionPtr& connection);
+    void               refuseEarly(const ConnectionPtr& connection, int status, std::string_view message);
+    [[nodiscard]] bool takePlace();
+    [[nodiscard]] bool serve(const ConnectionPtr& connection, std::size_t headLength);
+    [[nodiscard]] bool serveParsed(const ConnectionPtr& connection, const RequestHead& request);
+    void               linger(const ConnectionPtr& connection) const;
+    void               close(const ConnectionPtr& connection);
+    void               scheduleSweep();
+    void               sweep();
+    void               sweepOne(Connection& connection, Clock::time_point now) const;
+
+    IngressSettings                                  settings;          //!< Limits
+    RequestHandler&                                  handler;           //!< Serves the requests
+    asio::io_context                                 context;           //!< The reactor's; run by all threads
+    asio::ip::tcp::acceptor                          acceptor{context}; //!< Listens
+    std::uint16_t                                    port{0};           //!< Port that is listened on
+    asio::steady_timer                               timer{context};    //!< For sweeps
+    std::atomic<bool>                                leaving{false};    //!< Answers close their connections
+    std::atomic<bool>                                closing{false};    //!< Idle connections are closed
+    mutable std::mutex                               mutex;             //!< Guards what follows
+    IngressCounters                                  counts;            //!< Counts so far
+    std::unordered_set<ConnectionPtr>                connections;       //!< All that are open
+    std::vector<std::unique_ptr<priv::CallerServer>> idleParsers;       //!< Parsers that no request uses
+    std::vector<std::thread>                         threads;           //!< Run the context, grown as needed
+    bool                                             ending{false};     //!< No thread is added from here on
 };
 
 ////////////////////////////////////////////////////////////
-Ingress::Impl::Impl(IngressSettings limits, RequestHandler& handler) :
-settings(std::move(limits))
+Ingress::Impl::Impl(IngressSettings limits, RequestHandler& served) :
+settings(std::move(limits)),
+handler(served)
 {
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(settings.listen.address), settings.listen.port);
     acceptor.open(endpoint.protocol());
@@ -90,22 +93,28 @@
     acceptor.bind(endpoint);
     acceptor.listen(1024);
     port = acceptor.local_endpoint().port();
-
-    for (std::size_t i = 0; i < settings.workers; ++i)
-        servers.push_back(std::make_unique<priv::CallerServer>(handler, settings.largestBody));
-    workers.emplace(settings.workers, settings.backlog);
     accept();
     scheduleSweep();
-    reactor = std::thread([this] { context.run(); });
+    for (std::size_t i = 0; i < spareThreads; ++i)
+        addThread();
 }
 
 ////////////////////////////////////////////////////////////
 Ingress::Impl::~Impl()
 {
-    // Workers end first: they may still hand connections back to the reactor.
-    workers.reset();
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        ending = true;
+    }
     context.stop();
-    reactor.join();
+    for (std::thread& thread : threads)
+        thread.join();
+}
+
+////////////////////////////////////////////////////////////
+void Ingress::Impl::addThread()
+{
+    threads.emplace_back([this] { context.run(); });
 }
 
 ////////////////////////////////////////////////////////////
@@ -132,12 +141,12 @@
     const auto connection = std::make_shared<Connection>(std::move(socket));
     connection->address = remote.address().to_string();
 
-    const bool full = connections.size() >= settings.connections;
-    connections.insert(connection);
+    bool full = false;
     {
-        const std::lock_guard<std::mutex> lock(countersMutex);
+        const std::lock_guard<std::mutex> lock(mutex);
+        full = connections.size() >= settings.connections;
+        connections.insert(connection);
         ++counts.accepted;
-        counts.open = connections.size();
         counts.turnedAway += full ? 1 : 0;
     }
     if (full)
@@ -176,38 +185,46 @@
     }
     connection->buffered.append(bytes.data(), result.bytes);
     if (connection->state == ConnectionState::Idle)
-    {
-        connection->state = ConnectionState::Head;
-        connection->since = Clock::now();
-    }
-    dispatchIfComplete(connection);
+        connection->enter(ConnectionState::Head);
+    serveIfComplete(connection);
 }
 
 ////////////////////////////////////////////////////////////
-void Ingress::Impl::dispatchIfComplete(const ConnectionPtr& connection)
+void Ingress::Impl::serveIfComplete(const ConnectionPtr& connection)
 {
-    const auto end = connection->buffered.find(headEnd);
-    if (end == std::string::npos || end + headEnd.size() > settings.longestHead)
+    // Requests that the caller sent ahead are served one after the other.
+    while (true)
     {
-        if (connection->buffered.size() > settings.longestHead)
+        const auto end = connection->buffered.find(headEnd);
+        const bool complete = end != std::string::npos && end + headEnd.size() <= settings.longestHead;
+        if (!complete && connection->buffered.size() > settings.longestHead)
+        {
             refuseEarly(connection, 431, "request head too large");
-        else
+            return;
+        }
+        if (!complete)
+        {
             awaitBytes(connection);
-        return;
-    }
-    connection->state = ConnectionState::Serving;
-    connection->since = Clock::now();
-    connection->cancellation = std::make_shared<Cancellation>();
-    connection->bodyRead = false;
-    const bool queued = workers->submit([this, connection, length = end + headEnd.size()](std::size_t worker)
-                                        { serve(connection, length, worker); });
-    if (!queued)
-    {
+            return;
+        }
+        // The sweep may have given the connection up at this very moment.
+        ConnectionState expected = ConnectionState::Head;
+        if (!connection->state.compare_exchange_strong(expected, ConnectionState::Serving))
+        {
+            close(connection);
+            return;
+        }
+        if (!takePlace())
         {
-            const std::lock_guard<std::mutex> lock(countersMutex);
-            ++counts.turnedAway;
+            refuseEarly(connection, 503, "no room for another request");
+            return;
+        }
+        if (!serve(connection, end + headEnd.size()))
+        {
+            close(connection);
+            return;
         }
-        refuseEarly(connection, 503, "no room for another request");
+        connection->enter(connection->buffered.empty() ? ConnectionState::Idle : ConnectionState::Head);
     }
 }
 
@@ -219,40 +236,73 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Ingress::Impl::serve(const ConnectionPtr& connection, std::size_t headLength, std::size_t worker)
+bool Ingress::Impl::takePlace()
 {
+    const std::lock_guard<std::mutex> lock(mutex);
+    if (counts.serving >= settings.workers)
     {
-        const std::lock_guard<std::mutex> lock(countersMutex);
-        ++counts.serving;
+        ++counts.turnedAway;
+        return false;
     }
-    const auto head = parseRequestHead(std::string_view(connection->buffered).substr(0, headLength));
-    bool       keep = false;
-    if (const auto* error = std::get_if<HeadError>(&head))
+    ++counts.serving;
+    // The thread that serves is lost to the reactor until it is done. Others
+    // are started only when needed: few threads with warm caches answer sooner.
+    if (!ending && counts.serving + spareThreads > threads.size())
+        addThread();
+    return true;
+}
+
+////////////////////////////////////////////////////////////
+bool Ingress::Impl::serve(const ConnectionPtr& connection, std::size_t headLength)
+{
+    connection->begin();
+    const auto        head = parseRequestHead(std::string_view(connection->buffered).substr(0, headLength));
+    bool              keep = false;
+    const auto* const error = std::get_if<HeadError>(&head);
+    if (error)
     {
         (void)connection->io.write(plainRefusal(error->status, error->message), settings.transferIdle);
         linger(connection);
-        const std::lock_guard<std::mutex> lock(countersMutex);
-        ++counts.malformed;
     }
     else
     {
-        const auto&        request = std::get<RequestHead>(head);
-        AnswerWriter       answer(connection->io, request.http10, request.keepAlive && !leaving, settings.transferIdle);
-        priv::CallerStream stream(connection->io, connection->buffered, settings.transferIdle);
-        servers[worker]->serveOne(stream, request, connection->address, answer, *connection->cancellation,
-                                  connection->bodyRead);
-        if (!answer.begun())
-            (void)connection->io.write(plainRefusal(400, "malformed request"), settings.transferIdle);
-        keep =
-            answer.begun() && answer.mayKeepAlive() && connection->bodyRead && !connection->cancellation->cancelled();
-        if (!keep && !connection->bodyRead)
-            linger(connection);
+        keep = serveParsed(connection, std::get<RequestHead>(head));
     }
+    const std::lock_guard<std::mutex> lock(mutex);
+    --counts.serving;
+    counts.malformed += error ? 1 : 0;
+    counts.hangUps += connection->cancellation->cancelled() ? 1 : 0;
+    return keep;
+}
+
+////////////////////////////////////////////////////////////
+bool Ingress::Impl::serveParsed(const ConnectionPtr& connection, const RequestHead& request)
+{
+    std::unique_ptr<priv::CallerServer> parser;
     {
-        const std::lock_guard<std::mutex> lock(countersMutex);
-        --counts.serving;
+        const std::lock_guard<std::mutex> lock(mutex);
+        if (!idleParsers.empty())
+        {
+            parser = std::move(idleParsers.back());
+            idleParsers.pop_back();
+        }
     }
-    asio::post(context, [this, connection, keep] { resume(connection, keep); });
+    if (!parser)
+        parser = std::make_unique<priv::CallerServer>(handler, settings.largestBody);
+
+    AnswerWriter       answer(connection->io, request.http10, request.keepAlive && !leaving, settings.transferIdle);
+    priv::CallerStream stream(connection->io, connection->buffered, settings.transferIdle);
+    parser->serveOne(stream, request, connection->address, answer, *connection->cancellation, connection->bodyRead);
+    if (!answer.begun())
+        (void)connection->io.write(plainRefusal(400, "malformed request"), settings.transferIdle);
+    const bool keep =
+        answer.begun() && answer.mayKeepAlive() && connection->bodyRead && !connection->cancellation->cancelled();
+    if (!keep && !connection->bodyRead)
+        linger(connection);
+
+    const std::lock_guard<std::mutex> lock(mutex);
+    idleParsers.push_back(std::move(parser));
+    return keep;
 }
 
 ////////////////////////////////////////////////////////////
@@ -273,35 +323,14 @@
     }
 }
 
-////////////////////////////////////////////////////////////
-void Ingress::Impl::resume(const ConnectionPtr& connection, bool keep)
-{
-    if (connection->cancellation && connection->cancellation->cancelled())
-    {
-        const std::lock_guard<std::mutex> lock(countersMutex);
-        ++counts.hangUps;
-    }
-    if (!keep)
-    {
-        close(connection);
-        return;
-    }
-    connection->since = Clock::now();
-    connection->state = connection->buffered.empty() ? ConnectionState::Idle : ConnectionState::Head;
-    if (connection->buffered.empty())
-        awaitBytes(connection);
-    else
-        dispatchIfComplete(connection);
-}
-
 ////////////////////////////////////////////////////////////
 void Ingress::Impl::close(const ConnectionPtr& connection)
 {
+    // The sweep uses descriptors of listed connections only, under the same lock.
+    const std::lock_guard<std::mutex> lock(mutex);
+    connections.erase(connection);
     asio::error_code ignored;
     connection->socket.close(ignored);
-    connections.erase(connection);
-    const std::lock_guard<std::mutex> lock(countersMutex);
-    counts.open = connections.size();
 }
 
 ////////////////////////////////////////////////////////////
@@ -321,33 +350,35 @@
 ////////////////////////////////////////////////////////////
 void Ingress::Impl::sweep()
 {
-    const auto                 now = Clock::now();
-    std::vector<ConnectionPtr> expired;
+    const auto                        now = Clock::now();
+    const std::lock_guard<std::mutex> lock(mutex);
     for (const ConnectionPtr& connection : connections)
+        sweepOne(*connection, now);
+}
+
+////////////////////////////////////////////////////////////
+void Ingress::Impl::sweepOne(Connection& connection, Clock::time_point now) const
+{
+    const auto age = now - connection.since.load();
+    switch (connection.state)
     {
-        const auto age = now - connection->since;
-        switch (connection->state)
+    case ConnectionState::Serving:
+        if (connection.bodyRead && age > sweepEvery && connection.io.hungUp())
+            connection.cancellation->cancel();
+        break;
+    case ConnectionState::Head:
+        if (age > settings.headTime && connection.giveUp(ConnectionState::Head))
         {
-        case ConnectionState::Serving:
-            if (connection->bodyRead && age > sweepEvery && connection->io.hungUp())
-                connection->cancellation->cancel();
-            break;
-        case ConnectionState::Head:
-            if (age > settings.headTime)
-                expired.push_back(connection);
-            break;
-        case ConnectionState::Idle:
-            if (age > settings.idleTime || (closing && connection->io.quiet()))
-                expired.push_back(connection);
-            break;
+            (void)connection.io.write(plainRefusal(408, "the request's head took too long"), core::Duration{0});
+            connection.io.shutdown();
         }
-    }
-    for (const ConnectionPtr& connection : expired)
-    {
-        if (connection->state == ConnectionState::Head)
-            refuseEarly(connection, 408, "the request's head took too long");
-        else
-            close(connection);
+        break;
+    case ConnectionState::Idle:
+        if ((age > settings.idleTime || (closing && connection.io.quiet())) && connection.giveUp(ConnectionState::Idle))
+            connection.io.shutdown();
+        break;
+    case ConnectionState::GivenUp:
+        break;
     }
 }
 
@@ -396,8 +427,10 @@
 ////////////////////////////////////////////////////////////
 IngressCounters Ingress::counters() const
 {
-    const std::lock_guard<std::mutex> lock(m_impl->countersMutex);
-    return m_impl->counts;
+    const std::lock_guard<std::mutex> lock(m_impl->mutex);
+    IngressCounters                   counts = m_impl->counts;
+    counts.open = m_impl->connections.size();
+    return counts;
 }
 
 } // namespace sailpath::adapters::http
--- a/test/entry/Proxy.test.cpp
+++ b/test/entry/Proxy.test.cpp
@@ -44,7 +44,6 @@
         adapters::http::IngressSettings settings;
         settings.listen = {"127.0.0.1", 0};
         settings.workers = 32;
-        settings.backlog = 32;
         settings.headTime = 300ms;
         ingress.emplace(settings, proxy);
         ticker = std::thread(
