--- a/src/sailpath/adapters/peers/PeerLoop.cpp
+++ b/src/sailpath/adapters/peers/PeerLoop.cpp
@@ -212,6 +212,7 @@
             [this, address](kj::Own<kj::AsyncIoStream> stream)
             {
                 const auto found = links.find(address);
+                // NOLINTNEXTLINE(bugprone-suspicious-semicolon): inside the macro
                 KJ_REQUIRE(found != links.end(), "the connection is no longer wanted");
                 found->second.link = kj::heap<Link>(kj::mv(stream));
                 return login(found->second.link->gate());
