--- a/include/sailpath/membership/MemberTable.hpp
+++ b/include/sailpath/membership/MemberTable.hpp
@@ -102,8 +102,9 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] std::vector<Member> all() const;
 
-    [[nodiscard]] const Member& self() const;    //!< The owner
-    [[nodiscard]] std::uint64_t version() const; //!< Rises whenever `aliveNames` may have changed
+    [[nodiscard]] std::optional<Member> find(std::string_view name) const; //!< One member
+    [[nodiscard]] const Member&         self() const;                      //!< The owner
+    [[nodiscard]] std::uint64_t         version() const; //!< Rises whenever `aliveNames` may have changed
 
 private:
     struct Entry
--- a/include/sailpath/node/Controller.hpp
+++ b/include/sailpath/node/Controller.hpp
@@ -57,9 +57,9 @@
     void exchanged(const Digest& answer, core::Timestamp now, ControlActions& actions);
 
     ////////////////////////////////////////////////////////////
-    /// \brief Note that an `ExchangeWith` brought no answer
+    /// \brief Note that an `ExchangeWith` brought no answer; the peer is asked again before it is suspected
     ////////////////////////////////////////////////////////////
-    void exchangeFailed(std::string_view peer, core::Timestamp now);
+    void exchangeFailed(std::string_view peer, core::Timestamp now, ControlActions& actions);
 
     ////////////////////////////////////////////////////////////
     /// \brief Documents for a peer that asks
@@ -177,6 +177,7 @@
     std::vector<std::string_view> m_alive;                      //!< Names of the live VMs, this one included
     bool                          m_chosenRelay{false};         //!< Among the live VMs, chosen to watch the store
     core::StringMap<HeardReport>  m_reports;                    //!< Fresh reports by server
+    core::StringMap<unsigned>     m_unanswered;                 //!< Exchanges in a row without an answer, by peer
 };
 
 } // namespace sailpath::node
--- a/src/sailpath/control/ControlThread.cpp
+++ b/src/sailpath/control/ControlThread.cpp
@@ -136,7 +136,8 @@
 void ControlThread::exchangeFailed(const std::string& peer)
 {
     m_ports.log.write(Level::Info, "peer-unreachable", {{"peer", peer}});
-    m_controller.exchangeFailed(peer, steadyNow());
+    m_controller.exchangeFailed(peer, steadyNow(), m_actions);
+    carryOut();
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/membership/MemberTable.cpp
+++ b/src/sailpath/membership/MemberTable.cpp
@@ -212,6 +212,15 @@
     return members;
 }
 
+////////////////////////////////////////////////////////////
+std::optional<Member> MemberTable::find(std::string_view name) const
+{
+    const auto found = m_entries.find(name);
+    if (found == m_entries.end())
+        return std::nullopt;
+    return found->second.member;
+}
+
 ////////////////////////////////////////////////////////////
 const Member& MemberTable::self() const
 {
--- a/src/sailpath/node/Controller.cpp
+++ b/src/sailpath/node/Controller.cpp
@@ -14,6 +14,7 @@
 constexpr core::Duration   reportLife = std::chrono::seconds{3};
 constexpr core::Duration   newsEvery = std::chrono::milliseconds{250};
 constexpr unsigned         reportTold = 4; // Times that one VM tells a report
+constexpr unsigned         callsBeforeSuspicion = 3;
 constexpr std::string_view relayTask = "store-relay";
 
 ////////////////////////////////////////////////////////////
@@ -89,8 +90,17 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Controller::exchangeFailed(std::string_view peer, core::Timestamp now)
+void Controller::exchangeFailed(std::string_view peer, core::Timestamp now, ControlActions& actions)
 {
+    // One lost call must not raise a suspicion that the whole fleet then has to hear and deny.
+    unsigned&  unanswered = m_unanswered[std::string(peer)];
+    const auto member = m_members.find(peer);
+    if (++unanswered < callsBeforeSuspicion && member && member->status == membership::MemberStatus::Alive)
+    {
+        exchangeWith(*member, now, actions);
+        return;
+    }
+    m_unanswered.erase(std::string(peer));
     m_members.unreachable(peer, now);
 }
 
@@ -240,6 +250,7 @@
 bool Controller::hearDigest(const Digest& digest, core::Timestamp now, ControlActions& actions)
 {
     const bool mustDeny = m_members.heard(digest.from, now);
+    m_unanswered.erase(digest.from.name);
     m_members.merge(digest.claims, now);
     for (const ServerReport& report : digest.reports)
         hearReport(report, now - std::chrono::milliseconds{report.ageMs}, actions);
--- a/test/node/Controller.test.cpp
+++ b/test/node/Controller.test.cpp
@@ -101,6 +101,24 @@
         BOOST_TEST(group.allAlive(i));
 }
 
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(lostCallsDoNotHideAFailureInALargeFleet)
+{
+    ControlGroup group({.nodes = 200, .dataCentres = 7, .loss = 0.1});
+    group.run(60s);
+    group.stop(100);
+    const auto noticed = [&]
+    {
+        for (unsigned i = 0; i < 200; ++i)
+        {
+            if (i != 100 && !group.believes(i, 100, MemberStatus::Dead))
+                return false;
+        }
+        return true;
+    };
+    BOOST_TEST(group.runUntil(noticed, 60s));
+}
+
 ////////////////////////////////////////////////////////////
 BOOST_AUTO_TEST_CASE(relaysThatAreKilledAreReplaced)
 {
--- a/test/support/ControlGroup.cpp
+++ b/test/support/ControlGroup.cpp
@@ -256,8 +256,8 @@
     if (!reachable(node, peer))
     {
         deliver(node, answerTime,
-                [this, name = action.peer](node::Controller& controller, node::ControlActions&)
-                { controller.exchangeFailed(name, m_events.now()); });
+                [this, name = action.peer](node::Controller& controller, node::ControlActions& actions)
+                { controller.exchangeFailed(name, m_events.now(), actions); });
         return;
     }
     deliver(peer, m_settings.oneWay,
