Keyed requests run at most once over all VMs: durable claims

A request that is not repeatable and carries an Idempotency-Key is claimed in the store before it is sent. Weighed: shard documents with one usual writer (each write carries the whole shard, 40 bytes a claim and a window of ten minutes make about 120 KB a write at 40 fees/s over 8 shards) against one key for each claim, many created by one transaction, ended by a lease: chosen, as the store then keeps, compares and forgets by itself. A lost answer is resolved by the claim's token, a claim whose request certainly did not run is taken back, without the store keyed requests are refused as not run at once.

--- a/examples/OneDecision.cpp
+++ b/examples/OneDecision.cpp
@@ -14,8 +14,10 @@
     service.servers = {{"portal-1", "10.0.0.1", 80, "accra-1"}, {"portal-2", "10.0.0.2", 80, "accra-2"}};
     service.routes = {{"/status", {"GET"}, true, config::Priority::Interactive}};
 
-    core::Timestamp  now{1s};
-    node::Dispatcher dispatcher({.dataCentre = "accra-1"});
+    core::Timestamp          now{1s};
+    node::DispatcherSettings settings;
+    settings.dataCentre = "accra-1";
+    node::Dispatcher dispatcher(settings);
     dispatcher.configure({"admissa", 0, {service}}, now);
 
     node::Step step = dispatcher.admit({"portal.admissa", "GET", "/status/7", {}}, now);
--- a/include/sailpath/adapters/store/EtcdStore.hpp
+++ b/include/sailpath/adapters/store/EtcdStore.hpp
@@ -25,15 +25,17 @@
     EtcdStore(const EtcdStore&) = delete;
     EtcdStore& operator=(const EtcdStore&) = delete;
 
-    [[nodiscard]] ports::ReadAnswer  get(std::string_view key) override;
-    [[nodiscard]] ports::ReadAnswer  range(std::string_view prefix) override;
-    [[nodiscard]] ports::WriteAnswer compareAndSwap(const ports::ConditionalWrite& write) override;
-    [[nodiscard]] ports::LeaseGrant  grant(core::Duration length) override;
-    [[nodiscard]] ports::LeaseGrant  renew(std::int64_t lease) override;
-    void                             revoke(std::int64_t lease) override;
-    void                             watch(std::string_view prefix, std::uint64_t revision,
-                                           const std::function<bool(std::span<const ports::KeyValue>)>& changes) override;
-    void                             endWatch() override;
+    [[nodiscard]] ports::ReadAnswer   get(std::string_view key) override;
+    [[nodiscard]] ports::ReadAnswer   range(std::string_view prefix) override;
+    [[nodiscard]] ports::WriteAnswer  compareAndSwap(const ports::ConditionalWrite& write) override;
+    [[nodiscard]] ports::CreateAnswer createAll(std::span<const ports::ConditionalWrite> writes) override;
+    [[nodiscard]] ports::StoreStatus  removeIf(std::string_view key, std::string_view value) override;
+    [[nodiscard]] ports::LeaseGrant   grant(core::Duration length) override;
+    [[nodiscard]] ports::LeaseGrant   renew(std::int64_t lease) override;
+    void                              revoke(std::int64_t lease) override;
+    void                              watch(std::string_view prefix, std::uint64_t revision,
+                                            const std::function<bool(std::span<const ports::KeyValue>)>& changes) override;
+    void                              endWatch() override;
 
 private:
     struct Impl;
--- a/include/sailpath/config/Service.hpp
+++ b/include/sailpath/config/Service.hpp
@@ -45,6 +45,7 @@
     unsigned                   queue{64}; //!< Requests that may wait on one VM
     core::Duration             maxWait{std::chrono::milliseconds{250}}; //!< Longest wait for a server
     core::Duration             deadline{std::chrono::seconds{10}}; //!< Time a request has when its caller sets none
+    core::Duration claimWindow{std::chrono::minutes{10}}; //!< How long copies of a keyed request are recognised
 
     ////////////////////////////////////////////////////////////
     /// \brief Find the route for a request
--- a/include/sailpath/control/ControlThread.hpp
+++ b/include/sailpath/control/ControlThread.hpp
@@ -76,6 +76,11 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] ControlStatus status();
 
+    ////////////////////////////////////////////////////////////
+    /// \brief VMs that are alive, this one included; does not wait for the loop
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] int aliveVms() const;
+
     ////////////////////////////////////////////////////////////
     /// \brief Why the loop ended by itself; empty while it runs
     ////////////////////////////////////////////////////////////
@@ -121,6 +126,7 @@
     std::uint64_t                   m_probes{0};      //!< Probes sent
     double                          m_probeCost{0};   //!< Charged for them
     std::atomic<std::uint64_t>      m_storeCalls{0};  //!< Calls to the store
+    std::atomic<int>                m_alive{1};       //!< VMs that are alive
     std::atomic<bool>               m_ending{false};  //!< The threads are to end
     std::string                     m_failure;        //!< Why the loop ended
     std::atomic<bool>               m_failed{false};  //!< `m_failure` is set
--- a/include/sailpath/entry/HeaderNames.hpp
+++ b/include/sailpath/entry/HeaderNames.hpp
@@ -12,6 +12,8 @@
 inline constexpr std::string_view headerReason = "Sailpath-Reason";               //!< Why a request was refused
 inline constexpr std::string_view headerRetryAfterMs = "Sailpath-Retry-After-Ms"; //!< When to come back
 inline constexpr std::string_view headerDeadlineMs = "Sailpath-Deadline-Ms";      //!< Time the caller still waits
-inline constexpr std::string_view headerRequestId = "X-Request-Id";               //!< Follows a request everywhere
+inline constexpr std::string_view headerIdempotencyKey =
+    "Idempotency-Key";                                              //!< Names a request that must run at most once
+inline constexpr std::string_view headerRequestId = "X-Request-Id"; //!< Follows a request everywhere
 
 } // namespace sailpath::entry
--- a/include/sailpath/entry/Proxy.hpp
+++ b/include/sailpath/entry/Proxy.hpp
@@ -2,12 +2,15 @@
 
 #include <sailpath/adapters/http/BackendClient.hpp>
 #include <sailpath/adapters/http/CallerRequest.hpp>
+#include <sailpath/entry/ClaimDoor.hpp>
 #include <sailpath/entry/DispatcherDoor.hpp>
 #include <sailpath/entry/TrafficMetrics.hpp>
 #include <sailpath/ports/EventLog.hpp>
 
 #include <atomic>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace sailpath::entry
 {
@@ -23,11 +26,12 @@
     /// \param node    Name of this node, part of request ids
     /// \param door    Decisions
     /// \param client  Connections to backend servers
+    /// \param claims  Makes keys of requests durable
     /// \param metrics Receives what became of each request
     /// \param log     Receives events
     ////////////////////////////////////////////////////////////
-    Proxy(std::string node, DispatcherDoor& door, adapters::http::BackendClient& client, TrafficMetrics& metrics,
-          ports::EventLog& log);
+    Proxy(std::string node, DispatcherDoor& door, adapters::http::BackendClient& client, ClaimDoor& claims,
+          TrafficMetrics& metrics, ports::EventLog& log);
 
     ////////////////////////////////////////////////////////////
     /// \copydoc RequestHandler::serve
@@ -35,14 +39,30 @@
     void serve(adapters::http::CallerRequest& request) override;
 
 private:
-    [[nodiscard]] std::string requestId(const adapters::http::RequestHead& head);
-
-    std::string                    m_node;      //!< Part of request ids
-    DispatcherDoor&                m_door;      //!< Decisions
-    adapters::http::BackendClient& m_client;    //!< Connections to servers
-    TrafficMetrics&                m_metrics;   //!< Counts and latencies
-    ports::EventLog&               m_log;       //!< Events
-    std::atomic<std::uint64_t>     m_nextId{1}; //!< For request ids
+    struct HeldClaim
+    {
+        claims::Claim   claim; //!< What is claimed
+        core::Timestamp until; //!< The request must not be sent from here on
+    };
+
+    [[nodiscard]] std::string      requestId(const adapters::http::RequestHead& head);
+    [[nodiscard]] std::string_view forward(adapters::http::CallerRequest& caller,
+                                           adapters::http::ServerRequest& request, node::Step step,
+                                           const std::string& id);
+    [[nodiscard]] std::string_view refuse(adapters::http::CallerRequest& caller, const node::Refusal& refusal,
+                                          const std::string& id);
+    [[nodiscard]] std::optional<node::Refusal> claim(const adapters::http::RequestHead& head, const node::Step& step,
+                                                     const std::string& id, std::optional<HeldClaim>& held);
+
+    std::string                    m_node;         //!< Part of request ids
+    DispatcherDoor&                m_door;         //!< Decisions
+    adapters::http::BackendClient& m_client;       //!< Connections to servers
+    ClaimDoor&                     m_claims;       //!< Keys of requests
+    TrafficMetrics&                m_metrics;      //!< Counts and latencies
+    ports::EventLog&               m_log;          //!< Events
+    std::atomic<std::uint64_t>     m_nextId{1};    //!< For request ids
+    std::int64_t                   m_start;        //!< Start of this process, part of claim tokens
+    std::atomic<std::uint64_t>     m_nextClaim{1}; //!< For claim tokens
 };
 
 } // namespace sailpath::entry
--- a/include/sailpath/node/Refusal.hpp
+++ b/include/sailpath/node/Refusal.hpp
@@ -12,17 +12,19 @@
 ////////////////////////////////////////////////////////////
 enum class RefusalReason
 {
-    NotConfigured,  //!< This VM has no configuration yet
-    UnknownService, //!< No service has that host
-    NoServer,       //!< No server of the service may be given anything now
-    QueueFull,      //!< As many requests wait as may
-    WaitTooLong,    //!< It would wait longer than it can or may
-    WorkspaceShare, //!< The workspace holds its share of this VM
-    DeadlinePassed, //!< Its deadline passed
-    ServerShed,     //!< The server refused it for load
-    NotSent,        //!< No server could be reached
-    OutcomeUnknown, //!< It was sent and no whole answer came
-    CallerGone      //!< The caller hung up
+    NotConfigured,    //!< This VM has no configuration yet
+    UnknownService,   //!< No service has that host
+    NoServer,         //!< No server of the service may be given anything now
+    QueueFull,        //!< As many requests wait as may
+    WaitTooLong,      //!< It would wait longer than it can or may
+    WorkspaceShare,   //!< The workspace holds its share of this VM
+    DeadlinePassed,   //!< Its deadline passed
+    ServerShed,       //!< The server refused it for load
+    NotSent,          //!< No server could be reached
+    OutcomeUnknown,   //!< It was sent and no whole answer came
+    CallerGone,       //!< The caller hung up
+    Duplicate,        //!< Another sending has the same idempotency key
+    ClaimsUnavailable //!< The key could not be made durable
 };
 
 ////////////////////////////////////////////////////////////
--- a/include/sailpath/node/Target.hpp
+++ b/include/sailpath/node/Target.hpp
@@ -20,6 +20,7 @@
     std::string    probePath;     //!< What a probe asks for
     core::Duration probeCost{};   //!< Server time that a probe takes
     unsigned       connections{}; //!< Connections the server accepts in all
+    core::Duration claimWindow{}; //!< How long copies of a keyed request are recognised
 };
 
 } // namespace sailpath::node
--- a/include/sailpath/ports/Store.hpp
+++ b/include/sailpath/ports/Store.hpp
@@ -74,6 +74,15 @@
     std::int64_t  lease{0};    //!< Lease that the key ends with; 0 for none
 };
 
+////////////////////////////////////////////////////////////
+/// \brief Answer to the creation of several keys
+////////////////////////////////////////////////////////////
+struct CreateAnswer
+{
+    StoreStatus           status{StoreStatus::Unavailable}; //!< `Conflict` when any key exists or the lease has ended
+    std::vector<KeyValue> existing;                         //!< On a conflict: the keys that exist
+};
+
 ////////////////////////////////////////////////////////////
 /// \brief Port: the platform's key-value service
 ///
@@ -100,6 +109,16 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] virtual WriteAnswer compareAndSwap(const ConditionalWrite& write) = 0;
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Create all of these keys or none
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] virtual CreateAnswer createAll(std::span<const ConditionalWrite> writes) = 0;
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Remove a key if it holds a value; `Conflict` when it does not
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] virtual StoreStatus removeIf(std::string_view key, std::string_view value) = 0;
+
     ////////////////////////////////////////////////////////////
     /// \brief Be granted a lease
     ////////////////////////////////////////////////////////////
--- a/src/programs/Entry.cpp
+++ b/src/programs/Entry.cpp
@@ -50,6 +50,7 @@
 constexpr core::Duration              bodyIdle = std::chrono::seconds{30};
 constexpr auto                        dispatcherTick = std::chrono::milliseconds{2};
 constexpr auto                        noticeGoneEvery = std::chrono::milliseconds{500};
+constexpr int                         claimWritesPerSecond = 70; // Of the store's hundred, for the whole fleet
 constexpr auto                        pruneEvery = std::chrono::seconds{5};
 
 ////////////////////////////////////////////////////////////
@@ -158,7 +159,11 @@
     peers.key = settings.secret("peer-key-file");
     control::ControlThread control(controllerSettings(settings), peers, {store, watcher, vms, client, door, log});
 
-    entry::Proxy            proxy(name, door, client, metrics, log);
+    adapters::store::EtcdStore claimStore(settings.endpoint("platform"), storeTimeout);
+    entry::ClaimDoor           claims(
+                  claimStore,
+                  [&control] { return control.aliveVms() * core::Duration{std::chrono::seconds{1}} / claimWritesPerSecond; });
+    entry::Proxy            proxy(name, door, client, claims, metrics, log);
     adapters::http::Ingress ingress(ingressSettings(settings), proxy);
     std::atomic<bool>       leaving{false};
     programs::EntryStatus status(settings.endpoint("status-listen"), {name, control, door, metrics, ingress, leaving});
--- a/src/sailpath/adapters/store/EtcdStore.cpp
+++ b/src/sailpath/adapters/store/EtcdStore.cpp
@@ -134,6 +134,23 @@
         return result;
     }
 
+    ////////////////////////////////////////////////////////////
+    leaf::result<ports::CreateAnswer> create(const json& body)
+    {
+        BOOST_LEAF_AUTO(answer, call("/v3/kv/txn", body));
+        ports::CreateAnswer result;
+        result.status = answer.value("succeeded", false) ? StoreStatus::Ok : StoreStatus::Conflict;
+        if (result.status == StoreStatus::Ok)
+            return result;
+        for (const json& response : answer.value("responses", json::array()))
+        {
+            const json range = response.value("response_range", json::object());
+            for (const json& item : range.value("kvs", json::array()))
+                result.existing.push_back(toKeyValue(item));
+        }
+        return result;
+    }
+
     ////////////////////////////////////////////////////////////
     leaf::result<ports::LeaseGrant> lease(const char* path, const json& body, bool nested)
     {
@@ -209,6 +226,34 @@
     return resolve<ports::WriteAnswer>([&] { return m_impl->write(body); });
 }
 
+////////////////////////////////////////////////////////////
+ports::CreateAnswer EtcdStore::createAll(std::span<const ports::ConditionalWrite> writes)
+{
+    json compare = json::array();
+    json success = json::array();
+    json failure = json::array();
+    for (const ports::ConditionalWrite& write : writes)
+    {
+        const std::string key = encodeBase64(write.key);
+        compare.push_back({{"key", key}, {"target", "MOD"}, {"result", "EQUAL"}, {"mod_revision", "0"}});
+        success.push_back(
+            {{"requestPut",
+              {{"key", key}, {"value", encodeBase64(write.value)}, {"lease", std::to_string(write.lease)}}}});
+        failure.push_back({{"requestRange", {{"key", key}}}});
+    }
+    const json body{{"compare", compare}, {"success", success}, {"failure", failure}};
+    return resolve<ports::CreateAnswer>([&] { return m_impl->create(body); });
+}
+
+////////////////////////////////////////////////////////////
+ports::StoreStatus EtcdStore::removeIf(std::string_view key, std::string_view value)
+{
+    const std::string encoded = encodeBase64(key);
+    const json compare{{"key", encoded}, {"target", "VALUE"}, {"result", "EQUAL"}, {"value", encodeBase64(value)}};
+    const json body{{"compare", {compare}}, {"success", {{{"requestDeleteRange", {{"key", encoded}}}}}}};
+    return resolve<ports::WriteAnswer>([&] { return m_impl->write(body); }).status;
+}
+
 ////////////////////////////////////////////////////////////
 ports::LeaseGrant EtcdStore::grant(core::Duration length)
 {
--- a/src/sailpath/claims/ClaimWriter.cpp
+++ b/src/sailpath/claims/ClaimWriter.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-//=
+////////////////////////////////////////////////////////////
 std::string claimKey(std::string_view workspace, std::string_view service, std::string_view idempotencyKey)
 {
     std::array<char, 33> digits{};
@@ -29,12 +29,14 @@
     return key;
 }
 
-//=
-ClaimWriter::ClaimWriter(ports::Store& store, Clock clock) : m_store(store), m_clock(std::move(clock))
+////////////////////////////////////////////////////////////
+ClaimWriter::ClaimWriter(ports::Store& store, Clock clock) :
+m_store(store),
+m_clock(std::move(clock))
 {
 }
 
-//=
+////////////////////////////////////////////////////////////
 std::vector<ClaimVerdict> ClaimWriter::commit(std::span<const Claim> batch)
 {
     std::vector<ClaimVerdict> verdicts(batch.size(), ClaimVerdict::Unavailable);
@@ -48,16 +50,16 @@
     return verdicts;
 }
 
-//=
+////////////////////////////////////////////////////////////
 bool ClaimWriter::release(const Claim& claim)
 {
     const ports::StoreStatus status = m_store.removeIf(claim.key, claim.token);
     return status == ports::StoreStatus::Ok || status == ports::StoreStatus::Conflict;
 }
 
-//=
+////////////////////////////////////////////////////////////
 /// \brief One transaction for the claims without a verdict; false when there is no use in another
-//=
+////////////////////////////////////////////////////////////
 bool ClaimWriter::attempt(std::span<const Claim> batch, std::vector<std::size_t>& open,
                           std::vector<ClaimVerdict>& verdicts)
 {
@@ -79,8 +81,10 @@
     }
     if (answer.status == ports::StoreStatus::Unknown)
     {
+        for (const std::size_t index : open)
+            verdicts[index] = ClaimVerdict::Unresolved;
         resolve(batch, open, verdicts);
-        std::erase_if(open, [&](std::size_t index) { return verdicts[index] != ClaimVerdict::Unavailable; });
+        std::erase_if(open, [&](std::size_t index) { return verdicts[index] != ClaimVerdict::Unresolved; });
         return true;
     }
     if (answer.status == ports::StoreStatus::Unavailable)
@@ -93,8 +97,8 @@
     }
     for (const ports::KeyValue& item : answer.existing)
     {
-        const auto same = std::find_if(open.begin(), open.end(),
-                                       [&](std::size_t index) { return batch[index].key == item.key; });
+        const auto same =
+            std::find_if(open.begin(), open.end(), [&](std::size_t index) { return batch[index].key == item.key; });
         if (same == open.end())
             continue;
         const bool ours = batch[*same].token == item.value;
@@ -104,7 +108,7 @@
     return true;
 }
 
-//=
+////////////////////////////////////////////////////////////
 void ClaimWriter::resolve(std::span<const Claim> batch, std::span<const std::size_t> open,
                           std::vector<ClaimVerdict>& verdicts)
 {
@@ -120,7 +124,7 @@
     }
 }
 
-//=
+////////////////////////////////////////////////////////////
 std::int64_t ClaimWriter::leaseFor(core::Duration window)
 {
     Lease&                lease = m_leases[window];
--- a/src/sailpath/config/WorkspaceParser.cpp
+++ b/src/sailpath/config/WorkspaceParser.cpp
@@ -13,8 +13,9 @@
 using nlohmann::json;
 using priv::DocumentReader;
 
-constexpr double mostServers = 1000;
-constexpr double mostMilliseconds = 3'600'000;
+constexpr double         mostServers = 1000;
+constexpr core::Duration leastClaimWindow = std::chrono::seconds{10};
+constexpr double         mostMilliseconds = 3'600'000;
 
 ////////////////////////////////////////////////////////////
 bool isIpNumber(const std::string& text)
@@ -91,7 +92,8 @@
 Service readService(const json& element, const std::string& place, core::Findings& findings)
 {
     DocumentReader reader(element, place, findings);
-    reader.allowOnly({"name", "servers", "routes", "retry", "probe", "queue", "maxWaitMs", "deadlineMs"});
+    reader.allowOnly(
+        {"name", "servers", "routes", "retry", "probe", "queue", "maxWaitMs", "deadlineMs", "claimWindowMs"});
 
     Service service;
     service.name = reader.name("name");
@@ -116,6 +118,9 @@
     service.queue = reader.whole("queue", service.queue, {0, 100'000});
     service.maxWait = milliseconds(reader, "maxWaitMs", service.maxWait);
     service.deadline = milliseconds(reader, "deadlineMs", service.deadline);
+    service.claimWindow = milliseconds(reader, "claimWindowMs", service.claimWindow);
+    if (service.claimWindow < leastClaimWindow)
+        reader.note("claimWindowMs", "expected at least 10000");
 
     if (service.servers.size() > static_cast<std::size_t>(mostServers))
         reader.note("servers", "expected at most 1000 servers");
@@ -171,7 +176,8 @@
             {"probe", {{"path", service.probe.path}, {"costMs", core::toMilliseconds(service.probe.cost)}}},
             {"queue", service.queue},
             {"maxWaitMs", core::toMilliseconds(service.maxWait)},
-            {"deadlineMs", core::toMilliseconds(service.deadline)}};
+            {"deadlineMs", core::toMilliseconds(service.deadline)},
+            {"claimWindowMs", core::toMilliseconds(service.claimWindow)}};
 }
 
 } // namespace
--- a/src/sailpath/control/ControlThread.cpp
+++ b/src/sailpath/control/ControlThread.cpp
@@ -4,6 +4,7 @@
 #include <sailpath/entry/HeaderNames.hpp>
 #include <sailpath/entry/SteadyClock.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace sailpath::control
@@ -105,6 +106,12 @@
     return status;
 }
 
+////////////////////////////////////////////////////////////
+int ControlThread::aliveVms() const
+{
+    return m_alive;
+}
+
 ////////////////////////////////////////////////////////////
 std::string ControlThread::failure() const
 {
@@ -165,6 +172,7 @@
         m_controller.serverLeaving(report, steadyNow(), m_actions);
     }
     m_controller.tick(steadyNow(), m_actions);
+    m_alive = std::max(1, static_cast<int>(m_controller.members().aliveNames().size()));
     carryOut();
 }
 
--- a/src/sailpath/entry/ClaimDoor.cpp
+++ b/src/sailpath/entry/ClaimDoor.cpp
@@ -8,13 +8,14 @@
 {
 namespace
 {
-constexpr std::size_t mostInBatch = 100; // The store's transactions take 128 operations
+constexpr std::size_t mostInBatch = 100;     // The store's transactions take 128 operations
+constexpr std::size_t mostReleases = 10'000; // Others end with their window
 constexpr auto        downTime = std::chrono::seconds{1};
 constexpr auto        releaseEvery = std::chrono::milliseconds{500};
 
 } // namespace
 
-//=
+////////////////////////////////////////////////////////////
 ClaimDoor::ClaimDoor(ports::Store& store, std::function<core::Duration()> least) :
 m_least(std::move(least)),
 m_writer(store, steadyNow),
@@ -22,7 +23,7 @@
 {
 }
 
-//=
+////////////////////////////////////////////////////////////
 ClaimDoor::~ClaimDoor()
 {
     {
@@ -33,7 +34,7 @@
     m_thread.join();
 }
 
-//=
+////////////////////////////////////////////////////////////
 claims::ClaimVerdict ClaimDoor::claim(const claims::Claim& claim)
 {
     std::unique_lock<std::mutex> lock(m_mutex);
@@ -50,7 +51,7 @@
     return waiting.verdict;
 }
 
-//=
+////////////////////////////////////////////////////////////
 void ClaimDoor::release(claims::Claim claim)
 {
     {
@@ -60,14 +61,14 @@
     m_wake.notify_one();
 }
 
-//=
+////////////////////////////////////////////////////////////
 std::size_t ClaimDoor::unreleased()
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     return m_releases.size();
 }
 
-//=
+////////////////////////////////////////////////////////////
 void ClaimDoor::run()
 {
     std::unique_lock<std::mutex> lock(m_mutex);
@@ -90,12 +91,12 @@
     }
 }
 
-//=
+////////////////////////////////////////////////////////////
 void ClaimDoor::commitOnce(std::unique_lock<std::mutex>& lock)
 {
-    const std::size_t          count = std::min(m_waiting.size(), mostInBatch);
+    const std::size_t           count = std::min(m_waiting.size(), mostInBatch);
     const std::vector<Waiting*> taken(m_waiting.begin(), m_waiting.begin() + static_cast<std::ptrdiff_t>(count));
-    std::vector<claims::Claim> batch;
+    std::vector<claims::Claim>  batch;
     batch.reserve(count);
     for (const Waiting* waiting : taken)
         batch.push_back(*waiting->claim);
@@ -112,9 +113,10 @@
     {
         taken[i]->verdict = verdicts[i];
         taken[i]->done = true;
-        anyUnavailable = anyUnavailable || verdicts[i] == claims::ClaimVerdict::Unavailable;
-        // It may be durable all the same; the request will not be sent, so it is taken back.
-        if (verdicts[i] == claims::ClaimVerdict::Unavailable)
+        const bool unresolved = verdicts[i] == claims::ClaimVerdict::Unresolved;
+        anyUnavailable = anyUnavailable || unresolved || verdicts[i] == claims::ClaimVerdict::Unavailable;
+        // It may be durable although the request will not be sent, so it is taken back.
+        if (unresolved && m_releases.size() < mostReleases)
             m_releases.push_back(batch[i]);
     }
     m_waiting.erase(m_waiting.begin(), m_waiting.begin() + static_cast<std::ptrdiff_t>(count));
@@ -123,7 +125,7 @@
     m_done.notify_all();
 }
 
-//=
+////////////////////////////////////////////////////////////
 void ClaimDoor::releaseOnce(std::unique_lock<std::mutex>& lock)
 {
     const claims::Claim claim = m_releases.front();
--- a/src/sailpath/entry/Proxy.cpp
+++ b/src/sailpath/entry/Proxy.cpp
@@ -25,9 +25,10 @@
 using node::RefusalReason;
 using node::toString;
 
-constexpr std::size_t   bufferedBody = 64UL * 1024; // Bodies up to this size are read before a server is chosen
-constexpr std::size_t   longestId = 64;
-constexpr std::uint64_t longestDeadlineMs = 3'600'000;
+constexpr std::size_t    bufferedBody = 64UL * 1024; // Bodies up to this size are read before a server is chosen
+constexpr core::Duration comeBackSoon = std::chrono::seconds{2};
+constexpr std::size_t    longestId = 64;
+constexpr std::uint64_t  longestDeadlineMs = 3'600'000;
 
 ////////////////////////////////////////////////////////////
 int statusFor(const node::Refusal& refusal)
@@ -36,6 +37,8 @@
     {
     case RefusalReason::UnknownService:
         return 404;
+    case RefusalReason::Duplicate:
+        return 409;
     case RefusalReason::WorkspaceShare:
         return 429;
     case RefusalReason::OutcomeUnknown:
@@ -155,13 +158,15 @@
 } // namespace
 
 ////////////////////////////////////////////////////////////
-Proxy::Proxy(std::string node, DispatcherDoor& door, adapters::http::BackendClient& client, TrafficMetrics& metrics,
-             ports::EventLog& log) :
+Proxy::Proxy(std::string node, DispatcherDoor& door, adapters::http::BackendClient& client, ClaimDoor& claims,
+             TrafficMetrics& metrics, ports::EventLog& log) :
 m_node(std::move(node)),
 m_door(door),
 m_client(client),
+m_claims(claims),
 m_metrics(metrics),
-m_log(log)
+m_log(log),
+m_start(std::chrono::system_clock::now().time_since_epoch().count())
 {
 }
 
@@ -193,21 +198,34 @@
     node::Step step =
         m_door.admit({caller.head.header("Host"), caller.head.method, caller.head.path, timeLeft(caller.head)},
                      [&caller] { return caller.cancellation.cancelled(); });
-    std::string_view outcome = "answered";
+    const std::string_view outcome =
+        step.verdict == node::Verdict::Refuse ? refuse(caller, step.refusal, id) : forward(caller, request, step, id);
+    // Names that callers make up must not become metrics.
+    const bool known =
+        host && outcome != toString(RefusalReason::UnknownService) && outcome != toString(RefusalReason::NotConfigured);
+    m_metrics.record(known ? host->workspace : std::string_view{}, outcome, steadyNow() - start);
+}
+
+////////////////////////////////////////////////////////////
+std::string_view Proxy::forward(CallerRequest& caller, ServerRequest& request, node::Step step, const std::string& id)
+{
+    std::optional<HeldClaim> held;
+    if (const auto refusal = claim(caller.head, step, id, held))
+    {
+        (void)m_door.finish(step.ticket, {retries::AttemptResult::Abandoned, {}, false, true, false, {}});
+        return refuse(caller, *refusal, id);
+    }
     while (true)
     {
-        if (step.verdict == node::Verdict::Refuse)
+        // A process that was paused may hold a claim that another has made anew since.
+        if (held && steadyNow() >= held->until)
         {
-            outcome = toString(step.refusal.reason);
-            writeRefusal(caller, step.refusal, id);
-            if (m_log.writes(ports::Level::Debug))
-                m_log.write(ports::Level::Debug, "request-refused",
-                            {{"request", id}, {"reason", outcome}, {"ran", toString(step.refusal.ran)}});
-            break;
+            (void)m_door.finish(step.ticket, {retries::AttemptResult::Abandoned, {}, false, true, false, {}});
+            return refuse(caller, {RefusalReason::ClaimsUnavailable, retries::Ran::No, comeBackSoon}, id);
         }
         const std::string attemptId = id + "." + std::to_string(step.attempt);
+        const auto        left = std::chrono::ceil<std::chrono::milliseconds>(step.deadline - steadyNow()).count();
         request.headers = serverHeaders(caller, attemptId);
-        const auto left = std::chrono::ceil<std::chrono::milliseconds>(step.deadline - steadyNow()).count();
         request.headers.push_back({std::string(headerDeadlineMs), std::to_string(std::max<std::int64_t>(left, 1))});
         request.deadline = toSteady(step.deadline);
         request.provenConnection = !step.repeatable;
@@ -225,13 +243,55 @@
         if (step.verdict == node::Verdict::Answer)
         {
             attempt.passOn();
-            break;
+            return "answered";
+        }
+        if (step.verdict == node::Verdict::Refuse)
+        {
+            // What certainly did not run may come again under the same key.
+            if (held && step.refusal.ran == retries::Ran::No)
+                m_claims.release(held->claim);
+            return refuse(caller, step.refusal, id);
         }
     }
-    // Names that callers make up must not become metrics.
-    const bool known =
-        host && outcome != toString(RefusalReason::UnknownService) && outcome != toString(RefusalReason::NotConfigured);
-    m_metrics.record(known ? host->workspace : std::string_view{}, outcome, steadyNow() - start);
+}
+
+////////////////////////////////////////////////////////////
+std::string_view Proxy::refuse(CallerRequest& caller, const node::Refusal& refusal, const std::string& id)
+{
+    writeRefusal(caller, refusal, id);
+    if (m_log.writes(ports::Level::Debug))
+        m_log.write(ports::Level::Debug, "request-refused",
+                    {{"request", id}, {"reason", toString(refusal.reason)}, {"ran", toString(refusal.ran)}});
+    return toString(refusal.reason);
+}
+
+////////////////////////////////////////////////////////////
+std::optional<node::Refusal> Proxy::claim(const RequestHead& head, const node::Step& step, const std::string& id,
+                                          std::optional<HeldClaim>& held)
+{
+    const std::string_view key = head.header(headerIdempotencyKey);
+    if (key.empty() || step.repeatable)
+        return std::nullopt;
+    const node::Target& target = *step.target;
+    HeldClaim           claimed;
+    claimed.claim.key = claims::claimKey(target.workspace, target.service, key);
+    claimed.claim.token = m_node + "/" + std::to_string(m_start) + "/" + std::to_string(m_nextClaim++);
+    claimed.claim.window = target.claimWindow;
+    // Counted from before the claim is made, with a tenth kept back for clocks that run unevenly.
+    claimed.until = steadyNow() + target.claimWindow * 9 / 10;
+    switch (m_claims.claim(claimed.claim))
+    {
+    case claims::ClaimVerdict::Granted:
+        held = std::move(claimed);
+        return std::nullopt;
+    case claims::ClaimVerdict::Duplicate:
+        m_log.write(ports::Level::Info, "duplicate-refused", {{"request", id}, {"workspace", target.workspace}});
+        return node::Refusal{RefusalReason::Duplicate, retries::Ran::Unknown, comeBackSoon};
+    case claims::ClaimVerdict::Unavailable:
+    case claims::ClaimVerdict::Unresolved:
+        break;
+    }
+    return node::Refusal{RefusalReason::ClaimsUnavailable, retries::Ran::No, comeBackSoon};
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/node/Pool.cpp
+++ b/src/sailpath/node/Pool.cpp
@@ -26,6 +26,7 @@
     target.probePath = service.probe.path;
     target.probeCost = service.probe.cost;
     target.connections = server.connections;
+    target.claimWindow = service.claimWindow;
     return std::make_shared<const Target>(std::move(target));
 }
 
--- a/src/sailpath/node/Refusal.cpp
+++ b/src/sailpath/node/Refusal.cpp
@@ -7,9 +7,10 @@
 ////////////////////////////////////////////////////////////
 std::string_view toString(RefusalReason reason)
 {
-    static constexpr std::array<std::string_view, 11> names{
-        "not-configured",  "unknown-service", "no-server", "queue-full",      "wait-too-long", "workspace-share",
-        "deadline-passed", "server-shed",     "not-sent",  "outcome-unknown", "caller-gone"};
+    static constexpr std::array<std::string_view, 13> names{
+        "not-configured",  "unknown-service", "no-server",         "queue-full", "wait-too-long",
+        "workspace-share", "deadline-passed", "server-shed",       "not-sent",   "outcome-unknown",
+        "caller-gone",     "duplicate",       "claims-unavailable"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/test/entry/Proxy.test.cpp
+++ b/test/entry/Proxy.test.cpp
@@ -1,4 +1,5 @@
 #include "standins/BackendStandIn.hpp"
+#include "support/FakeStore.hpp"
 
 #include <sailpath/adapters/http/Ingress.hpp>
 #include <sailpath/adapters/logging/Log4cplusEventLog.hpp>
@@ -110,7 +111,9 @@
     entry::DispatcherDoor                  door{{}};
     adapters::http::BackendClient          backend{200ms, 5s};
     entry::TrafficMetrics                  metrics;
-    entry::Proxy                           proxy{"vm-1", door, backend, metrics, log};
+    support::FakeStore                     store;
+    entry::ClaimDoor                       claims{store, [] { return core::Duration{0}; }};
+    entry::Proxy                           proxy{"vm-1", door, backend, claims, metrics, log};
     std::optional<adapters::http::Ingress> ingress;
     std::atomic<bool>                      ending{false};
     std::thread                            ticker;
@@ -402,4 +405,67 @@
     BOOST_TEST(ingress->counters().open == 0U);
 }
 
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(copiesOfAKeyedRequestRunOnce)
+{
+    const BackendStandIn server("s", 0, {.work = 20ms, .slots = 50});
+    serve({server.port()});
+    std::atomic<int>         answered{0};
+    std::atomic<int>         duplicates{0};
+    std::vector<std::thread> callers;
+    callers.reserve(24);
+    for (int i = 0; i < 24; ++i)
+        callers.emplace_back(
+            [&, i]
+            {
+                const std::string operation = "fee-" + std::to_string(i % 6);
+                const auto answer = client().Post("/fees", {{"Idempotency-Key", operation}, {"Operation", operation}},
+                                                  "{}", "text/plain");
+                answered += answer && answer->status == 200 ? 1 : 0;
+                duplicates += answer && answer->status == 409 ? 1 : 0;
+            });
+    for (std::thread& caller : callers)
+        caller.join();
+    BOOST_TEST(answered == 6);
+    BOOST_TEST(duplicates == 18);
+    for (int i = 0; i < 6; ++i)
+        BOOST_TEST(server.executions("fee-" + std::to_string(i)) == 1U);
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(withoutTheStoreKeyedRequestsAreRefusedAsNotRun)
+{
+    const BackendStandIn server("s", 0, {.work = 100us});
+    serve({server.port()});
+    auto http = client();
+    store.faults = {support::WriteFault::LostAnswer};
+    BOOST_TEST(http.Post("/fees", {{"Idempotency-Key", "a"}}, "{}", "text/plain")->status == 200);
+    store.down = true;
+    const auto refused = http.Post("/fees", {{"Idempotency-Key", "b"}}, "{}", "text/plain");
+    BOOST_TEST(refused->get_header_value("Sailpath-Reason") == "claims-unavailable");
+    BOOST_TEST(refused->get_header_value("Sailpath-Ran") == "not-run");
+    BOOST_TEST(refused->has_header("Retry-After"));
+    BOOST_TEST(server.executions() == 1U);
+    BOOST_TEST(http.Post("/fees", "{}", "text/plain")->status == 200);
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(whatDidNotRunMayComeAgainUnderItsKey)
+{
+    std::uint16_t port = 0;
+    {
+        const BackendStandIn gone("s", 0, {});
+        port = gone.port();
+    }
+    serve({port});
+    auto http = client();
+    for (int i = 0; i < 2; ++i)
+    {
+        const auto answer = http.Post("/fees", {{"Idempotency-Key", "a"}}, "{}", "text/plain");
+        BOOST_TEST(answer->get_header_value("Sailpath-Ran") == "not-run");
+        for (int wait = 0; wait < 500 && claims.unreleased() > 0; ++wait)
+            std::this_thread::sleep_for(2ms);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/standins/KeyValueStandIn.cpp
+++ b/test/standins/KeyValueStandIn.cpp
@@ -29,27 +29,55 @@
 }
 
 ////////////////////////////////////////////////////////////
-bool KeyValueStandIn::compareAndPut(const std::string& key, std::int64_t expected, const std::string& value,
-                                    std::int64_t lease, std::int64_t& revision)
+bool KeyValueStandIn::transact(const Transaction& transaction, std::int64_t& revision)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     expire();
     revision = m_revision;
-    const auto found = m_keys.find(key);
-    const auto present = found == m_keys.end() ? 0 : found->second.modified;
-    if (present != expected || (lease != 0 && m_leases.count(lease) == 0))
-        return false;
+    for (const Condition& condition : transaction.conditions)
+    {
+        if (!holds(condition))
+            return false;
+    }
+    for (const Change& change : transaction.changes)
+    {
+        if (change.lease != 0 && m_leases.count(change.lease) == 0)
+            return false;
+    }
     revision = ++m_revision;
-    StoredKey& content = m_keys[key];
-    content.created = present == 0 ? revision : content.created;
-    content.value = value;
-    content.modified = revision;
-    content.lease = lease;
-    m_history.push_back({revision, key, content, false});
+    for (const Change& change : transaction.changes)
+        apply(change);
     m_changed.notify_all();
     return true;
 }
 
+////////////////////////////////////////////////////////////
+bool KeyValueStandIn::holds(const Condition& condition) const
+{
+    const auto found = m_keys.find(condition.key);
+    const bool exists = found != m_keys.end();
+    if (condition.modified && *condition.modified != (exists ? found->second.modified : 0))
+        return false;
+    return !condition.value || (exists && found->second.value == *condition.value);
+}
+
+////////////////////////////////////////////////////////////
+void KeyValueStandIn::apply(const Change& change)
+{
+    if (!change.value)
+    {
+        m_keys.erase(change.key);
+        m_history.push_back({m_revision, change.key, {}, true});
+        return;
+    }
+    StoredKey& content = m_keys[change.key];
+    content.created = content.created == 0 ? m_revision : content.created;
+    content.value = *change.value;
+    content.modified = m_revision;
+    content.lease = change.lease;
+    m_history.push_back({m_revision, change.key, content, false});
+}
+
 ////////////////////////////////////////////////////////////
 std::int64_t KeyValueStandIn::grant(std::int64_t seconds)
 {
--- a/test/standins/KeyValueStandIn.hpp
+++ b/test/standins/KeyValueStandIn.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,35 @@
     bool         deleted{false}; //!< The key was removed
 };
 
+////////////////////////////////////////////////////////////
+/// \brief A condition of a transaction
+////////////////////////////////////////////////////////////
+struct Condition
+{
+    std::string                 key;      //!< Key
+    std::optional<std::int64_t> modified; //!< Revision it must have; 0 means that it must not exist
+    std::optional<std::string>  value;    //!< Value it must hold
+};
+
+////////////////////////////////////////////////////////////
+/// \brief A change of a transaction
+////////////////////////////////////////////////////////////
+struct Change
+{
+    std::string                key;      //!< Key
+    std::optional<std::string> value;    //!< New value; removed when there is none
+    std::int64_t               lease{0}; //!< Lease that it ends with
+};
+
+////////////////////////////////////////////////////////////
+/// \brief Conditions and the changes under them
+////////////////////////////////////////////////////////////
+struct Transaction
+{
+    std::vector<Condition> conditions; //!< All must hold
+    std::vector<Change>    changes;    //!< Made at one revision
+};
+
 ////////////////////////////////////////////////////////////
 /// \brief In-memory key-value store with revisions, leases and a history to watch
 ///
@@ -47,12 +77,11 @@
                                                          std::int64_t& revision);
 
     ////////////////////////////////////////////////////////////
-    /// \brief Put if the key's revision is as expected (0: it does not exist)
+    /// \brief Make all changes if all conditions hold, or none
     ///
-    /// \return Whether it was put
+    /// \return Whether they were made
     ////////////////////////////////////////////////////////////
-    bool compareAndPut(const std::string& key, std::int64_t expected, const std::string& value, std::int64_t lease,
-                       std::int64_t& revision);
+    bool transact(const Transaction& transaction, std::int64_t& revision);
 
     [[nodiscard]] std::int64_t grant(std::int64_t seconds); //!< New lease
     [[nodiscard]] std::int64_t renew(std::int64_t lease);   //!< Seconds granted; 0 when it is gone
@@ -73,7 +102,9 @@
         Clock::time_point until;      //!< End
     };
 
-    void expire();
+    void               expire();
+    [[nodiscard]] bool holds(const Condition& condition) const;
+    void               apply(const Change& change);
 
     std::mutex                       m_mutex;          //!< Guards what follows
     std::condition_variable          m_changed;        //!< Signals a change
--- a/test/standins/PlatformStandIn.cpp
+++ b/test/standins/PlatformStandIn.cpp
@@ -94,16 +94,33 @@
     ////////////////////////////////////////////////////////////
     json txn(const json& body)
     {
-        const json&  compare = body["compare"][0];
-        const json&  put = body["success"][0]["requestPut"];
+        Transaction transaction;
+        for (const json& compare : body.value("compare", json::array()))
+        {
+            Condition condition{decode(compare, "key"), {}, {}};
+            if (compare.value("target", std::string()) == "VALUE")
+                condition.value = decode(compare, "value");
+            else
+                condition.modified = number(compare, "mod_revision");
+            transaction.conditions.push_back(std::move(condition));
+        }
+        for (const json& operation : body.value("success", json::array()))
+        {
+            if (operation.contains("requestPut"))
+            {
+                const json& put = operation["requestPut"];
+                transaction.changes.push_back({decode(put, "key"), decode(put, "value"), number(put, "lease")});
+            }
+            else
+            {
+                transaction.changes.push_back({decode(operation["requestDeleteRange"], "key"), {}, 0});
+            }
+        }
         std::int64_t revision = 0;
-        const bool   done = store.compareAndPut(decode(compare, "key"), number(compare, "mod_revision"),
-                                                decode(put, "value"), number(put, "lease"), revision);
+        const bool   done = store.transact(transaction, revision);
         json         responses = json::array();
-        if (done)
-            responses.push_back({{"response_put", json::object()}});
-        else
-            responses.push_back({{"response_range", range(body["failure"][0]["requestRange"])}});
+        for (const json& operation : done ? json::array() : body.value("failure", json::array()))
+            responses.push_back({{"response_range", range(operation["requestRange"])}});
         return {{"header", header(revision)}, {"succeeded", done}, {"responses", responses}};
     }
 
--- a/test/support/FakeStore.hpp
+++ b/test/support/FakeStore.hpp
@@ -69,12 +69,7 @@
     {
         if (const auto hook = std::exchange(beforeWrite, nullptr))
             hook();
-        WriteFault fault = down ? WriteFault::Refused : WriteFault::None;
-        if (!faults.empty())
-        {
-            fault = faults.front();
-            faults.pop_front();
-        }
+        const WriteFault   fault = nextFault();
         ports::WriteAnswer answer;
         if (fault == WriteFault::Refused)
             return answer;
@@ -85,6 +80,43 @@
         return answer;
     }
 
+    [[nodiscard]] ports::CreateAnswer createAll(std::span<const ports::ConditionalWrite> writes) override
+    {
+        if (const auto hook = std::exchange(beforeWrite, nullptr))
+            hook();
+        const WriteFault    fault = nextFault();
+        ports::CreateAnswer answer;
+        if (fault == WriteFault::Refused)
+            return answer;
+        answer.status = ports::StoreStatus::Ok;
+        for (const ports::ConditionalWrite& write : writes)
+        {
+            if (const auto found = m_items.find(write.key); found != m_items.end())
+                answer.existing.push_back(found->second);
+        }
+        if (!answer.existing.empty())
+            answer.status = ports::StoreStatus::Conflict;
+        else if (fault != WriteFault::LostCall)
+        {
+            for (const ports::ConditionalWrite& write : writes)
+                m_items[write.key] = {write.key, write.value, ++m_revision};
+        }
+        if (fault != WriteFault::None)
+            answer = {ports::StoreStatus::Unknown, {}};
+        return answer;
+    }
+
+    [[nodiscard]] ports::StoreStatus removeIf(std::string_view key, std::string_view value) override
+    {
+        if (down)
+            return ports::StoreStatus::Unavailable;
+        const auto found = m_items.find(std::string(key));
+        if (found == m_items.end() || found->second.value != value)
+            return ports::StoreStatus::Conflict;
+        m_items.erase(found);
+        return ports::StoreStatus::Ok;
+    }
+
     [[nodiscard]] ports::LeaseGrant grant(core::Duration length) override
     {
         return {down ? ports::StoreStatus::Unavailable : ports::StoreStatus::Ok, 1, length};
@@ -116,6 +148,17 @@
     }
 
 private:
+    WriteFault nextFault()
+    {
+        WriteFault fault = down ? WriteFault::Refused : WriteFault::None;
+        if (!faults.empty())
+        {
+            fault = faults.front();
+            faults.pop_front();
+        }
+        return fault;
+    }
+
     ports::WriteAnswer swap(const ports::ConditionalWrite& write)
     {
         ports::WriteAnswer answer;
