--- a/src/sailpath/entry/Attempt.cpp
+++ b/src/sailpath/entry/Attempt.cpp
@@ -65,6 +65,9 @@
 {
     if (m_keepBack && !m_caller.answer.begun())
     {
+        // Retries were made as far as the budget allows; a layer above must not multiply them.
+        if (!m_outcome.retryForbidden)
+            m_head.headers.push_back({std::string(headerRetry), "never"});
         m_caller.answer.begin(m_head);
         (void)m_caller.answer.body(m_kept);
     }
--- a/test/entry/Proxy.test.cpp
+++ b/test/entry/Proxy.test.cpp
@@ -468,4 +468,15 @@
     }
 }
 
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aFailureThatIsPassedOnForbidsRetriesAbove)
+{
+    const BackendStandIn bad("s", 0, {.reject = true});
+    serve({bad.port()});
+    const auto answer = client().Get("/a");
+    BOOST_REQUIRE(answer);
+    BOOST_TEST(answer->status == 500);
+    BOOST_TEST(answer->get_header_value("Sailpath-Retry") == "never");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/standins/BackendStandIn.cpp
+++ b/test/standins/BackendStandIn.cpp
@@ -12,6 +12,8 @@
 #include <mutex>
 #include <optional>
 #include <thread>
+#include <utility>
+#include <vector>
 
 namespace sailpath::standins
 {
@@ -88,6 +90,7 @@
         ++executed;
         if (request.has_header("Operation"))
             ++byOperation[request.get_header_value("Operation")];
+        history.push_back({request.get_header_value("X-Request-Id"), request.get_header_value("Operation")});
         lastHeaders = request.headers;
     }
 
@@ -173,6 +176,7 @@
     unsigned                                            present{0};  //!< Requests in slots and waiting
     std::uint64_t                                       executed{0}; //!< Requests run
     std::map<std::string, std::uint64_t>                byOperation; //!< Requests run by `Operation` header
+    std::vector<std::pair<std::string, std::string>>    history;     //!< Attempt id and operation of each request run
     httplib::Headers                                    lastHeaders; //!< Of the last request
     std::atomic<std::uint64_t>                          gone{0};     //!< Callers that left
     std::optional<adapters::logging::Log4cplusEventLog> log;         //!< Events
@@ -196,6 +200,15 @@
     impl.server.Get("/load", [&impl](const httplib::Request&, httplib::Response& response) { impl.addLoad(response); });
     impl.server.Get("/count", [&impl](const httplib::Request&, httplib::Response& response)
                     { response.set_content(std::to_string(impl.executed), "text/plain"); });
+    impl.server.Get("/history",
+                    [&impl](const httplib::Request&, httplib::Response& response)
+                    {
+                        const std::lock_guard<std::mutex> lock(impl.mutex);
+                        json                              items = json::array();
+                        for (const auto& [attempt, operation] : impl.history)
+                            items.push_back({{"attempt", attempt}, {"operation", operation}});
+                        response.set_content(items.dump(), "application/json");
+                    });
     impl.server.Post("/behaviour", [&impl, this](const httplib::Request& request, httplib::Response&)
                      { behave(fromJson(json::parse(request.body), impl.current())); });
     const auto serve = [&impl](const httplib::Request& request, httplib::Response& response)
