--- a/include/sailpath/timeline/Renderer.hpp
+++ b/include/sailpath/timeline/Renderer.hpp
@@ -30,7 +30,15 @@
 [[nodiscard]] std::string renderHtml(std::span<const Event> events);
 
 ////////////////////////////////////////////////////////////
-/// \brief The renderer of a format: `text`, `jsonl` or `html`
+/// \brief The requests as arrivals of a trace for sailpath-replay
+///
+/// A request's work is the time that a server logged for it; requests that no
+/// server logged are left out. A setup line is to be put in front.
+////////////////////////////////////////////////////////////
+[[nodiscard]] std::string renderTrace(std::span<const Event> events);
+
+////////////////////////////////////////////////////////////
+/// \brief The renderer of a format: `text`, `jsonl`, `html` or `trace`
 ////////////////////////////////////////////////////////////
 [[nodiscard]] std::optional<Renderer> rendererNamed(std::string_view format);
 
--- a/src/programs/Timeline.cpp
+++ b/src/programs/Timeline.cpp
@@ -15,7 +15,7 @@
 using adapters::settings::OptionKind;
 
 constexpr std::array options{
-    Option{"format", OptionKind::Name, "text", "text, jsonl or html"},
+    Option{"format", OptionKind::Name, "text", "text, jsonl, html or trace"},
     Option{"corrections", OptionKind::Switch, "false", "print the clock corrections to standard error"}};
 
 constexpr adapters::settings::Program program{"sailpath-timeline", "Merges event logs into one time line.", "LOG...",
@@ -51,7 +51,7 @@
     const auto render = timeline::rendererNamed(started->settings.text("format"));
     if (!render)
     {
-        std::cerr << "--format: expected text, jsonl or html\n";
+        std::cerr << "--format: expected text, jsonl, html or trace\n";
         return adapters::settings::ExitUsage;
     }
     std::vector<timeline::Event> events;
--- a/src/sailpath/entry/Proxy.cpp
+++ b/src/sailpath/entry/Proxy.cpp
@@ -178,7 +178,11 @@
     const auto        host = config::parseHost(caller.head.header("Host"));
     if (m_log.writes(ports::Level::Debug))
         m_log.write(ports::Level::Debug, "request-received",
-                    {{"request", id}, {"in", id}, {"host", caller.head.header("Host")}, {"path", caller.head.path}});
+                    {{"request", id},
+                     {"in", id},
+                     {"method", caller.head.method},
+                     {"host", caller.head.header("Host")},
+                     {"path", caller.head.path}});
 
     std::string body;
     if (isSmallBody(caller.head) && !readSmallBody(caller, body))
--- a/src/sailpath/timeline/Renderer.cpp
+++ b/src/sailpath/timeline/Renderer.cpp
@@ -4,12 +4,18 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
 #include <set>
 
 namespace sailpath::timeline
 {
 namespace
 {
+constexpr double           microsPerMillisecond = 1000;
+constexpr std::string_view answerSuffix = ".answer";
+
 constexpr std::string_view pageHead = R"(<!DOCTYPE html>
 <html lang="en"><head><meta charset="utf-8"><title>sailpath time line</title><style>
 body{font:13px sans-serif;margin:1em}table{border-collapse:collapse;width:100%}
@@ -65,6 +71,36 @@
     return text;
 }
 
+////////////////////////////////////////////////////////////
+/// \brief The request of an attempt: its id without the attempt's number
+////////////////////////////////////////////////////////////
+std::string requestOf(std::string_view attempt)
+{
+    return std::string(attempt.substr(0, attempt.rfind('.')));
+}
+
+////////////////////////////////////////////////////////////
+/// \brief Microseconds that servers logged between receiving and answering, by request
+////////////////////////////////////////////////////////////
+std::map<std::string, std::int64_t> workByRequest(std::span<const Event> events)
+{
+    std::map<std::string, std::int64_t> received;
+    std::map<std::string, std::int64_t> work;
+    for (const Event& event : events)
+    {
+        if (event.name == "server-received")
+            received[requestOf(event.field("in"))] = event.micros;
+        if (event.name != "server-answered")
+            continue;
+        std::string_view attempt = event.field("out");
+        attempt.remove_suffix(std::min(attempt.size(), answerSuffix.size()));
+        const std::string request = requestOf(attempt);
+        if (const auto found = received.find(request); found != received.end())
+            work[request] = event.micros - found->second;
+    }
+    return work;
+}
+
 } // namespace
 
 ////////////////////////////////////////////////////////////
@@ -117,6 +153,27 @@
     return page;
 }
 
+////////////////////////////////////////////////////////////
+std::string renderTrace(std::span<const Event> events)
+{
+    const std::map<std::string, std::int64_t> work = workByRequest(events);
+    std::string                               text;
+    std::optional<std::int64_t>               first;
+    for (const Event& event : events)
+    {
+        const auto found = work.find(std::string(event.field("request")));
+        if (event.name != "request-received" || found == work.end())
+            continue;
+        first = first.value_or(event.micros);
+        const nlohmann::json arrival{
+            {"type", "arrival"},           {"atMs", static_cast<double>(event.micros - *first) / microsPerMillisecond},
+            {"host", event.field("host")}, {"method", event.field("method")},
+            {"path", event.field("path")}, {"workMs", static_cast<double>(found->second) / microsPerMillisecond}};
+        text += arrival.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    }
+    return text;
+}
+
 ////////////////////////////////////////////////////////////
 std::optional<Renderer> rendererNamed(std::string_view format)
 {
@@ -126,7 +183,7 @@
         Renderer         renderer; //!< Writes it
     };
     static constexpr std::array renderers{Named{"text", renderText}, Named{"jsonl", renderJsonLines},
-                                          Named{"html", renderHtml}};
+                                          Named{"html", renderHtml}, Named{"trace", renderTrace}};
     const auto                  found =
         std::find_if(renderers.begin(), renderers.end(), [format](const Named& named) { return named.name == format; });
     if (found == renderers.end())
--- a/test/timeline/Timeline.test.cpp
+++ b/test/timeline/Timeline.test.cpp
@@ -56,4 +56,19 @@
     BOOST_TEST(renderText(events) == "2026-12-02T10:00:00.000000Z a x path=<script>\n");
 }
 
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(requestsBecomeArrivalsOfATrace)
+{
+    const std::vector<Event> events{
+        event("time=2026-12-02T10:00:00.000000Z node=vm event=request-received request=r.a in=r.a method=GET host=s.w "
+              "path=/x"),
+        event("time=2026-12-02T10:00:00.001000Z node=s event=server-received in=r.a.1"),
+        event("time=2026-12-02T10:00:00.003500Z node=s event=server-answered out=r.a.1.answer"),
+        event("time=2026-12-02T10:00:00.004000Z node=vm event=request-received request=lost in=lost method=GET "
+              "host=s.w path=/y")};
+    const std::string trace = renderTrace(events);
+    BOOST_TEST(trace.find("\"workMs\":2.5") != std::string::npos);
+    BOOST_TEST(trace.find("/y") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
