One way to run a program; the control thread split

Cause: mains, signal handling and settings stood several times (duplicates), and ControlThread held lease and probe details. Now settings::runProgram, adapters/process, control::ProbingLease and control::ServerProbe.

--- a/src/programs/StopSignals.hpp
+++ b/include/sailpath/adapters/process/StopSignals.hpp
@@ -4,7 +4,7 @@
 
 #include <csignal>
 
-namespace sailpath::programs
+namespace sailpath::adapters::process
 {
 ////////////////////////////////////////////////////////////
 /// \brief The signals that stop a program, to be waited for
@@ -24,8 +24,13 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] bool wait(core::Duration longest) const;
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Wait for one, however long it takes
+    ////////////////////////////////////////////////////////////
+    void wait() const;
+
 private:
     sigset_t m_signals{}; //!< SIGTERM and SIGINT
 };
 
-} // namespace sailpath::programs
+} // namespace sailpath::adapters::process
--- a/include/sailpath/adapters/settings/SettingsReader.hpp
+++ b/include/sailpath/adapters/settings/SettingsReader.hpp
@@ -70,4 +70,14 @@
 ////////////////////////////////////////////////////////////
 [[nodiscard]] std::optional<ReadSettings> startProgram(const Program& program, int argc, char** argv, int& exitCode);
 
+////////////////////////////////////////////////////////////
+/// \brief The whole of a `main`: read settings, run, report what is thrown
+///
+/// \param program The program
+/// \param argc    As given to `main`
+/// \param argv    As given to `main`
+/// \param run     The program's work; returns the exit code
+////////////////////////////////////////////////////////////
+[[nodiscard]] int runProgram(const Program& program, int argc, char** argv, int (*run)(const ReadSettings&));
+
 } // namespace sailpath::adapters::settings
--- a/include/sailpath/control/ControlThread.hpp
+++ b/include/sailpath/control/ControlThread.hpp
@@ -3,6 +3,7 @@
 #include <sailpath/adapters/http/BackendClient.hpp>
 #include <sailpath/adapters/peers/PeerEvents.hpp>
 #include <sailpath/adapters/peers/PeerLoop.hpp>
+#include <sailpath/control/ProbingLease.hpp>
 #include <sailpath/control/TaskThread.hpp>
 #include <sailpath/entry/DispatcherDoor.hpp>
 #include <sailpath/node/Controller.hpp>
@@ -111,9 +112,7 @@
     void perform(const node::RejectedDocument& action);
     void perform(const node::HearReport& action);
 
-    [[nodiscard]] node::LeaseAnswer  acquire(const node::AcquireLease& action);
-    [[nodiscard]] node::ServerReport probe(const node::Target& target, bool& answered);
-    void                             onLoop(const std::function<void()>& work);
+    void onLoop(const std::function<void()>& work);
 
     node::ControllerSettings        m_settings;       //!< Of the control logic
     ControlPorts                    m_ports;          //!< What it works with
@@ -121,6 +120,7 @@
     node::ControlActions            m_actions;        //!< Actions to carry out
     std::vector<node::ServerReport> m_news;           //!< Reused by each tick
     adapters::peers::PeerLoop       m_loop;           //!< The thread's loop
+    ProbingLease                    m_lease;          //!< The right to probe; used by the store's thread
     std::atomic<std::uint64_t>      m_watchNumber{0}; //!< Which watch is wanted; 0 for none
     std::uint64_t                   m_watches{0};     //!< Watches started
     std::uint64_t                   m_probes{0};      //!< Probes sent
--- a/src/programs/Api.cpp
+++ b/src/programs/Api.cpp
@@ -1,13 +1,12 @@
 // sailpath-api: the operators' resource interface.
 
 #include "ApiServer.hpp"
-#include "StopSignals.hpp"
 
 #include <sailpath/adapters/logging/Log4cplusEventLog.hpp>
+#include <sailpath/adapters/process/StopSignals.hpp>
 #include <sailpath/adapters/settings/SettingsReader.hpp>
 
 #include <array>
-#include <iostream>
 
 namespace
 {
@@ -29,9 +28,10 @@
 constexpr adapters::settings::Program program{"sailpath-api", "The operators' resource interface.", "", options};
 
 ////////////////////////////////////////////////////////////
-int run(const adapters::settings::Settings& settings)
+int run(const adapters::settings::ReadSettings& started)
 {
-    const programs::StopSignals          signals;
+    const adapters::settings::Settings&  settings = started.settings;
+    const adapters::process::StopSignals signals;
     adapters::logging::Log4cplusEventLog log(settings.text("name"), settings.text("log-file"),
                                              settings.text("log-level"));
     programs::ApiSettings                api;
@@ -42,9 +42,7 @@
 
     const programs::ApiServer server(api, log);
     log.write(ports::Level::Info, "started", {{"port", server.port()}});
-    while (!signals.wait(std::chrono::hours{1}))
-    {
-    }
+    signals.wait();
     log.write(ports::Level::Info, "stopped", {});
     return adapters::settings::ExitOk;
 }
@@ -54,17 +52,5 @@
 ////////////////////////////////////////////////////////////
 int main(int argc, char** argv)
 {
-    int        code = 0;
-    const auto started = adapters::settings::startProgram(program, argc, argv, code);
-    if (!started)
-        return code;
-    try
-    {
-        return run(started->settings);
-    }
-    catch (const std::exception& error)
-    {
-        std::cerr << "sailpath-api: " << error.what() << "\n";
-        return adapters::settings::ExitFailed;
-    }
+    return adapters::settings::runProgram(program, argc, argv, run);
 }
--- a/src/programs/Ctl.cpp
+++ b/src/programs/Ctl.cpp
@@ -308,27 +308,21 @@
     httplib::Client              m_client;   //!< Connection to the interface
 };
 
-} // namespace
-
 ////////////////////////////////////////////////////////////
-int main(int argc, char** argv)
+int run(const adapters::settings::ReadSettings& started)
 {
-    int        code = 0;
-    const auto started = adapters::settings::startProgram(program, argc, argv, code);
-    if (!started)
-        return code;
-    if (started->operands.empty())
+    if (started.operands.empty())
     {
         std::cerr << "sailctl: expected a command; see --help\n";
         return ExitCode::ExitUsage;
     }
-    try
-    {
-        return Ctl(started->settings, started->operands).run();
-    }
-    catch (const std::exception& error)
-    {
-        std::cerr << "sailctl: " << error.what() << "\n";
-        return ExitCode::ExitFailed;
-    }
+    return Ctl(started.settings, started.operands).run();
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+int main(int argc, char** argv)
+{
+    return adapters::settings::runProgram(program, argc, argv, run);
 }
--- a/src/programs/Entry.cpp
+++ b/src/programs/Entry.cpp
@@ -1,10 +1,10 @@
 // sailpath-entry: takes callers' requests, decides, forwards.
 
 #include "EntryStatus.hpp"
-#include "StopSignals.hpp"
 
 #include <sailpath/adapters/logging/Log4cplusEventLog.hpp>
 #include <sailpath/adapters/platform/HttpVmList.hpp>
+#include <sailpath/adapters/process/StopSignals.hpp>
 #include <sailpath/adapters/settings/SettingsReader.hpp>
 #include <sailpath/adapters/store/EtcdStore.hpp>
 #include <sailpath/control/ControlThread.hpp>
@@ -12,7 +12,6 @@
 #include <sailpath/entry/SteadyClock.hpp>
 
 #include <array>
-#include <iostream>
 #include <random>
 #include <thread>
 
@@ -137,9 +136,10 @@
 }
 
 ////////////////////////////////////////////////////////////
-int run(const Settings& settings)
+int run(const adapters::settings::ReadSettings& started)
 {
-    const programs::StopSignals          signals;
+    const Settings&                      settings = started.settings;
+    const adapters::process::StopSignals signals;
     const std::string&                   name = settings.text("name");
     adapters::logging::Log4cplusEventLog log(name, settings.text("log-file"), settings.text("log-level"));
 
@@ -198,17 +198,5 @@
 ////////////////////////////////////////////////////////////
 int main(int argc, char** argv)
 {
-    int        code = 0;
-    const auto started = adapters::settings::startProgram(program, argc, argv, code);
-    if (!started)
-        return code;
-    try
-    {
-        return run(started->settings);
-    }
-    catch (const std::exception& error)
-    {
-        std::cerr << "sailpath-entry: " << error.what() << "\n";
-        return adapters::settings::ExitFailed;
-    }
+    return adapters::settings::runProgram(program, argc, argv, run);
 }
--- a/src/programs/Load.cpp
+++ b/src/programs/Load.cpp
@@ -153,16 +153,10 @@
               << "\n";
 }
 
-} // namespace
-
 ////////////////////////////////////////////////////////////
-int main(int argc, char** argv)
+int run(const adapters::settings::ReadSettings& started)
 {
-    int        code = 0;
-    const auto started = adapters::settings::startProgram(program, argc, argv, code);
-    if (!started)
-        return code;
-    const Settings&          settings = started->settings;
+    const Settings&          settings = started.settings;
     Results                  results;
     std::vector<std::thread> threads;
     const auto               start = Clock::now() + std::chrono::milliseconds{100};
@@ -173,3 +167,11 @@
     report(settings, results);
     return results.crossed == 0 ? adapters::settings::ExitOk : adapters::settings::ExitFailed;
 }
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+int main(int argc, char** argv)
+{
+    return adapters::settings::runProgram(program, argc, argv, run);
+}
--- a/src/programs/Replay.cpp
+++ b/src/programs/Replay.cpp
@@ -89,18 +89,20 @@
     return missed;
 }
 
-} // namespace
-
 ////////////////////////////////////////////////////////////
-int main(int argc, char** argv)
+int run(const adapters::settings::ReadSettings& started)
 {
-    int        code = 0;
-    const auto started = adapters::settings::startProgram(program, argc, argv, code);
-    if (!started)
-        return code;
     std::size_t missed = 0;
-    for (const std::string& path : started->operands)
-        missed += runTrace(path, started->settings);
+    for (const std::string& path : started.operands)
+        missed += runTrace(path, started.settings);
     std::printf("%zu stated outcomes missed\n", missed);
     return missed == 0 ? adapters::settings::ExitOk : adapters::settings::ExitFailed;
 }
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+int main(int argc, char** argv)
+{
+    return adapters::settings::runProgram(program, argc, argv, run);
+}
--- a/src/programs/Timeline.cpp
+++ b/src/programs/Timeline.cpp
@@ -39,16 +39,10 @@
     return true;
 }
 
-} // namespace
-
 ////////////////////////////////////////////////////////////
-int main(int argc, char** argv)
+int run(const adapters::settings::ReadSettings& started)
 {
-    int        code = 0;
-    const auto started = adapters::settings::startProgram(program, argc, argv, code);
-    if (!started)
-        return code;
-    const auto render = timeline::rendererNamed(started->settings.text("format"));
+    const auto render = timeline::rendererNamed(started.settings.text("format"));
     if (!render)
     {
         std::cerr << "--format: expected text, jsonl, html or trace\n";
@@ -56,7 +50,7 @@
     }
     std::vector<timeline::Event> events;
     std::size_t                  skipped = 0;
-    for (const std::string& path : started->operands)
+    for (const std::string& path : started.operands)
     {
         if (!readLog(path, events, skipped))
         {
@@ -69,10 +63,18 @@
     std::cout << (*render)(events);
     if (skipped > 0)
         std::cerr << skipped << " lines are no events and were left out\n";
-    if (started->settings.isOn("corrections"))
+    if (started.settings.isOn("corrections"))
     {
         for (const auto& [node, micros] : corrections)
             std::cerr << node << " +" << micros << " us\n";
     }
     return adapters::settings::ExitOk;
 }
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+int main(int argc, char** argv)
+{
+    return adapters::settings::runProgram(program, argc, argv, run);
+}
--- a/src/programs/StopSignals.cpp
+++ b/src/sailpath/adapters/process/StopSignals.cpp
@@ -1,6 +1,6 @@
-#include "StopSignals.hpp"
+#include <sailpath/adapters/process/StopSignals.hpp>
 
-namespace sailpath::programs
+namespace sailpath::adapters::process
 {
 ////////////////////////////////////////////////////////////
 StopSignals::StopSignals()
@@ -19,4 +19,11 @@
     return sigtimedwait(&m_signals, nullptr, &limit) > 0;
 }
 
-} // namespace sailpath::programs
+////////////////////////////////////////////////////////////
+void StopSignals::wait() const
+{
+    int signal = 0;
+    (void)sigwait(&m_signals, &signal);
+}
+
+} // namespace sailpath::adapters::process
--- a/src/sailpath/adapters/settings/SettingsReader.cpp
+++ b/src/sailpath/adapters/settings/SettingsReader.cpp
@@ -298,4 +298,22 @@
     return std::nullopt;
 }
 
+////////////////////////////////////////////////////////////
+int runProgram(const Program& program, int argc, char** argv, int (*run)(const ReadSettings&))
+{
+    int        code = 0;
+    const auto started = startProgram(program, argc, argv, code);
+    if (!started)
+        return code;
+    try
+    {
+        return run(*started);
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << program.name << ": " << error.what() << "\n";
+        return ExitFailed;
+    }
+}
+
 } // namespace sailpath::adapters::settings
--- a/src/sailpath/control/ControlThread.cpp
+++ b/src/sailpath/control/ControlThread.cpp
@@ -1,24 +1,20 @@
 #include <sailpath/control/ControlThread.hpp>
 
+#include <sailpath/control/ServerProbe.hpp>
 #include <sailpath/documents/StoreKeys.hpp>
-#include <sailpath/entry/HeaderNames.hpp>
 #include <sailpath/entry/SteadyClock.hpp>
 
 #include <algorithm>
-#include <charconv>
 
 namespace sailpath::control
 {
 namespace
 {
 using documents::configurationPrefix;
-using documents::proberPrefix;
 using documents::toDocument;
 using entry::steadyNow;
 using ports::Level;
 
-constexpr core::Duration probeTime = std::chrono::milliseconds{500};
-
 ////////////////////////////////////////////////////////////
 std::vector<state::Document> toDocuments(std::span<const ports::KeyValue> items)
 {
@@ -31,20 +27,6 @@
     return documents;
 }
 
-////////////////////////////////////////////////////////////
-node::LeaseResult resultOf(ports::StoreStatus status)
-{
-    switch (status)
-    {
-    case ports::StoreStatus::Ok:
-        return node::LeaseResult::Held;
-    case ports::StoreStatus::Conflict:
-        return node::LeaseResult::Gone;
-    default:
-        return node::LeaseResult::Failed;
-    }
-}
-
 } // namespace
 
 ////////////////////////////////////////////////////////////
@@ -53,7 +35,8 @@
 m_settings(settings),
 m_ports(ports),
 m_controller(std::move(settings), steadyNow()),
-m_loop(std::move(peers), *this)
+m_loop(std::move(peers), *this),
+m_lease(ports.store, m_settings)
 {
     m_thread = std::thread(
         [this]
@@ -273,7 +256,8 @@
     m_storeThread.post(
         [this, action]
         {
-            const node::LeaseAnswer answer = acquire(action);
+            m_storeCalls += 2;
+            const node::LeaseAnswer answer = m_lease.acquire(action);
             onLoop(
                 [this, &answer]
                 {
@@ -290,14 +274,8 @@
     m_storeThread.post(
         [this, lease = action.lease]
         {
-            node::LeaseAnswer answer;
-            answer.renewal = true;
-            answer.sentAt = steadyNow();
             ++m_storeCalls;
-            const ports::LeaseGrant grant = m_ports.store.renew(lease);
-            answer.result = resultOf(grant.status);
-            answer.lease = lease;
-            answer.length = grant.length;
+            const node::LeaseAnswer answer = m_lease.renew(lease);
             onLoop(
                 [this, &answer]
                 {
@@ -327,10 +305,8 @@
     m_probeThread.post(
         [this, target = action.target]
         {
-            bool                     answered = false;
-            const node::ServerReport report = probe(*target, answered);
-            if (answered)
-                onLoop([this, &report] { m_controller.probed(report, steadyNow(), m_actions); });
+            if (const auto report = probeServer(m_ports.client, *target))
+                onLoop([this, &report] { m_controller.probed(*report, steadyNow(), m_actions); });
         });
 }
 
@@ -371,66 +347,6 @@
         });
 }
 
-////////////////////////////////////////////////////////////
-node::LeaseAnswer ControlThread::acquire(const node::AcquireLease& action)
-{
-    node::LeaseAnswer answer;
-    answer.group = action.group;
-    answer.lease = action.lease;
-    answer.length = m_settings.leaseLength;
-    answer.sentAt = steadyNow();
-    ++m_storeCalls;
-    const ports::LeaseGrant grant =
-        action.lease == 0 ? m_ports.store.grant(m_settings.leaseLength) : m_ports.store.renew(action.lease);
-    answer.result = resultOf(grant.status);
-    if (answer.result != node::LeaseResult::Held)
-        return answer;
-    answer.lease = grant.lease;
-    answer.length = grant.length;
-
-    const std::string key = std::string(proberPrefix) + std::to_string(action.group);
-    ++m_storeCalls;
-    const ports::WriteAnswer write = m_ports.store.compareAndSwap({key, m_settings.self.name, 0, answer.lease});
-    if (write.status == ports::StoreStatus::Conflict)
-        answer.result = node::LeaseResult::TakenByOther;
-    else if (write.status != ports::StoreStatus::Ok)
-        answer.result = node::LeaseResult::Failed;
-    return answer;
-}
-
-////////////////////////////////////////////////////////////
-node::ServerReport ControlThread::probe(const node::Target& target, bool& answered)
-{
-    node::ServerReport report;
-    report.workspace = target.workspace;
-    report.service = target.service;
-    report.server = target.server;
-
-    adapters::http::ServerRequest request;
-    request.method = "GET";
-    request.target = target.probePath;
-    request.headers.push_back({"Host", target.service + "." + target.workspace});
-    request.deadline = std::chrono::steady_clock::now() + probeTime;
-    const adapters::http::AnswerSink sink{
-        [&](const adapters::http::AnswerHead& head)
-        {
-            for (const adapters::http::Header& header : head.headers)
-            {
-                const char* const begin = header.value.data();
-                if (adapters::http::sameName(header.name, entry::headerLoad))
-                    answered =
-                        std::from_chars(begin, begin + header.value.size(), report.load.inFlight).ec == std::errc{};
-                if (adapters::http::sameName(header.name, entry::headerDraining))
-                    report.draining = header.value == "true";
-            }
-            return true;
-        },
-        [](std::string_view) { return true; }};
-    adapters::http::Cancellation cancellation;
-    (void)m_ports.client.exchange(target.address, target.port, request, sink, cancellation);
-    return report;
-}
-
 ////////////////////////////////////////////////////////////
 void ControlThread::onLoop(const std::function<void()>& work)
 {
--- a/test/bench/Capacity.cpp
+++ b/test/bench/Capacity.cpp
@@ -197,17 +197,11 @@
     std::printf("  fit: %.0f ns + %.1f ns x servers (largest distance %.0f)\n", fit.intercept, fit.slope, fit.error);
 }
 
-} // namespace
-
 ////////////////////////////////////////////////////////////
-int main(int argc, char** argv)
+int run(const adapters::settings::ReadSettings& started)
 {
-    int        code = 0;
-    const auto started = adapters::settings::startProgram(program, argc, argv, code);
-    if (!started)
-        return code;
     measureDecisions();
-    const core::Duration                   length = std::chrono::seconds{started->settings.whole("seconds")};
+    const core::Duration                   length = std::chrono::seconds{started.settings.whole("seconds")};
     std::vector<std::pair<double, double>> bytes;
     std::vector<std::pair<double, double>> micros;
     std::vector<std::pair<double, double>> kilobytes;
@@ -232,3 +226,11 @@
     printFit("store calls/s", calls, target);
     return 0;
 }
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+int main(int argc, char** argv)
+{
+    return adapters::settings::runProgram(program, argc, argv, run);
+}
--- a/test/standins/BackendMain.cpp
+++ b/test/standins/BackendMain.cpp
@@ -2,10 +2,10 @@
 
 #include "BackendStandIn.hpp"
 
+#include <sailpath/adapters/process/StopSignals.hpp>
 #include <sailpath/adapters/settings/SettingsReader.hpp>
 
 #include <array>
-#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -24,22 +24,12 @@
 constexpr adapters::settings::Program program{"sailpath-standin-backend", "A backend server for demos and tests.", "",
                                               options};
 
-} // namespace
-
 ////////////////////////////////////////////////////////////
-int main(int argc, char** argv)
+int run(const adapters::settings::ReadSettings& started)
 {
-    int        code = 0;
-    const auto started = adapters::settings::startProgram(program, argc, argv, code);
-    if (!started)
-        return code;
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-
-    const auto&                settings = started->settings;
+    const adapters::process::StopSignals signals;
+
+    const auto&                settings = started.settings;
     standins::BackendBehaviour behaviour;
     behaviour.work = std::chrono::microseconds{settings.whole("work-us")};
     behaviour.keepAlive = std::chrono::seconds{60};
@@ -47,8 +37,15 @@
     const standins::BackendStandIn backend(settings.text("name"), static_cast<std::uint16_t>(settings.whole("port")),
                                            behaviour, settings.text("log-file"));
     std::cout << "port=" << backend.port() << std::endl;
-    int signal = 0;
-    sigwait(&signals, &signal);
+    signals.wait();
     // The library would wait for idle connections.
     std::_Exit(0);
 }
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+int main(int argc, char** argv)
+{
+    return adapters::settings::runProgram(program, argc, argv, run);
+}
--- a/test/standins/PlatformMain.cpp
+++ b/test/standins/PlatformMain.cpp
@@ -2,10 +2,10 @@
 
 #include "PlatformStandIn.hpp"
 
+#include <sailpath/adapters/process/StopSignals.hpp>
 #include <sailpath/adapters/settings/SettingsReader.hpp>
 
 #include <array>
-#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -21,26 +21,23 @@
 constexpr adapters::settings::Program program{"sailpath-standin-platform", "The platform for demos and tests.", "",
                                               options};
 
-} // namespace
-
 ////////////////////////////////////////////////////////////
-int main(int argc, char** argv)
+int run(const adapters::settings::ReadSettings& started)
 {
-    int        code = 0;
-    const auto started = adapters::settings::startProgram(program, argc, argv, code);
-    if (!started)
-        return code;
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-
-    standins::PlatformStandIn platform(static_cast<std::uint16_t>(started->settings.whole("port")));
-    platform.setVms(started->settings.text("vms"));
+    const adapters::process::StopSignals signals;
+
+    standins::PlatformStandIn platform(static_cast<std::uint16_t>(started.settings.whole("port")));
+    platform.setVms(started.settings.text("vms"));
     std::cout << "port=" << platform.port() << std::endl;
-    int signal = 0;
-    sigwait(&signals, &signal);
+    signals.wait();
     // The library would wait for idle connections.
     std::_Exit(0);
 }
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+int main(int argc, char** argv)
+{
+    return adapters::settings::runProgram(program, argc, argv, run);
+}
--- a/test/standins/SteadyMain.cpp
+++ b/test/standins/SteadyMain.cpp
@@ -4,10 +4,10 @@
 // connection is idle, which would be measured as the entry's time.
 
 #include <sailpath/adapters/http/Ingress.hpp>
+#include <sailpath/adapters/process/StopSignals.hpp>
 #include <sailpath/adapters/settings/SettingsReader.hpp>
 
 #include <array>
-#include <csignal>
 #include <thread>
 
 namespace
@@ -52,27 +52,24 @@
     std::chrono::microseconds m_work; //!< Work of a request
 };
 
-} // namespace
-
 ////////////////////////////////////////////////////////////
-int main(int argc, char** argv)
+int run(const adapters::settings::ReadSettings& started)
 {
-    int        code = 0;
-    const auto started = adapters::settings::startProgram(program, argc, argv, code);
-    if (!started)
-        return code;
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    const adapters::process::StopSignals signals;
 
-    SteadyHandler                   handler(std::chrono::microseconds{started->settings.whole("work-us")});
+    SteadyHandler                   handler(std::chrono::microseconds{started.settings.whole("work-us")});
     adapters::http::IngressSettings settings;
-    settings.listen = {"127.0.0.1", static_cast<std::uint16_t>(started->settings.whole("port"))};
+    settings.listen = {"127.0.0.1", static_cast<std::uint16_t>(started.settings.whole("port"))};
     settings.workers = 600;
     const adapters::http::Ingress ingress(settings, handler);
-    int                           signal = 0;
-    sigwait(&signals, &signal);
+    signals.wait();
     return 0;
 }
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+int main(int argc, char** argv)
+{
+    return adapters::settings::runProgram(program, argc, argv, run);
+}
--- a/test/system/ProofMain.cpp
+++ b/test/system/ProofMain.cpp
@@ -159,16 +159,10 @@
     return true;
 }
 
-} // namespace
-
 ////////////////////////////////////////////////////////////
-int main(int argc, char** argv)
+int run(const adapters::settings::ReadSettings& started)
 {
-    int        code = 0;
-    const auto started = adapters::settings::startProgram(program, argc, argv, code);
-    if (!started)
-        return code;
-    const Settings&          settings = started->settings;
+    const Settings&          settings = started.settings;
     History                  history;
     std::mutex               mutex;
     std::vector<std::thread> threads;
@@ -197,3 +191,11 @@
     std::printf("violations %zu\n", violations.size());
     return violations.empty() ? adapters::settings::ExitOk : adapters::settings::ExitFailed;
 }
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+int main(int argc, char** argv)
+{
+    return adapters::settings::runProgram(program, argc, argv, run);
+}
