--- a/include/sailpath/control/ControlThread.hpp
+++ b/include/sailpath/control/ControlThread.hpp
@@ -13,6 +13,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -41,7 +42,7 @@
     bool                            relay{false};  //!< Watches the store
     std::vector<membership::Member> members;       //!< Membership
     std::uint64_t                   probes{0};     //!< Probes sent
-    double                          probeCost{0};  //!< Server-milliseconds that they were charged
+    std::map<std::string, double>   probeCost;     //!< Server-milliseconds that they were charged, by workspace
     std::uint64_t                   storeCalls{0}; //!< Calls to the store
 };
 
@@ -124,7 +125,7 @@
     std::atomic<std::uint64_t>      m_watchNumber{0}; //!< Which watch is wanted; 0 for none
     std::uint64_t                   m_watches{0};     //!< Watches started
     std::uint64_t                   m_probes{0};      //!< Probes sent
-    double                          m_probeCost{0};   //!< Charged for them
+    std::map<std::string, double>   m_probeCost;      //!< Charged for them, by workspace
     std::atomic<std::uint64_t>      m_storeCalls{0};  //!< Calls to the store
     std::atomic<int>                m_alive{1};       //!< VMs that are alive
     std::atomic<bool>               m_ending{false};  //!< The threads are to end
--- a/src/programs/EntryStatus.cpp
+++ b/src/programs/EntryStatus.cpp
@@ -86,7 +86,12 @@
         addCounter(text, "sailpath_caller_hang_ups_total", ingress.hangUps);
         addCounter(text, "sailpath_probes_total", control.probes);
         addCounter(text, "sailpath_store_calls_total", control.storeCalls);
-        addGauge(text, "sailpath_probe_cost_milliseconds", control.probeCost);
+        text += "# TYPE sailpath_probe_cost_milliseconds_total counter\n";
+        for (const auto& [workspace, cost] : control.probeCost)
+        {
+            text.append("sailpath_probe_cost_milliseconds_total{workspace=\"").append(workspace).append("\"} ");
+            text.append(std::to_string(cost)).append("\n");
+        }
         addServices(text);
         response.set_content(text, "text/plain; version=0.0.4");
     }
--- a/src/sailpath/adapters/http/CallerStream.cpp
+++ b/src/sailpath/adapters/http/CallerStream.cpp
@@ -10,6 +10,7 @@
 namespace
 {
 constexpr std::size_t      readAhead = 16UL * 1024;
+constexpr double           slowestRate = 1024; // Bytes a second that a caller must keep up, after its first patience
 constexpr std::string_view interimAnswer = "HTTP/1.1 100";
 
 } // namespace
@@ -39,16 +40,20 @@
 {
     if (m_buffered.empty())
     {
+        if (tooSlow())
+            return -1;
         // The library reads lines byte by byte, so small reads fill the buffer.
         if (size >= readAhead)
         {
             const net::IoResult result = m_socket.read({ptr, size}, m_timeout);
+            m_received += result.bytes;
             return result.status == net::IoStatus::Done ? static_cast<ssize_t>(result.bytes) : -1;
         }
         std::array<char, readAhead> ahead{};
         const net::IoResult         result = m_socket.read(ahead, m_timeout);
         if (result.status != net::IoStatus::Done)
             return -1;
+        m_received += result.bytes;
         m_buffered.assign(ahead.data(), result.bytes);
     }
     const std::size_t count = std::min(size, m_buffered.size());
@@ -82,6 +87,14 @@
     port = 0;
 }
 
+////////////////////////////////////////////////////////////
+bool CallerStream::tooSlow() const
+{
+    // A caller that sends a byte now and then would otherwise hold a place for ever.
+    const std::chrono::duration<double> spent = std::chrono::steady_clock::now() - m_start;
+    return spent.count() > core::toSeconds(m_timeout) + static_cast<double>(m_received) / slowestRate;
+}
+
 ////////////////////////////////////////////////////////////
 int CallerStream::socket() const
 {
--- a/src/sailpath/adapters/http/CallerStream.hpp
+++ b/src/sailpath/adapters/http/CallerStream.hpp
@@ -5,6 +5,7 @@
 
 #include <httplib.h>
 
+#include <chrono>
 #include <string>
 
 namespace sailpath::adapters::http::priv
@@ -37,9 +38,13 @@
     [[nodiscard]] int  socket() const override;
 
 private:
-    const net::TcpSocket& m_socket;   //!< The connection
-    std::string&          m_buffered; //!< Bytes read ahead
-    core::Duration        m_timeout;  //!< Longest wait
+    [[nodiscard]] bool tooSlow() const;
+
+    const net::TcpSocket&                 m_socket;                                  //!< The connection
+    std::string&                          m_buffered;                                //!< Bytes read ahead
+    core::Duration                        m_timeout;                                 //!< Longest wait
+    std::size_t                           m_received{0};                             //!< Bytes read from the connection
+    std::chrono::steady_clock::time_point m_start{std::chrono::steady_clock::now()}; //!< Start of the request
 };
 
 } // namespace sailpath::adapters::http::priv
--- a/src/sailpath/adapters/http/Ingress.cpp
+++ b/src/sailpath/adapters/http/Ingress.cpp
@@ -26,6 +26,7 @@
 constexpr std::size_t      readAhead = 16UL * 1024;
 constexpr core::Duration   sweepEvery = std::chrono::milliseconds{10};
 constexpr core::Duration   lingerTime = std::chrono::milliseconds{200};
+constexpr core::Duration   longestLinger = std::chrono::seconds{1};
 constexpr std::size_t      lingerBytes = 1024UL * 1024;
 constexpr std::string_view headEnd = "\r\n\r\n";
 
@@ -314,7 +315,8 @@
     connection->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     std::array<char, readAhead> bytes{};
     std::size_t                 read = 0;
-    while (read < lingerBytes)
+    const auto                  end = Clock::now() + longestLinger;
+    while (read < lingerBytes && Clock::now() < end)
     {
         const net::IoResult result = connection->io.read(bytes, lingerTime);
         if (result.status != net::IoStatus::Done)
--- a/src/sailpath/control/ControlThread.cpp
+++ b/src/sailpath/control/ControlThread.cpp
@@ -301,7 +301,7 @@
 void ControlThread::perform(const node::SendProbe& action)
 {
     ++m_probes;
-    m_probeCost += core::toMilliseconds(action.target->probeCost);
+    m_probeCost[action.target->workspace] += core::toMilliseconds(action.target->probeCost);
     m_probeThread.post(
         [this, target = action.target]
         {
--- a/test/entry/Proxy.test.cpp
+++ b/test/entry/Proxy.test.cpp
@@ -46,6 +46,7 @@
         settings.listen = {"127.0.0.1", 0};
         settings.workers = 32;
         settings.headTime = 300ms;
+        settings.transferIdle = 1s;
         ingress.emplace(settings, proxy);
         ticker = std::thread(
             [this]
@@ -479,4 +480,28 @@
     BOOST_TEST(answer->get_header_value("Sailpath-Retry") == "never");
 }
 
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aCallerThatDribblesItsBodyIsGivenUp)
+{
+    const BackendStandIn server("s", 0, {});
+    serve({server.port()});
+    const TcpSocket socket = TcpSocket::connect("127.0.0.1", ingress->port(), 1s);
+    (void)socket.write(std::string("POST /a HTTP/1.1\r\nHost: portal.admissa\r\nContent-Length: 60000\r\n\r\n"), 1s);
+    int bytes = 0;
+    for (; bytes < 200 && socket.quiet(); ++bytes)
+    {
+        (void)socket.write(std::string("x"), 1s);
+        std::this_thread::sleep_for(50ms);
+    }
+    BOOST_TEST(bytes < 200);
+    // The place is given back although the caller goes on sending.
+    for (int i = 0; i < 100 && ingress->counters().serving > 0; ++i)
+    {
+        (void)socket.write(std::string("x"), 1s);
+        std::this_thread::sleep_for(50ms);
+    }
+    BOOST_TEST(ingress->counters().serving == 0U);
+    BOOST_TEST(server.executions() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
