Servers that come and go leave nothing behind

Cause: a server that was replaced kept its place in the pool unless it was the last, so each change of configuration could add one for ever. Now the place of an idle server that is gone is used again; a test with 500 changes holds 4 places. Also Proxy::forward split.

--- a/include/sailpath/entry/Proxy.hpp
+++ b/include/sailpath/entry/Proxy.hpp
@@ -14,6 +14,11 @@
 
 namespace sailpath::entry
 {
+namespace priv
+{
+class Attempt;
+}
+
 ////////////////////////////////////////////////////////////
 /// \brief Serves callers' requests: asks for decisions and carries them out
 ////////////////////////////////////////////////////////////
@@ -49,6 +54,9 @@
     [[nodiscard]] std::string_view forward(adapters::http::CallerRequest& caller,
                                            adapters::http::ServerRequest& request, node::Step step,
                                            const std::string& id);
+    [[nodiscard]] node::Outcome    runAttempt(adapters::http::CallerRequest& caller,
+                                              adapters::http::ServerRequest& request, const node::Step& step,
+                                              const std::string& id, priv::Attempt& attempt);
     [[nodiscard]] std::string_view refuse(adapters::http::CallerRequest& caller, const node::Refusal& refusal,
                                           const std::string& id);
     [[nodiscard]] std::optional<node::Refusal> claim(const adapters::http::RequestHead& head, const node::Step& step,
--- a/src/sailpath/entry/Proxy.cpp
+++ b/src/sailpath/entry/Proxy.cpp
@@ -155,6 +155,17 @@
     return head.framing == BodyFraming::Length && head.contentLength <= bufferedBody;
 }
 
+////////////////////////////////////////////////////////////
+/// \brief The outcome of an attempt that is not made
+////////////////////////////////////////////////////////////
+node::Outcome abandoned()
+{
+    node::Outcome outcome;
+    outcome.result = retries::AttemptResult::Abandoned;
+    outcome.retryForbidden = true;
+    return outcome;
+}
+
 } // namespace
 
 ////////////////////////////////////////////////////////////
@@ -216,7 +227,7 @@
     std::optional<HeldClaim> held;
     if (const auto refusal = claim(caller.head, step, id, held))
     {
-        (void)m_door.finish(step.ticket, {retries::AttemptResult::Abandoned, {}, false, true, false, {}});
+        (void)m_door.finish(step.ticket, abandoned());
         return refuse(caller, *refusal, id);
     }
     while (true)
@@ -224,25 +235,11 @@
         // A process that was paused may hold a claim that another has made anew since.
         if (held && steadyNow() >= held->until)
         {
-            (void)m_door.finish(step.ticket, {retries::AttemptResult::Abandoned, {}, false, true, false, {}});
+            (void)m_door.finish(step.ticket, abandoned());
             return refuse(caller, {RefusalReason::ClaimsUnavailable, retries::Ran::No, comeBackSoon}, id);
         }
-        const std::string attemptId = id + "." + std::to_string(step.attempt);
-        const auto        left = std::chrono::ceil<std::chrono::milliseconds>(step.deadline - steadyNow()).count();
-        request.headers = serverHeaders(caller, attemptId);
-        request.headers.push_back({std::string(headerDeadlineMs), std::to_string(std::max<std::int64_t>(left, 1))});
-        request.deadline = toSteady(step.deadline);
-        request.provenConnection = !step.repeatable;
-        if (m_log.writes(ports::Level::Debug))
-            m_log.write(
-                ports::Level::Debug, "attempt-sent",
-                {{"request", id}, {"out", attemptId}, {"server", step.target->server}, {"attempt", step.attempt}});
-
         priv::Attempt       attempt(caller, request, id);
-        const node::Outcome result = attempt.run(m_client, *step.target);
-        if (m_log.writes(ports::Level::Debug))
-            m_log.write(ports::Level::Debug, "attempt-ended",
-                        {{"request", id}, {"in", attemptId + ".answer"}, {"status", attempt.status()}});
+        const node::Outcome result = runAttempt(caller, request, step, id, attempt);
         step = m_door.finish(step.ticket, result);
         if (step.verdict == node::Verdict::Answer)
         {
@@ -259,6 +256,27 @@
     }
 }
 
+////////////////////////////////////////////////////////////
+node::Outcome Proxy::runAttempt(CallerRequest& caller, ServerRequest& request, const node::Step& step,
+                                const std::string& id, priv::Attempt& attempt)
+{
+    const std::string attemptId = id + "." + std::to_string(step.attempt);
+    const auto        left = std::chrono::ceil<std::chrono::milliseconds>(step.deadline - steadyNow()).count();
+    request.headers = serverHeaders(caller, attemptId);
+    request.headers.push_back({std::string(headerDeadlineMs), std::to_string(std::max<std::int64_t>(left, 1))});
+    request.deadline = toSteady(step.deadline);
+    request.provenConnection = !step.repeatable;
+    if (m_log.writes(ports::Level::Debug))
+        m_log.write(ports::Level::Debug, "attempt-sent",
+                    {{"request", id}, {"out", attemptId}, {"server", step.target->server}, {"attempt", step.attempt}});
+
+    node::Outcome outcome = attempt.run(m_client, *step.target);
+    if (m_log.writes(ports::Level::Debug))
+        m_log.write(ports::Level::Debug, "attempt-ended",
+                    {{"request", id}, {"in", attemptId + ".answer"}, {"status", attempt.status()}});
+    return outcome;
+}
+
 ////////////////////////////////////////////////////////////
 std::string_view Proxy::refuse(CallerRequest& caller, const node::Refusal& refusal, const std::string& id)
 {
--- a/src/sailpath/node/Dispatcher.cpp
+++ b/src/sailpath/node/Dispatcher.cpp
@@ -233,6 +233,18 @@
     return m_pending.size() - m_freeTickets.size();
 }
 
+////////////////////////////////////////////////////////////
+std::size_t Dispatcher::serverPlaces() const
+{
+    std::size_t places = 0;
+    for (const auto& workspace : m_workspaces)
+    {
+        for (const auto& item : workspace.second.pools)
+            places += item.second->places();
+    }
+    return places;
+}
+
 ////////////////////////////////////////////////////////////
 void Dispatcher::visitCounters(
     const std::function<void(std::string_view, std::string_view, const DispatcherCounters&)>& visit) const
--- a/src/sailpath/node/Pool.cpp
+++ b/src/sailpath/node/Pool.cpp
@@ -76,35 +76,44 @@
     m_anyRepeatable = std::any_of(service.routes.begin(), service.routes.end(),
                                   [](const config::Route& route) { return route.repeatable; });
 
-    std::vector<bool> declared(m_servers.size(), false);
-    for (const config::BackendServer& server : service.servers)
+    for (const auto& known : m_servers)
     {
-        const auto same =
-            std::find_if(m_servers.begin(), m_servers.end(),
-                         [&](const auto& known) { return !known->removed && known->declaration == server; });
-        if (same != m_servers.end())
-        {
-            (*same)->target = makeTarget(m_workspace, service, server);
-            const auto index = static_cast<std::size_t>(same - m_servers.begin());
-            if (index < declared.size())
-                declared[index] = true;
-            continue;
-        }
-        auto added = std::make_unique<Server>(makeTarget(m_workspace, service, server), server, m_settings);
-        // A server that joins a running pool may be cold.
-        if (!first)
-            added->health.startRamp(now);
-        m_servers.push_back(std::move(added));
+        const auto& all = service.servers;
+        known->removed = known->removed || std::find(all.begin(), all.end(), known->declaration) == all.end();
     }
-    for (std::size_t i = 0; i < declared.size(); ++i)
+    for (const config::BackendServer& server : service.servers)
+        declare(server, !first, now);
+    m_candidates.reserve(m_servers.size());
+}
+
+////////////////////////////////////////////////////////////
+void Pool::declare(const config::BackendServer& server, bool cold, core::Timestamp now)
+{
+    const auto same = std::find_if(m_servers.begin(), m_servers.end(),
+                                   [&](const auto& known) { return !known->removed && known->declaration == server; });
+    if (same != m_servers.end())
     {
-        if (!declared[i])
-            m_servers[i]->removed = true;
+        (*same)->target = makeTarget(m_workspace, m_service, server);
+        return;
     }
-    // Indexes are held by requests in flight, so only idle servers at the end may go.
-    while (!m_servers.empty() && m_servers.back()->removed && m_servers.back()->load.ownInFlight() == 0)
-        m_servers.pop_back();
-    m_candidates.reserve(m_servers.size());
+    auto added = std::make_unique<Server>(makeTarget(m_workspace, m_service, server), server, m_settings);
+    // A server that joins a running pool may be cold.
+    if (cold)
+        added->health.startRamp(now);
+    place(std::move(added));
+}
+
+////////////////////////////////////////////////////////////
+void Pool::place(std::unique_ptr<Server> added)
+{
+    // Requests in flight hold indexes, so only the place of an idle server is used again.
+    const auto idle =
+        std::find_if(m_servers.begin(), m_servers.end(),
+                     [](const auto& server) { return server->removed && server->load.ownInFlight() == 0; });
+    if (idle != m_servers.end())
+        *idle = std::move(added);
+    else
+        m_servers.push_back(std::move(added));
 }
 
 ////////////////////////////////////////////////////////////
@@ -231,6 +240,12 @@
     return m_patience.longest(m_service.maxWait, usualLatency(), now);
 }
 
+////////////////////////////////////////////////////////////
+std::size_t Pool::places() const
+{
+    return m_servers.size();
+}
+
 ////////////////////////////////////////////////////////////
 bool Pool::removed() const
 {
--- a/src/sailpath/node/Pool.hpp
+++ b/src/sailpath/node/Pool.hpp
@@ -129,6 +129,7 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] core::Duration bearableWait(core::Timestamp now);
 
+    [[nodiscard]] std::size_t                          places() const;
     [[nodiscard]] bool                                 removed() const;
     [[nodiscard]] const std::string&                   workspace() const;
     [[nodiscard]] const config::Service&               service() const;
@@ -165,6 +166,8 @@
         bool                          removed{false}; //!< No longer declared
     };
 
+    void                  declare(const config::BackendServer& server, bool cold, core::Timestamp now);
+    void                  place(std::unique_ptr<Server> added);
     [[nodiscard]] bool    mayBeGiven(const Server& server, const Query& query) const;
     [[nodiscard]] bool    trialAllowed(const Query& query) const;
     [[nodiscard]] bool    mayEject() const;
--- a/test/node/Dispatcher.test.cpp
+++ b/test/node/Dispatcher.test.cpp
@@ -260,6 +260,21 @@
     BOOST_TEST((finish(step, AttemptResult::Answered).verdict == Verdict::Answer));
 }
 
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(serversThatComeAndGoLeaveNothingBehind)
+{
+    for (int i = 0; i < 500; ++i)
+    {
+        config::Workspace changed = workspaceOf(4);
+        changed.services.front().servers.front().port = static_cast<std::uint16_t>(1000 + i);
+        dispatcher.configure(changed, now);
+    }
+    std::size_t servers = 0;
+    dispatcher.visitServers(now, [&](const auto&, routing::Standing) { ++servers; });
+    BOOST_TEST(servers == 4U);
+    BOOST_TEST(dispatcher.serverPlaces() == 4U);
+}
+
 ////////////////////////////////////////////////////////////
 BOOST_AUTO_TEST_CASE(aDeletedWorkspaceRefusesWhatWaits)
 {
