The acceptor's steps run one at a time

Cause, found by the thread sanitizer in aPlannedStopCutsNothing: a planned stop closed the acceptor on one thread while another started the next accept. Now both run on a strand; accepted connections stay on the free context. Ruled out as faults: 28 reports inside the event loop library of the peers, which is not built for the sanitizer.

--- a/src/sailpath/adapters/http/Ingress.cpp
+++ b/src/sailpath/adapters/http/Ingress.cpp
@@ -67,20 +67,20 @@
     void               sweep();
     void               sweepOne(Connection& connection, Clock::time_point now) const;
 
-    IngressSettings                                  settings;          //!< Limits
-    RequestHandler&                                  handler;           //!< Serves the requests
-    asio::io_context                                 context;           //!< The reactor's; run by all threads
-    asio::ip::tcp::acceptor                          acceptor{context}; //!< Listens
-    std::uint16_t                                    port{0};           //!< Port that is listened on
-    asio::steady_timer                               timer{context};    //!< For sweeps
-    std::atomic<bool>                                leaving{false};    //!< Answers close their connections
-    std::atomic<bool>                                closing{false};    //!< Idle connections are closed
-    mutable std::mutex                               mutex;             //!< Guards what follows
-    IngressCounters                                  counts;            //!< Counts so far
-    std::unordered_set<ConnectionPtr>                connections;       //!< All that are open
-    std::vector<std::unique_ptr<priv::CallerServer>> idleParsers;       //!< Parsers that no request uses
-    std::vector<std::thread>                         threads;           //!< Run the context, grown as needed
-    bool                                             ending{false};     //!< No thread is added from here on
+    IngressSettings                   settings;                             //!< Limits
+    RequestHandler&                   handler;                              //!< Serves the requests
+    asio::io_context                  context;                              //!< The reactor's; run by all threads
+    asio::ip::tcp::acceptor           acceptor{asio::make_strand(context)}; //!< Listens; its steps run one at a time
+    std::uint16_t                     port{0};                              //!< Port that is listened on
+    asio::steady_timer                timer{context};                       //!< For sweeps
+    std::atomic<bool>                 leaving{false};                       //!< Answers close their connections
+    std::atomic<bool>                 closing{false};                       //!< Idle connections are closed
+    mutable std::mutex                mutex;                                //!< Guards what follows
+    IngressCounters                   counts;                               //!< Counts so far
+    std::unordered_set<ConnectionPtr> connections;                          //!< All that are open
+    std::vector<std::unique_ptr<priv::CallerServer>> idleParsers;           //!< Parsers that no request uses
+    std::vector<std::thread>                         threads;               //!< Run the context, grown as needed
+    bool                                             ending{false};         //!< No thread is added from here on
 };
 
 ////////////////////////////////////////////////////////////
@@ -121,15 +121,15 @@
 ////////////////////////////////////////////////////////////
 void Ingress::Impl::accept()
 {
-    acceptor.async_accept(
-        [this](const asio::error_code& error, asio::ip::tcp::socket socket)
-        {
-            if (error == asio::error::operation_aborted || !acceptor.is_open())
-                return;
-            if (!error)
-                open(std::move(socket));
-            accept();
-        });
+    acceptor.async_accept(context,
+                          [this](const asio::error_code& error, asio::ip::tcp::socket socket)
+                          {
+                              if (error == asio::error::operation_aborted || !acceptor.is_open())
+                                  return;
+                              if (!error)
+                                  open(std::move(socket));
+                              accept();
+                          });
 }
 
 ////////////////////////////////////////////////////////////
@@ -410,7 +410,7 @@
 {
     m_impl->leaving = true;
     m_impl->closing = true;
-    asio::post(m_impl->context,
+    asio::post(m_impl->acceptor.get_executor(),
                [this]
                {
                    asio::error_code ignored;
