--- a/include/sailpath/core/Time.hpp
+++ b/include/sailpath/core/Time.hpp
@@ -23,8 +23,7 @@
     using duration = Duration;
     using time_point = std::chrono::time_point<ProcessClock, Duration>;
 
-    static constexpr bool is_steady =
-        true; //!< Readings never go back NOLINT(readability-identifier-naming): the standard's name
+    static constexpr bool is_steady = true; //!< Readings never go back; the standard's name
 };
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/adapters/peers/PeerServer.cpp
+++ b/src/sailpath/adapters/peers/PeerServer.cpp
@@ -45,9 +45,10 @@
 ////////////////////////////////////////////////////////////
 kj::Promise<void> GateServer::challenge(ChallengeContext context)
 {
-    m_nonce = makeNonce();
+    const std::string nonce = makeNonce();
     context.getResults().setVersion(rpc::PROTOCOL_VERSION);
-    context.getResults().setNonce(kj::arrayPtr(reinterpret_cast<const kj::byte*>(m_nonce->data()), m_nonce->size()));
+    context.getResults().setNonce(kj::arrayPtr(reinterpret_cast<const kj::byte*>(nonce.data()), nonce.size()));
+    m_nonce = nonce;
     return kj::READY_NOW;
 }
 
