--- a/src/programs/ApiServer.cpp
+++ b/src/programs/ApiServer.cpp
@@ -13,6 +13,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <stdexcept>
@@ -278,6 +279,19 @@
         }
     }
 
+    ////////////////////////////////////////////////////////////
+    void metrics(Response& response)
+    {
+        const std::lock_guard<std::mutex> lock(countsMutex);
+        std::string                       text = "# TYPE sailpath_api_answers_total counter\n";
+        for (const auto& [status, count] : answers)
+        {
+            text.append("sailpath_api_answers_total{status=\"").append(std::to_string(status)).append("\"} ");
+            text.append(std::to_string(count)).append("\n");
+        }
+        response.set_content(text, "text/plain; version=0.0.4");
+    }
+
     ////////////////////////////////////////////////////////////
     void makeToken(const Request& request, Response& response, const Caller& caller)
     {
@@ -297,15 +311,17 @@
             answerLater(response, "store-unavailable", "unknown");
     }
 
-    ApiSettings                                 settings; //!< Constants
-    ports::EventLog&                            log;      //!< Audit events
-    std::mutex                                  mutex;    //!< One request at a time
-    adapters::store::EtcdStore                  store;    //!< The store
-    api::Tokens                                 tokens;   //!< Who calls
-    api::ChangeWriter                           writer;   //!< Writes changes
-    limits::RateLimit                           rate;     //!< Changes by workspace
-    httplib::Server                             server;   //!< The library's server
-    std::optional<adapters::http::ServerThread> thread;   //!< Runs the server
+    ApiSettings                                 settings;    //!< Constants
+    ports::EventLog&                            log;         //!< Audit events
+    std::mutex                                  mutex;       //!< One request at a time
+    adapters::store::EtcdStore                  store;       //!< The store
+    api::Tokens                                 tokens;      //!< Who calls
+    api::ChangeWriter                           writer;      //!< Writes changes
+    limits::RateLimit                           rate;        //!< Changes by workspace
+    std::mutex                                  countsMutex; //!< Guards the counts
+    std::map<int, std::uint64_t>                answers;     //!< Answers by HTTP status
+    httplib::Server                             server;      //!< The library's server
+    std::optional<adapters::http::ServerThread> thread;      //!< Runs the server
 };
 
 ////////////////////////////////////////////////////////////
@@ -316,6 +332,13 @@
     impl.server.new_task_queue = [] { return new httplib::ThreadPool(8); };
     impl.server.set_payload_max_length(impl.settings.largestDocument * 2);
     impl.server.set_tcp_nodelay(true);
+    impl.server.set_logger(
+        [&impl](const Request&, const Response& response)
+        {
+            const std::lock_guard<std::mutex> lock(impl.countsMutex);
+            ++impl.answers[response.status];
+        });
+    impl.server.Get("/metrics", [&impl](const Request&, Response& response) { impl.metrics(response); });
     impl.server.Get("/v1/workspaces", impl.guarded(&Impl::list));
     impl.server.Get("/v1/workspaces/([a-z0-9-]{1,63})", impl.guarded(&Impl::get));
     impl.server.Put("/v1/workspaces/([a-z0-9-]{1,63})", impl.guarded(&Impl::put));
