--- a/src/sailpath/adapters/peers/MessageSize.cpp
+++ b/src/sailpath/adapters/peers/MessageSize.cpp
@@ -9,8 +9,8 @@
 {
 namespace
 {
-// Call and return messages of Cap'n Proto RPC around the digest, with their
-// finish message, as counted on a live connection's messages.
+// Call, return and finish messages of Cap'n Proto RPC around the digest: an
+// estimate from their layout, not counted on a connection.
 constexpr std::size_t rpcEnvelope = 120;
 
 } // namespace
--- a/test/node/Controller.test.cpp
+++ b/test/node/Controller.test.cpp
@@ -119,6 +119,20 @@
     BOOST_TEST(group.runUntil(noticed, 60s));
 }
 
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(allHearWithinSecondsThatAServerLeaves)
+{
+    for (const double loss : {0.0, 0.1})
+    {
+        ControlGroup group({.nodes = 18, .loss = loss});
+        group.run(20s);
+        const core::Timestamp told = group.now();
+        group.serverLeaving(3);
+        BOOST_TEST(group.runUntil([&] { return group.heardLeaving.size() == 18; }, 3s));
+        BOOST_TEST_MESSAGE("loss " << loss << ": all heard after " << core::toSeconds(group.now() - told) << " s");
+    }
+}
+
 ////////////////////////////////////////////////////////////
 BOOST_AUTO_TEST_CASE(relaysThatAreKilledAreReplaced)
 {
--- a/test/support/ControlGroup.cpp
+++ b/test/support/ControlGroup.cpp
@@ -81,6 +81,15 @@
         node.watch = 0;
 }
 
+////////////////////////////////////////////////////////////
+void ControlGroup::serverLeaving(unsigned node)
+{
+    deliver(node, core::Duration{0},
+            [this](node::Controller& controller, node::ControlActions& actions) {
+                controller.serverLeaving({"admissa", "portal", "p1", {}, true, 0}, m_events.now(), actions);
+            });
+}
+
 ////////////////////////////////////////////////////////////
 void ControlGroup::setOutage(bool outage)
 {
@@ -437,8 +446,10 @@
 }
 
 ////////////////////////////////////////////////////////////
-void ControlGroup::act(unsigned, const node::HearReport&)
+void ControlGroup::act(unsigned node, const node::HearReport& action)
 {
+    if (action.report.draining)
+        heardLeaving.try_emplace(node, m_events.now());
 }
 
 ////////////////////////////////////////////////////////////
--- a/test/support/ControlGroup.hpp
+++ b/test/support/ControlGroup.hpp
@@ -67,6 +67,7 @@
 
     std::uint64_t put(const std::string& workspace, const std::string& text); //!< Write a document to the store
     std::uint64_t remove(const std::string& workspace);                       //!< Write a tombstone
+    void          serverLeaving(unsigned node);         //!< A node's dispatcher hears a server say that it is leaving
     void          restoreStore(std::uint64_t revision); //!< The store falls back to an older state, as from a backup
 
     void setOutage(bool outage);                       //!< The store answers nothing
@@ -85,12 +86,13 @@
     [[nodiscard]] unsigned        relays() const;                                  //!< Nodes that watch the store
     [[nodiscard]] core::Timestamp now() const;                                     //!< Virtual time
 
-    std::vector<InForce>   history;       //!< Everything that came into force
-    std::vector<ProbeSent> probes;        //!< Every probe
-    std::uint64_t          storeCalls{0}; //!< Calls to the store; a watch counts once
-    std::uint64_t          storeReads{0}; //!< Of these, reads of the configuration
-    std::uint64_t          exchanges{0};  //!< Exchanges begun
-    std::uint64_t          peerBytes{0};  //!< Bytes of digests, both ways
+    std::vector<InForce>                history;       //!< Everything that came into force
+    std::vector<ProbeSent>              probes;        //!< Every probe
+    std::map<unsigned, core::Timestamp> heardLeaving;  //!< When each node heard that a server leaves
+    std::uint64_t                       storeCalls{0}; //!< Calls to the store; a watch counts once
+    std::uint64_t                       storeReads{0}; //!< Of these, reads of the configuration
+    std::uint64_t                       exchanges{0};  //!< Exchanges begun
+    std::uint64_t                       peerBytes{0};  //!< Bytes of digests, both ways
 
     ////////////////////////////////////////////////////////////
     /// \brief Measures the bytes of a digest; none are counted without it
