--- /dev/null
+++ b/include/sailpath/adapters/links/Codec.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <sailpath/replication/Message.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace sailpath::adapters::links
+{
+using LinkMessage = std::variant<replication::Hello, replication::Update>; //!< What travels on a link
+
+////////////////////////////////////////////////////////////
+/// \brief Bytes of a message, its length in front
+////////////////////////////////////////////////////////////
+[[nodiscard]] std::string encode(const LinkMessage& message);
+
+////////////////////////////////////////////////////////////
+/// \brief Result of taking a message off a stream
+////////////////////////////////////////////////////////////
+struct Decoded
+{
+    std::optional<LinkMessage> message;         //!< Null when it is not whole yet
+    std::size_t                taken{0};        //!< Bytes used
+    bool                       malformed{false}; //!< The stream is of no more use
+};
+
+////////////////////////////////////////////////////////////
+/// \brief Take the next message off the front of a stream
+////////////////////////////////////////////////////////////
+[[nodiscard]] Decoded decode(std::string_view bytes);
+
+} // namespace sailpath::adapters::links
--- /dev/null
+++ b/include/sailpath/balance/Balancer.hpp
@@ -0,0 +1,158 @@
+#pragma once
+
+#include <sailpath/balance/ServicePool.hpp>
+#include <sailpath/balance/Settings.hpp>
+#include <sailpath/balance/Step.hpp>
+#include <sailpath/core/Random.hpp>
+#include <sailpath/deployment/Declared.hpp>
+#include <sailpath/deployment/RouteTable.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace sailpath::balance
+{
+////////////////////////////////////////////////////////////
+/// \brief A whole request of a caller, as far as decisions need it
+////////////////////////////////////////////////////////////
+struct Arrival
+{
+    std::string_view              host;       //!< Host header
+    std::string_view              target;     //!< Path and query
+    core::Timestamp               since{};    //!< When its first byte came
+    std::optional<core::Duration> timeLeft;   //!< Time the caller waits from then on, when it says so
+};
+
+////////////////////////////////////////////////////////////
+/// \brief What came of an attempt
+////////////////////////////////////////////////////////////
+struct Outcome
+{
+    AttemptEnd          end{AttemptEnd::Lost}; //!< How it ended
+    unsigned            status{0};             //!< Of the answer
+    std::optional<Load> load;                  //!< Load report on the answer
+    core::Duration      comeBack{};            //!< When the server says to come back
+    bool                leaving{false};        //!< The server says that it is another instance, or leaves
+};
+
+////////////////////////////////////////////////////////////
+/// \brief One node's decisions about requests
+///
+/// Does no input or output, starts no threads and reads no clock; belongs
+/// to one thread.
+////////////////////////////////////////////////////////////
+class Balancer
+{
+public:
+    ////////////////////////////////////////////////////////////
+    /// \brief Start without configuration
+    ///
+    /// \param now Start of this life of the node
+    ////////////////////////////////////////////////////////////
+    Balancer(Settings settings, core::Timestamp now);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Put what is declared in force
+    ////////////////////////////////////////////////////////////
+    void configure(const deployment::Declared& declared, core::Timestamp now);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Decide about a request that has arrived
+    ////////////////////////////////////////////////////////////
+    void admit(Ticket ticket, const Arrival& arrival, core::Timestamp now);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Decide what follows the end of an attempt
+    ////////////////////////////////////////////////////////////
+    void attemptEnded(Ticket ticket, unsigned attempt, const Outcome& outcome, core::Timestamp now);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Note that the caller of a request has left
+    ////////////////////////////////////////////////////////////
+    void callerLeft(Ticket ticket, core::Timestamp now);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Note the connections to an instance
+    ////////////////////////////////////////////////////////////
+    void connections(const deployment::Instance& instance, unsigned idle, unsigned open);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Do what has become due
+    ////////////////////////////////////////////////////////////
+    void due(core::Timestamp now);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief When something becomes due next
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] std::optional<core::Timestamp> nextDue() const;
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Move the steps decided since the last call
+    ////////////////////////////////////////////////////////////
+    void takeSteps(std::vector<Step>& steps);
+
+    [[nodiscard]] bool        configured() const; //!< Requests can be decided about
+    [[nodiscard]] std::size_t unfinished() const; //!< Requests held or at servers
+
+private:
+    struct Attempt
+    {
+        std::shared_ptr<ServerView> server;         //!< Where
+        core::Timestamp             sentAt{};       //!< When
+        double                      expectedMs{0};  //!< Estimated time to the answer
+        double                      plainMs{0};     //!< The same without the instance's own ratio
+        bool                        running{true};  //!< No end was reported
+    };
+
+    struct Request
+    {
+        deployment::HostRoute        route;                 //!< As of its arrival
+        std::shared_ptr<ServicePool> pool;                  //!< Service it goes to
+        core::Timestamp              since{};               //!< Its first byte
+        core::Timestamp              deadline{};            //!< Final answer
+        core::Timestamp              callerDeadline{};      //!< When its caller stops waiting
+        core::Timestamp              wake{};                //!< When it is to be looked at next
+        std::vector<Attempt>         attempts;              //!< In order; the first is number 1
+        std::vector<ServerView*>     tried;                 //!< Servers of the attempts
+        unsigned                     sends{0};              //!< Attempts that may have reached a server
+        bool                         mayHaveRun{false};     //!< Some attempt's outcome is not known
+        bool                         left{false};           //!< Its caller left
+        core::Duration               comeBack{};            //!< Latest word of a server on when to come back
+    };
+
+    [[nodiscard]] std::shared_ptr<ServicePool> poolFor(const deployment::HostRoute& route);
+    [[nodiscard]] bool                         tooLate(const Request& request, const Choice& choice, core::Timestamp now) const;
+    [[nodiscard]] bool                         sendAgain(Ticket ticket, Request& request, core::Timestamp now);
+    void forward(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now);
+    void learn(Request& request, Attempt& attempt, const Outcome& outcome, core::Timestamp now);
+    void conclude(Ticket ticket, Request& request, core::Timestamp now);
+    void refuse(Ticket ticket, const Refusal& refusal);
+    void timeOut(Ticket ticket, Request& request, core::Timestamp now);
+    void hedge(Ticket ticket, Request& request, core::Timestamp now);
+    void abandonRunning(Ticket ticket, Request& request, core::Timestamp now);
+    void plan(Ticket ticket, Request& request, core::Timestamp now);
+    void close(Ticket ticket);
+    [[nodiscard]] Wish           wishOf(const Request& request) const;
+    [[nodiscard]] double         retryExtra() const;
+    [[nodiscard]] core::Duration comeBack(const ServicePool& pool, double expectedMs);
+
+    Settings                                                      m_settings; //!< Constants
+    core::Timestamp                                               m_born;     //!< Start of this life
+    core::Random                                                  m_random;   //!< For choices
+    std::shared_ptr<const deployment::Deployment>                 m_deployment; //!< In force
+    deployment::RouteTable                                        m_routes;   //!< In force
+    std::unordered_map<std::string, std::shared_ptr<ServicePool>> m_pools;    //!< By service
+    std::unordered_map<std::string, std::vector<double>>          m_credit;   //!< By route: what each part is owed
+    unsigned                                                      m_nodes{1}; //!< That share budgets
+    std::unordered_map<Ticket, Request>                           m_requests; //!< Unfinished
+    std::set<std::pair<core::Timestamp, Ticket>>                  m_wakes;    //!< What is due when
+    std::vector<Step>                                             m_steps;    //!< Decided, not taken
+};
+
+} // namespace sailpath::balance
--- /dev/null
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <sailpath/balance/RetryWindow.hpp>
+#include <sailpath/balance/ServerView.hpp>
+#include <sailpath/core/Random.hpp>
+#include <sailpath/deployment/Deployment.hpp>
+
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace sailpath::balance
+{
+////////////////////////////////////////////////////////////
+/// \brief What a choice of a server must respect
+////////////////////////////////////////////////////////////
+struct Wish
+{
+    std::string_view           route;             //!< Name of the route, for its usual work
+    bool                       repeatable{false}; //!< A failure may be mended by another send
+    std::span<ServerView* const> tried;           //!< Servers that had it already
+};
+
+////////////////////////////////////////////////////////////
+/// \brief A server and the time it is expected to take
+////////////////////////////////////////////////////////////
+struct Choice
+{
+    std::shared_ptr<ServerView> server;        //!< Null when none may be given anything
+    double                      finishMs{0};   //!< Estimated time to the answer
+};
+
+////////////////////////////////////////////////////////////
+/// \brief One service on one node: its instances, their load, its retry budget
+////////////////////////////////////////////////////////////
+class ServicePool
+{
+public:
+    ////////////////////////////////////////////////////////////
+    /// \brief Start without instances
+    ///
+    /// \param settings Outlives the pool
+    /// \param born     Start of this life of the node
+    ////////////////////////////////////////////////////////////
+    ServicePool(std::string name, const Settings& settings, core::Timestamp born);
+
+    void setConnections(unsigned instanceLimit, unsigned nodes); //!< Connections that one instance takes from all nodes
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Put the instances of the service in force; those that stay keep what was learned
+    ////////////////////////////////////////////////////////////
+    void setInstances(std::vector<deployment::Instance> instances, core::Timestamp now);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Choose the server that is expected to be done first
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] Choice choose(const Wish& wish, core::Timestamp now, core::Random& random) const;
+
+    void learnOthers(double others);                                          //!< A report told of others' requests
+    void learnPace(double pace);                                              //!< A report told a pace
+    void learnWork(std::string_view route, double latencyMs, double plainMs); //!< A good answer arrived
+
+    [[nodiscard]] double             workMs(std::string_view route) const; //!< Usual work of a route's request
+    [[nodiscard]] double             workMs() const;                       //!< Usual work over all routes
+    [[nodiscard]] double             usualPace() const;                    //!< Mean pace of late
+    [[nodiscard]] RetryWindow&       retries();                            //!< Budget
+    [[nodiscard]] const std::string& name() const;                         //!< Of the service
+    [[nodiscard]] std::size_t        size() const;                         //!< Instances that take requests
+    [[nodiscard]] std::shared_ptr<ServerView> find(std::string_view instance) const; //!< Null when there is none
+
+private:
+    [[nodiscard]] bool   mayBeGiven(const ServerView& server, const Wish& wish) const;
+    [[nodiscard]] double cost(const ServerView& server, const Wish& wish, double work, core::Timestamp now) const;
+
+    std::string                              m_name;            //!< Of the service
+    const Settings&                          m_settings;        //!< Constants
+    std::vector<std::shared_ptr<ServerView>> m_servers;         //!< Those that take requests
+    RetryWindow                              m_retries;         //!< Budget
+    unsigned                                 m_connections{0};  //!< Most own connections to one instance
+    double                                   m_others{0};       //!< Others' requests at an instance, of late
+    double                                   m_pace{1};         //!< Pace of late
+    double                                   m_work;            //!< Usual work, milliseconds
+    std::unordered_map<std::string, double>  m_routeWork;       //!< Usual work by route, milliseconds
+};
+
+} // namespace sailpath::balance
--- /dev/null
+++ b/include/sailpath/balance/Settings.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <sailpath/core/Time.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace sailpath::balance
+{
+////////////////////////////////////////////////////////////
+/// \brief Constants of one node's decisions
+////////////////////////////////////////////////////////////
+struct Settings
+{
+    std::string    dataCentre;                                      //!< Where this node runs
+    double         retryRatio{0.1};                                 //!< Further sends as a share of requests, over the fleet
+    double         retryExtra{0};                                   //!< Further sends beyond the share, over the fleet
+    core::Duration retryWindow{std::chrono::seconds{10}};           //!< Span that the retry budget is counted over
+    core::Duration otherDataCentre{std::chrono::milliseconds{4}};   //!< Assumed round trip to another data centre
+    core::Duration connectCost{std::chrono::milliseconds{8}};       //!< What a new connection is weighed as
+    core::Duration reportLife{std::chrono::milliseconds{150}};      //!< How fast a load report loses its worth
+    core::Duration wayBack{std::chrono::milliseconds{8}};           //!< Kept back of the time for the answer's way
+    core::Duration firstWork{std::chrono::milliseconds{100}};       //!< Assumed work before anything was measured
+    std::size_t    heldRequests{256};                               //!< Requests that may wait on this node
+    double         connectionShare{0.8};                            //!< Of an instance's connections, used by all nodes together
+    std::uint64_t  seed{1};                                         //!< Of the random choices
+    bool           hedging{true};                                   //!< Send again before an answer is late
+    bool           gating{true};                                    //!< Refuse what is expected to be late
+};
+
+} // namespace sailpath::balance
--- /dev/null
+++ b/include/sailpath/balance/Step.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <sailpath/core/Time.hpp>
+#include <sailpath/deployment/Instance.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+namespace sailpath::balance
+{
+////////////////////////////////////////////////////////////
+/// \brief The node's number for a request; never used twice
+////////////////////////////////////////////////////////////
+using Ticket = std::uint64_t;
+
+////////////////////////////////////////////////////////////
+/// \brief Why a request gets no answer from a server
+////////////////////////////////////////////////////////////
+enum class RefusalReason
+{
+    NotConfigured, //!< This node has no configuration yet
+    NoRoute,       //!< No route covers the request
+    NoServer,      //!< No server may be given anything now
+    Overloaded,    //!< It would be answered too late
+    NotRun,        //!< The servers that it was offered to did not run it
+    Unknown,       //!< It was sent and no whole answer came
+    TimedOut       //!< The time for the final answer is up
+};
+
+////////////////////////////////////////////////////////////
+/// \brief The name of a reason in logs and metrics
+////////////////////////////////////////////////////////////
+[[nodiscard]] std::string_view toString(RefusalReason reason);
+
+////////////////////////////////////////////////////////////
+/// \brief A final refusal
+////////////////////////////////////////////////////////////
+struct Refusal
+{
+    RefusalReason  reason{RefusalReason::NoServer}; //!< Why
+    bool           mayHaveRun{false};               //!< Whether some server may have run it
+    core::Duration comeBack{};                      //!< When to come back; 0 says nothing
+};
+
+////////////////////////////////////////////////////////////
+/// \brief What is to be done with a request next
+////////////////////////////////////////////////////////////
+enum class StepKind
+{
+    Forward, //!< Send it to `instance` as attempt `attempt`
+    Hold,    //!< Wait; a later step follows
+    Answer,  //!< Pass on the answer of attempt `attempt`; the ticket is done
+    Refuse,  //!< Answer with `refusal`; the ticket is done
+    Abandon  //!< Break off attempt `attempt`; its end need not be reported
+};
+
+////////////////////////////////////////////////////////////
+/// \brief One decision about one request
+////////////////////////////////////////////////////////////
+struct Step
+{
+    StepKind                                    kind{StepKind::Refuse}; //!< What to do
+    Ticket                                      ticket{0};              //!< Which request
+    unsigned                                    attempt{0};             //!< Which attempt, from 1
+    std::shared_ptr<const deployment::Instance> instance;               //!< For `Forward`
+    core::Timestamp                             deadline{};             //!< For `Forward`: when the server has to be done
+    bool                                        repeatable{false};      //!< Whether it may run more than once
+    double                                      expectedMs{0};          //!< For `Forward`: estimated time to the answer
+    double                                      reportAgeMs{-1};        //!< For `Forward`: age of the load report behind it
+    Refusal                                     refusal;                //!< For `Refuse`
+};
+
+////////////////////////////////////////////////////////////
+/// \brief How an attempt ended
+////////////////////////////////////////////////////////////
+enum class AttemptEnd
+{
+    Answered, //!< A whole answer of the server
+    NotRun,   //!< The server says that it did not run it
+    NotSent,  //!< No connection came up
+    Lost      //!< It was sent, and no answer that belongs to it came whole
+};
+
+} // namespace sailpath::balance
--- /dev/null
+++ b/include/sailpath/fleet/FleetThread.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <sailpath/adapters/settings/Endpoint.hpp>
+#include <sailpath/deployment/Declared.hpp>
+#include <sailpath/fleet/Translator.hpp>
+#include <sailpath/ports/EventLog.hpp>
+#include <sailpath/replication/ItemSource.hpp>
+#include <sailpath/replication/Replica.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace asio
+{
+class io_context;
+}
+
+namespace sailpath::fleet
+{
+////////////////////////////////////////////////////////////
+/// \brief Settings of the control side
+////////////////////////////////////////////////////////////
+struct FleetSettings
+{
+    replication::ReplicaSettings replica;                                    //!< Copy of the store
+    adapters::settings::Endpoint listen;                                     //!< Where peers connect
+    core::Duration               massBelief{std::chrono::milliseconds{1100}}; //!< See `deployment::InstanceBook`
+    core::Duration               illBelief{std::chrono::seconds{5}};          //!< See `deployment::InstanceBook`
+};
+
+////////////////////////////////////////////////////////////
+/// \brief Figures of the control side
+////////////////////////////////////////////////////////////
+struct FleetStatus
+{
+    std::uint64_t revision{0};      //!< Of the copy
+    std::uint64_t version{0};       //!< Of the configuration in force
+    double        ageMs{-1};        //!< Of the copy; negative without one
+    unsigned      nodes{0};         //!< Known of
+    std::size_t   followers{0};     //!< Fed by this node
+    std::uint64_t storeCalls{0};    //!< Since the start
+    bool          watching{false};  //!< This node calls the store
+};
+
+////////////////////////////////////////////////////////////
+/// \brief The control thread: keeps the copy of the store, tells the data path what is declared
+////////////////////////////////////////////////////////////
+class FleetThread
+{
+public:
+    using MakeSource = std::function<std::unique_ptr<replication::ItemSource>(asio::io_context&)>;
+    using Published = std::function<void(deployment::Declared)>;
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Start the thread
+    ///
+    /// \param makeSource Makes the store's port on the thread's loop
+    /// \param translator Outlives the thread
+    /// \param published  Called on the control thread with what is declared
+    /// \param log        Outlives the thread
+    ////////////////////////////////////////////////////////////
+    FleetThread(FleetSettings settings, const MakeSource& makeSource, const Translator& translator, Published published,
+                ports::EventLog& log);
+
+    ~FleetThread();
+    FleetThread(const FleetThread&) = delete;
+    FleetThread& operator=(const FleetThread&) = delete;
+
+    [[nodiscard]] FleetStatus status() const; //!< From any thread
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl; //!< Loop and thread
+};
+
+} // namespace sailpath::fleet
--- /dev/null
+++ b/include/sailpath/gateway/Dialect.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <sailpath/balance/Load.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sailpath::gateway
+{
+////////////////////////////////////////////////////////////
+/// \brief Names and forms that callers, servers and the gateway agree on
+///
+/// Filled by the folder that knows the surroundings; decides nothing.
+////////////////////////////////////////////////////////////
+struct Dialect
+{
+    std::string requestId;      //!< Header: id of one sending of a request
+    std::string deadlineMs;     //!< Header: milliseconds that the sender waits
+    std::string targetInstance; //!< Header: the only instance that may run the request
+    std::string signature;      //!< Header: the server's mark on its answer
+    std::string notExecuted;    //!< Header: the server did not run the request
+    std::string load;           //!< Header: load report
+    std::string readinessPath;  //!< Path that asks whether this node takes new connections
+
+    std::optional<balance::Load> (*parseLoad)(std::string_view text){nullptr}; //!< Reads a load report
+};
+
+} // namespace sailpath::gateway
--- /dev/null
+++ b/include/sailpath/gateway/Gateway.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <sailpath/balance/Balancer.hpp>
+#include <sailpath/deployment/Declared.hpp>
+#include <sailpath/gateway/Dialect.hpp>
+#include <sailpath/gateway/GatewaySettings.hpp>
+#include <sailpath/gateway/Metrics.hpp>
+#include <sailpath/ports/EventLog.hpp>
+
+#include <memory>
+
+namespace asio
+{
+class io_context;
+}
+
+namespace sailpath::gateway
+{
+////////////////////////////////////////////////////////////
+/// \brief The data path: callers' connections, servers' connections, decisions
+///
+/// Runs on one event loop, which serves all connections; a slow caller
+/// holds memory for what it has sent and nothing else.
+////////////////////////////////////////////////////////////
+class Gateway
+{
+public:
+    ////////////////////////////////////////////////////////////
+    /// \brief Listen and begin to serve once the loop runs
+    ///
+    /// \param context Loop; all calls come from its thread
+    /// \param dialect Outlives the gateway
+    /// \param log     Outlives the gateway
+    ////////////////////////////////////////////////////////////
+    Gateway(asio::io_context& context, GatewaySettings settings, const Dialect& dialect, ports::EventLog& log);
+
+    ~Gateway();
+    Gateway(const Gateway&) = delete;
+    Gateway& operator=(const Gateway&) = delete;
+
+    void configure(const deployment::Declared& declared); //!< Put what is declared in force
+
+    void leave();     //!< Planned stop: not ready, connections end at the next answer
+    void closeIdle(); //!< Planned stop: end connections at rest, take no new ones
+
+    [[nodiscard]] std::size_t     unfinished() const;    //!< Requests not answered yet
+    [[nodiscard]] std::size_t     callers() const;       //!< Callers' connections
+    [[nodiscard]] const Counters& counters() const;      //!< Since the start
+    [[nodiscard]] std::uint16_t   port() const;          //!< Where callers connect
+    [[nodiscard]] std::uint16_t   readinessPort() const; //!< Where readiness is asked for
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl; //!< Connections and decisions
+};
+
+} // namespace sailpath::gateway
--- /dev/null
+++ b/include/sailpath/replication/ItemSource.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <sailpath/core/Time.hpp>
+#include <sailpath/replication/Item.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+namespace sailpath::replication
+{
+////////////////////////////////////////////////////////////
+/// \brief How a call of the store ended
+////////////////////////////////////////////////////////////
+enum class SourceStatus
+{
+    Ok,          //!< It was answered
+    HistoryLost, //!< The changes after that revision are not known any more
+    Failed       //!< It was refused, or not answered in time
+};
+
+////////////////////////////////////////////////////////////
+/// \brief What a call of the store brought
+////////////////////////////////////////////////////////////
+struct SourceAnswer
+{
+    SourceStatus      status{SourceStatus::Failed}; //!< How it ended
+    std::vector<Item> items;                        //!< All items, or changes
+    std::uint64_t     at{0};                        //!< The store's revision
+    std::string       why;                          //!< For the log, when it failed
+};
+
+////////////////////////////////////////////////////////////
+/// \brief Port for the store that holds what operators and servers say
+///
+/// Answers come on the loop that the calls are made from, never within the
+/// call itself. One call is under way at a time.
+////////////////////////////////////////////////////////////
+class ItemSource
+{
+public:
+    using Answered = std::function<void(SourceAnswer)>;
+
+    virtual ~ItemSource() = default;
+
+    virtual void read(Answered answered) = 0; //!< All items, as of the time of the call at the earliest
+
+    virtual void watch(std::uint64_t after, core::Duration wait, Answered answered) = 0; //!< Changes after a revision
+
+    [[nodiscard]] virtual std::uint64_t calls() const = 0; //!< Calls made since the start
+};
+
+} // namespace sailpath::replication
--- /dev/null
+++ b/include/sailpath/replication/Message.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <sailpath/replication/Item.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sailpath::replication
+{
+////////////////////////////////////////////////////////////
+/// \brief A node as others know it
+////////////////////////////////////////////////////////////
+struct NodeAddress
+{
+    std::string   address;    //!< `IP:PORT` where peers connect
+    std::string   dataCentre; //!< Where it runs
+    std::uint32_t ageMs{0};   //!< Time since it was heard of at first hand
+
+    friend bool operator==(const NodeAddress&, const NodeAddress&) = default;
+};
+
+////////////////////////////////////////////////////////////
+/// \brief What a node says first on a link that it opened: it wants updates
+////////////////////////////////////////////////////////////
+struct Hello
+{
+    NodeAddress   self;  //!< Who it is
+    std::uint64_t at{0}; //!< Revision that it has
+};
+
+////////////////////////////////////////////////////////////
+/// \brief What a relay sends: changes since the last update, and how fresh its picture is
+////////////////////////////////////////////////////////////
+struct Update
+{
+    std::uint64_t            at{0};        //!< The store's revision that the picture is of
+    std::uint32_t            ageMs{0};     //!< Time since the picture was known to be the store's
+    std::uint32_t            illAgeMs{0};  //!< Time since the store failed a call of the relay
+    bool                     full{false};  //!< All items; others do not exist as of `at`
+    std::vector<Item>        items;        //!< Changes
+    std::vector<NodeAddress> nodes;        //!< Nodes known of; empty when left out
+};
+
+} // namespace sailpath::replication
--- /dev/null
+++ b/src/programs/GatewayProgram.cpp
@@ -0,0 +1,197 @@
+#include "GatewayProgram.hpp"
+
+#include <sailpath/adapters/logging/Log4cplusEventLog.hpp>
+#include <sailpath/adapters/settings/SettingsReader.hpp>
+#include <sailpath/core/Hash.hpp>
+#include <sailpath/gateway/Gateway.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <csignal>
+#include <random>
+
+namespace sailpath::programs
+{
+namespace
+{
+using adapters::settings::Option;
+using adapters::settings::OptionKind;
+using adapters::settings::Settings;
+
+constexpr std::array options{
+    Option{"name", OptionKind::Name, adapters::settings::required, "name of this VM, unique in the fleet"},
+    Option{"data-centre", OptionKind::Name, adapters::settings::required, "data centre where this VM runs"},
+    Option{"listen", OptionKind::Endpoint, "0.0.0.0:8080", "where callers connect"},
+    Option{"readiness-listen", OptionKind::Endpoint, "0.0.0.0:8081", "where readiness is asked for"},
+    Option{"peer-listen", OptionKind::Endpoint, adapters::settings::required, "where peers connect; they are told this address"},
+    Option{"seeds", OptionKind::Endpoints, "", "peers to begin with"},
+    Option{"store", OptionKind::Endpoint, adapters::settings::required, "store of what operators and servers declare"},
+    Option{"drain-s", OptionKind::Number, "2", "longest time from a server's leaving to its last new request, seconds"},
+    Option{"grace-s", OptionKind::Number, "6", "longest time of a planned stop, seconds"},
+    Option{"retry-ratio", OptionKind::Number, "0.1", "further sends as a share of requests, over the fleet"},
+    Option{"retry-extra", OptionKind::Number, "0", "further sends beyond the share in a window, over the fleet"},
+    Option{"retry-window-s", OptionKind::Number, "10", "span that the retry budget is counted over, seconds"},
+    Option{"memory-mb", OptionKind::Number, "256", "memory that the process may use"},
+    Option{"descriptors", OptionKind::Whole, "4096", "file descriptors that the process may use"},
+    Option{"log-file", OptionKind::Text, "", "event log; standard error when empty"},
+    Option{"log-level", OptionKind::Text, "info", "debug, info, warning or error"},
+};
+
+constexpr adapters::settings::Program program{"sailpath-gateway", "Takes callers' requests, decides, forwards.", "",
+                                              options};
+constexpr auto                        noticeTime = std::chrono::milliseconds{2300}; // For the balancer in front
+constexpr auto                        stopCheck = std::chrono::milliseconds{50};
+constexpr double                      graceShare = 0.93;     // Of the grace; the process has ended by then
+constexpr double                      bufferShare = 0.25;    // Of the memory, for request bodies
+constexpr double                      bytesPerMegabyte = 1e6;
+constexpr std::size_t                 callersShare = 2;      // One in two descriptors may be a caller's
+
+////////////////////////////////////////////////////////////
+core::Duration seconds(const Settings& settings, std::string_view name)
+{
+    return core::fromMilliseconds(settings.number(name) * 1000);
+}
+
+////////////////////////////////////////////////////////////
+gateway::GatewaySettings gatewaySettings(const Settings& settings)
+{
+    gateway::GatewaySettings gateway;
+    gateway.listen = settings.endpoint("listen");
+    gateway.readinessListen = settings.endpoint("readiness-listen");
+    gateway.bufferedBytes = static_cast<std::uint64_t>(bufferShare * settings.number("memory-mb") * bytesPerMegabyte);
+    gateway.callers = settings.whole("descriptors") / callersShare;
+    gateway.balance.dataCentre = settings.text("data-centre");
+    gateway.balance.retryRatio = settings.number("retry-ratio");
+    gateway.balance.retryExtra = settings.number("retry-extra");
+    gateway.balance.retryWindow = seconds(settings, "retry-window-s");
+    gateway.balance.seed = std::random_device{}();
+    return gateway;
+}
+
+////////////////////////////////////////////////////////////
+fleet::FleetSettings fleetSettings(const Settings& settings)
+{
+    fleet::FleetSettings fleet;
+    fleet.listen = settings.endpoint("peer-listen");
+    fleet.replica.self = {settings.text("peer-listen"), settings.text("data-centre"), 0};
+    for (const auto& seed : settings.endpoints("seeds"))
+        fleet.replica.seeds.push_back(seed.text());
+    // All that happens to a change on its way has to fit into the servers' time for leaving.
+    const core::Duration drain = seconds(settings, "drain-s");
+    fleet.replica.staleAfter = drain * 7 / 10;
+    fleet.replica.watchWait = drain / 2;
+    fleet.massBelief = drain * 11 / 20;
+    fleet.replica.seed = std::random_device{}();
+    return fleet;
+}
+
+////////////////////////////////////////////////////////////
+/// \brief Stops the gateway in order: not ready, then no new connections, then the end
+////////////////////////////////////////////////////////////
+class PlannedStop
+{
+public:
+    PlannedStop(asio::io_context& context, gateway::Gateway& gateway, core::Duration grace, ports::EventLog& log) :
+    m_context(context),
+    m_gateway(gateway),
+    m_grace(grace),
+    m_log(log),
+    m_timer(context)
+    {
+    }
+
+    void begin()
+    {
+        if (m_begun)
+            return;
+        m_begun = true;
+        m_since = std::chrono::steady_clock::now();
+        m_log.write(ports::Level::Info, "leaving",
+                    {{"unfinished", m_gateway.unfinished()}, {"callers", m_gateway.callers()}});
+        m_gateway.leave();
+        wait(noticeTime);
+    }
+
+private:
+    void wait(core::Duration time)
+    {
+        m_timer.expires_after(time);
+        m_timer.async_wait(
+            [this](const asio::error_code& error)
+            {
+                if (!error)
+                    check();
+            });
+    }
+
+    void check()
+    {
+        m_gateway.closeIdle();
+        const auto elapsed = std::chrono::steady_clock::now() - m_since;
+        const bool done = m_gateway.unfinished() == 0 && m_gateway.callers() == 0;
+        if (!done && elapsed < m_grace)
+            return wait(stopCheck);
+        m_log.write(ports::Level::Info, "stopped", {{"unfinished", m_gateway.unfinished()}});
+        m_context.stop();
+    }
+
+    asio::io_context&                     m_context;      //!< Loop
+    gateway::Gateway&                     m_gateway;      //!< Is stopped
+    core::Duration                        m_grace;        //!< Longest time
+    ports::EventLog&                      m_log;          //!< Told
+    asio::steady_timer                    m_timer;        //!< Next check
+    std::chrono::steady_clock::time_point m_since;        //!< Start
+    bool                                  m_begun{false}; //!< It was told to stop
+};
+
+////////////////////////////////////////////////////////////
+void watchSignals(asio::signal_set& signals, PlannedStop& stop, ports::EventLog& log)
+{
+    signals.async_wait(
+        [&](const asio::error_code& error, int signal)
+        {
+            if (error)
+                return;
+            if (signal == SIGHUP)
+                log.write(ports::Level::Info, "reload-asked", {{"changed", "nothing; settings hold for a life"}});
+            else
+                stop.begin();
+            watchSignals(signals, stop, log);
+        });
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+int runGateway(int argc, char** argv, const Surroundings& surroundings)
+{
+    int        exitCode = adapters::settings::ExitOk;
+    const auto started = adapters::settings::startProgram(program, argc, argv, exitCode);
+    if (!started)
+        return exitCode;
+    const Settings& settings = started->settings;
+    std::signal(SIGPIPE, SIG_IGN);
+    adapters::logging::Log4cplusEventLog log(settings.text("name"), settings.text("log-file"),
+                                             settings.text("log-level"));
+    asio::io_context                     context(1);
+    gateway::Gateway                     gateway(context, gatewaySettings(settings), surroundings.dialect, log);
+    PlannedStop      stop(context, gateway, core::fromMilliseconds(settings.number("grace-s") * 1000 * graceShare), log);
+    asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
+    watchSignals(signals, stop, log);
+    const fleet::FleetThread fleet(
+        fleetSettings(settings),
+        [&](asio::io_context& loop) { return surroundings.makeSource(loop, settings.endpoint("store")); },
+        surroundings.translator,
+        [&](deployment::Declared declared)
+        { asio::post(context, [&gateway, declared = std::move(declared)] { gateway.configure(declared); }); },
+        log);
+    log.write(ports::Level::Info, "started", {{"dataCentre", settings.text("data-centre")}, {"port", gateway.port()}});
+    context.run();
+    return adapters::settings::ExitOk;
+}
+
+} // namespace sailpath::programs
--- /dev/null
+++ b/src/sailpath/adapters/links/LinkHub.cpp
@@ -0,0 +1,216 @@
+#include <sailpath/adapters/links/LinkHub.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+
+#include <array>
+#include <map>
+#include <netinet/tcp.h>
+
+namespace sailpath::adapters::links
+{
+namespace
+{
+using replication::LinkId;
+
+constexpr std::size_t mostUnsent = 8UL << 20U; // Bytes that wait for a peer that does not read
+constexpr int         silenceMs = 1500;        // Unacknowledged bytes until a link is given up
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+struct LinkHub::Impl : public std::enable_shared_from_this<LinkHub::Impl>
+{
+    struct Link
+    {
+        explicit Link(asio::ip::tcp::socket given) :
+        socket(std::move(given))
+        {
+        }
+
+        asio::ip::tcp::socket   socket;         //!< Connection
+        std::string             unread;         //!< Bytes not taken yet
+        std::string             writing;        //!< Bytes on their way
+        std::string             waiting;        //!< Bytes behind them
+        std::array<char, 8192>  buffer{};       //!< Bytes as they come
+        bool                    up{false};      //!< Connected
+        bool                    dropped{false}; //!< Closed by this side
+    };
+
+    using LinkPtr = std::shared_ptr<Link>;
+
+    Impl(asio::io_context& loop, const settings::Endpoint& listen, LinkEvents told) :
+    context(loop),
+    acceptor(loop, asio::ip::tcp::endpoint(asio::ip::make_address(listen.address), listen.port), true),
+    events(std::move(told))
+    {
+    }
+
+    void accept()
+    {
+        acceptor.async_accept(
+            [self = shared_from_this()](const asio::error_code& error, asio::ip::tcp::socket socket)
+            {
+                if (error == asio::error::operation_aborted)
+                    return;
+                if (!error)
+                {
+                    const LinkId id = self->nextAccepted;
+                    self->nextAccepted += 2;
+                    auto link = std::make_shared<Link>(std::move(socket));
+                    self->links[id] = link;
+                    self->start(id, link);
+                }
+                self->accept();
+            });
+    }
+
+    void start(LinkId id, const LinkPtr& link)
+    {
+        asio::error_code ignored;
+        link->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        const asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT> silence(silenceMs);
+        link->socket.set_option(silence, ignored);
+        link->up = true;
+        read(id, link);
+    }
+
+    void read(LinkId id, const LinkPtr& link)
+    {
+        link->socket.async_read_some(asio::buffer(link->buffer),
+                                     [self = shared_from_this(), id, link](const asio::error_code& error, std::size_t bytes)
+                                     {
+                                         if (link->dropped)
+                                             return;
+                                         if (error || !self->take(id, link, bytes))
+                                             return self->end(id, link);
+                                         if (!link->dropped)
+                                             self->read(id, link);
+                                     });
+    }
+
+    bool take(LinkId id, const LinkPtr& link, std::size_t bytes)
+    {
+        link->unread.append(link->buffer.data(), bytes);
+        while (!link->dropped)
+        {
+            const Decoded decoded = decode(link->unread);
+            if (decoded.malformed)
+                return false;
+            if (!decoded.message)
+                return true;
+            link->unread.erase(0, decoded.taken);
+            events.received(id, *decoded.message);
+        }
+        return true;
+    }
+
+    void write(LinkId id, const LinkPtr& link)
+    {
+        link->writing.swap(link->waiting);
+        asio::async_write(link->socket, asio::buffer(link->writing),
+                          [self = shared_from_this(), id, link](const asio::error_code& error, std::size_t)
+                          {
+                              link->writing.clear();
+                              if (link->dropped)
+                                  return;
+                              if (error)
+                                  return self->end(id, link);
+                              if (!link->waiting.empty())
+                                  self->write(id, link);
+                          });
+    }
+
+    void end(LinkId id, const LinkPtr& link)
+    {
+        if (link->dropped)
+            return;
+        drop(id);
+        events.closed(id);
+    }
+
+    void drop(LinkId id)
+    {
+        const auto found = links.find(id);
+        if (found == links.end())
+            return;
+        found->second->dropped = true;
+        asio::error_code ignored;
+        found->second->socket.close(ignored);
+        links.erase(found);
+    }
+
+    asio::io_context&         context;         //!< Loop
+    asio::ip::tcp::acceptor   acceptor;        //!< For peers
+    LinkEvents                events;          //!< Told what happens
+    std::map<LinkId, LinkPtr> links;           //!< Open or opening
+    LinkId                    nextAccepted{2}; //!< Even numbers are those of links that peers opened
+};
+
+////////////////////////////////////////////////////////////
+LinkHub::LinkHub(asio::io_context& context, const settings::Endpoint& listen, LinkEvents events) :
+m_impl(std::make_shared<Impl>(context, listen, std::move(events)))
+{
+    m_impl->accept();
+}
+
+////////////////////////////////////////////////////////////
+LinkHub::~LinkHub()
+{
+    asio::error_code ignored;
+    m_impl->acceptor.close(ignored);
+    while (!m_impl->links.empty())
+        m_impl->drop(m_impl->links.begin()->first);
+}
+
+////////////////////////////////////////////////////////////
+void LinkHub::open(replication::LinkId id, const std::string& address)
+{
+    const auto where = settings::parseEndpoint(address);
+    auto       link = std::make_shared<Impl::Link>(asio::ip::tcp::socket(m_impl->context));
+    m_impl->links[id] = link;
+    asio::error_code error;
+    const auto       ip = asio::ip::make_address(where ? where->address : std::string(), error);
+    if (error)
+    {
+        asio::post(m_impl->context, [self = m_impl, id, link] { self->end(id, link); });
+        return;
+    }
+    link->socket.async_connect({ip, where->port},
+                               [self = m_impl, id, link](const asio::error_code& failed)
+                               {
+                                   if (link->dropped)
+                                       return;
+                                   if (failed)
+                                       return self->end(id, link);
+                                   self->start(id, link);
+                                   self->events.opened(id);
+                               });
+}
+
+////////////////////////////////////////////////////////////
+void LinkHub::close(replication::LinkId link)
+{
+    m_impl->drop(link);
+}
+
+////////////////////////////////////////////////////////////
+void LinkHub::send(replication::LinkId id, const LinkMessage& message)
+{
+    const auto found = m_impl->links.find(id);
+    if (found == m_impl->links.end() || !found->second->up)
+        return;
+    const auto link = found->second;
+    link->waiting += encode(message);
+    if (link->waiting.size() > mostUnsent)
+    {
+        asio::post(m_impl->context, [self = m_impl, id, link] { self->end(id, link); });
+        return;
+    }
+    if (link->writing.empty())
+        m_impl->write(id, link);
+}
+
+} // namespace sailpath::adapters::links
--- /dev/null
+++ b/src/sailpath/adapters/links/Links.capnp
@@ -0,0 +1,38 @@
+@0xb7d2f1c43a9e5d17;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("sailpath::adapters::links::wire");
+
+struct Item {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+  gone @3 :Bool;
+}
+
+struct NodeAddress {
+  address @0 :Text;
+  dataCentre @1 :Text;
+  ageMs @2 :UInt32;
+}
+
+struct Hello {
+  self @0 :NodeAddress;
+  at @1 :UInt64;
+}
+
+struct Update {
+  at @0 :UInt64;
+  ageMs @1 :UInt32;
+  illAgeMs @2 :UInt32;
+  full @3 :Bool;
+  items @4 :List(Item);
+  nodes @5 :List(NodeAddress);
+}
+
+struct Message {
+  union {
+    hello @0 :Hello;
+    update @1 :Update;
+  }
+}
--- /dev/null
+++ b/src/sailpath/balance/Balancer.cpp
@@ -0,0 +1,467 @@
+#include <sailpath/balance/Balancer.hpp>
+
+#include <algorithm>
+#include <cassert>
+
+namespace sailpath::balance
+{
+namespace
+{
+constexpr auto     soon = std::chrono::milliseconds{200};        // When a lack of servers may be over
+constexpr auto     leastComeBack = std::chrono::milliseconds{50};
+constexpr auto     longestComeBack = std::chrono::seconds{2};
+constexpr auto     never = core::Timestamp::max();
+constexpr unsigned mostUnsent = 4;        // Connections that may fail to come up before a request is refused
+constexpr double   retryExtraShare = 0.6; // Of the extra; the rest covers nodes not known of
+constexpr double   hedgeRoom = 1.2;       // Further time over the estimate that a second send is given
+constexpr double   leastHedgeWorks = 1.3; // Expected times that the first send is given
+constexpr double   hopelessWorks = 3.0;   // Expected times after which a send is taken for stuck
+constexpr double   lateFactor = 1.6;      // Targets that a request may be expected to take and still be let in
+constexpr unsigned statusServerFailed = 500;
+
+////////////////////////////////////////////////////////////
+core::Duration milliseconds(double value)
+{
+    return core::fromMilliseconds(value);
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+std::string_view toString(RefusalReason reason)
+{
+    switch (reason)
+    {
+    case RefusalReason::NotConfigured:
+        return "not-configured";
+    case RefusalReason::NoRoute:
+        return "no-route";
+    case RefusalReason::NoServer:
+        return "no-server";
+    case RefusalReason::Overloaded:
+        return "overloaded";
+    case RefusalReason::NotRun:
+        return "not-run";
+    case RefusalReason::Unknown:
+        return "outcome-unknown";
+    case RefusalReason::TimedOut:
+        return "timed-out";
+    }
+    return "unknown";
+}
+
+////////////////////////////////////////////////////////////
+Balancer::Balancer(Settings settings, core::Timestamp now) :
+m_settings(std::move(settings)),
+m_born(now),
+m_random(m_settings.seed)
+{
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::configure(const deployment::Declared& declared, core::Timestamp now)
+{
+    m_nodes = std::max(1U, declared.nodes);
+    if (declared.deployment && declared.deployment != m_deployment)
+    {
+        m_deployment = declared.deployment;
+        m_routes = deployment::RouteTable(m_deployment);
+    }
+    std::unordered_map<std::string, std::vector<deployment::Instance>> byService;
+    for (const deployment::Instance& instance : declared.instances)
+    {
+        if (!instance.draining)
+            byService[instance.service].push_back(instance);
+    }
+    for (auto& [name, pool] : m_pools)
+        byService.try_emplace(name);
+    for (auto& [name, instances] : byService)
+    {
+        auto& pool = m_pools[name];
+        if (!pool)
+            pool = std::make_shared<ServicePool>(name, m_settings, m_born);
+        pool->setInstances(std::move(instances), now);
+    }
+    if (!m_deployment)
+        return;
+    for (const deployment::ServiceRule& rule : m_deployment->services)
+    {
+        const auto pool = m_pools.find(rule.name);
+        if (pool != m_pools.end())
+            pool->second->setConnections(rule.connections, m_nodes);
+    }
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::admit(Ticket ticket, const Arrival& arrival, core::Timestamp now)
+{
+    if (!configured())
+        return refuse(ticket, {RefusalReason::NotConfigured, false, soon});
+    const deployment::HostRoute* route = m_routes.find(arrival.host, arrival.target);
+    if (!route)
+        return refuse(ticket, {RefusalReason::NoRoute, false, {}});
+
+    Request request;
+    request.route = *route;
+    request.pool = poolFor(*route);
+    request.since = arrival.since;
+    request.callerDeadline = arrival.timeLeft ? arrival.since + *arrival.timeLeft : never;
+    request.deadline = std::min(arrival.since + route->timeout - m_settings.wayBack, request.callerDeadline);
+    request.pool->retries().requested(now);
+    const Choice choice = request.pool->choose(wishOf(request), now, m_random);
+    if (!choice.server)
+        return refuse(ticket, {RefusalReason::NoServer, false, soon});
+    if (tooLate(request, choice, now))
+        return refuse(ticket, {RefusalReason::Overloaded, false, comeBack(*request.pool, choice.finishMs)});
+    Request& kept = m_requests.emplace(ticket, std::move(request)).first->second;
+    forward(ticket, kept, choice, now);
+    plan(ticket, kept, now);
+}
+
+////////////////////////////////////////////////////////////
+bool Balancer::tooLate(const Request& request, const Choice& choice, core::Timestamp now) const
+{
+    if (!m_settings.gating)
+        return false;
+    const double target = core::toMilliseconds(request.route.targetLatency);
+    const double passed = core::toMilliseconds(now - request.since);
+    const double left = core::toMilliseconds(request.deadline - request.since);
+    // Ranks beyond the first give way a little sooner.
+    const double factor = lateFactor / (1 + 0.1 * request.route.priority);
+    return passed + choice.finishMs > std::min(factor * target, left);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::attemptEnded(Ticket ticket, unsigned number, const Outcome& outcome, core::Timestamp now)
+{
+    const auto found = m_requests.find(ticket);
+    if (found == m_requests.end() || number == 0 || number > found->second.attempts.size())
+        return;
+    Request& request = found->second;
+    Attempt& attempt = request.attempts[number - 1];
+    if (!attempt.running)
+        return;
+    attempt.running = false;
+    attempt.server->ended(now);
+    learn(request, attempt, outcome, now);
+
+    const bool failedAnswer = outcome.status >= statusServerFailed;
+    if (outcome.end == AttemptEnd::Answered && !(failedAnswer && request.route.repeatable))
+    {
+        abandonRunning(ticket, request, now);
+        Step step;
+        step.kind = StepKind::Answer;
+        step.ticket = ticket;
+        step.attempt = number;
+        m_steps.push_back(step);
+        close(ticket);
+        return;
+    }
+    if (outcome.end == AttemptEnd::NotSent)
+        --request.sends;
+    if (outcome.end == AttemptEnd::Lost)
+        request.mayHaveRun = true;
+    request.comeBack = std::max(request.comeBack, outcome.comeBack);
+    const bool elsewhere = std::any_of(request.attempts.begin(), request.attempts.end(),
+                                       [](const Attempt& other) { return other.running; });
+    if (elsewhere)
+        return;
+    const bool mayRepeat = request.route.repeatable || !request.mayHaveRun;
+    if (!request.left && mayRepeat && sendAgain(ticket, request, now))
+        return plan(ticket, request, now);
+    if (outcome.end == AttemptEnd::Answered)
+    {
+        Step step;
+        step.kind = StepKind::Answer;
+        step.ticket = ticket;
+        step.attempt = number;
+        m_steps.push_back(step);
+        close(ticket);
+        return;
+    }
+    conclude(ticket, request, now);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::learn(Request& request, Attempt& attempt, const Outcome& outcome, core::Timestamp now)
+{
+    ServerView& server = *attempt.server;
+    if (outcome.load)
+    {
+        server.reported(*outcome.load, now);
+        request.pool->learnPace(outcome.load->pace);
+        if (const auto others = server.reportedOthers())
+            request.pool->learnOthers(*others);
+    }
+    const double latency = core::toMilliseconds(now - attempt.sentAt);
+    switch (outcome.end)
+    {
+    case AttemptEnd::Answered:
+        if (outcome.status >= statusServerFailed)
+        {
+            server.failed(now);
+            break;
+        }
+        server.answered(latency, attempt.plainMs);
+        request.pool->learnWork(request.route.name, latency, attempt.plainMs);
+        break;
+    case AttemptEnd::NotRun:
+        server.shed(now);
+        break;
+    case AttemptEnd::NotSent:
+    case AttemptEnd::Lost:
+        server.failed(now);
+        break;
+    }
+}
+
+////////////////////////////////////////////////////////////
+bool Balancer::sendAgain(Ticket ticket, Request& request, core::Timestamp now)
+{
+    if (request.sends >= request.route.attempts || request.attempts.size() >= request.route.attempts + mostUnsent)
+        return false;
+    const Choice choice = request.pool->choose(wishOf(request), now, m_random);
+    if (!choice.server || now + milliseconds(choice.finishMs / 2) > request.deadline)
+        return false;
+    // What never reached a server costs no budget.
+    if (request.sends > 0 && !request.pool->retries().take(retryExtra(), now))
+        return false;
+    forward(ticket, request, choice, now);
+    return true;
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::forward(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now)
+{
+    Attempt attempt;
+    attempt.server = choice.server;
+    attempt.sentAt = now;
+    attempt.expectedMs = choice.finishMs;
+    attempt.plainMs = choice.finishMs / choice.server->ratio();
+    choice.server->sent(now);
+    request.attempts.push_back(attempt);
+    request.tried.push_back(choice.server.get());
+    ++request.sends;
+
+    Step step;
+    step.kind = StepKind::Forward;
+    step.ticket = ticket;
+    step.attempt = static_cast<unsigned>(request.attempts.size());
+    step.instance = choice.server->instance();
+    step.deadline = request.deadline - m_settings.wayBack;
+    step.repeatable = request.route.repeatable;
+    step.expectedMs = choice.finishMs;
+    step.reportAgeMs = choice.server->reportAgeMs(now);
+    m_steps.push_back(std::move(step));
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::plan(Ticket ticket, Request& request, core::Timestamp now)
+{
+    if (request.wake != core::Timestamp{})
+        m_wakes.erase({request.wake, ticket});
+    request.wake = request.deadline;
+    const Attempt& last = request.attempts.back();
+    const bool mayHedge = m_settings.hedging && request.route.repeatable && !request.left &&
+                          request.sends < request.route.attempts && last.running;
+    if (mayHedge)
+    {
+        const double  typical = request.pool->workMs(request.route.name);
+        const auto    target = request.since + request.route.targetLatency;
+        const auto    latestUseful = target - milliseconds(hedgeRoom * typical) - m_settings.wayBack;
+        const auto    patience = last.sentAt + milliseconds(leastHedgeWorks * typical);
+        const auto    stuck = last.sentAt + milliseconds(hopelessWorks * std::max(typical, last.expectedMs));
+        // Later than that a second send cannot meet the target; then it is only for what is stuck.
+        core::Timestamp at = patience <= latestUseful ? latestUseful : stuck;
+        if (at <= now)
+            at = std::max(stuck, now + milliseconds(typical));
+        request.wake = std::min(request.wake, at);
+    }
+    m_wakes.insert({request.wake, ticket});
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::hedge(Ticket ticket, Request& request, core::Timestamp now)
+{
+    (void)sendAgain(ticket, request, now);
+    plan(ticket, request, now);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::due(core::Timestamp now)
+{
+    while (!m_wakes.empty() && m_wakes.begin()->first <= now)
+    {
+        const Ticket ticket = m_wakes.begin()->second;
+        Request&     request = m_requests.at(ticket);
+        if (request.deadline <= now)
+            timeOut(ticket, request, now);
+        else
+            hedge(ticket, request, now);
+    }
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::timeOut(Ticket ticket, Request& request, core::Timestamp now)
+{
+    abandonRunning(ticket, request, now);
+    refuse(ticket, {RefusalReason::TimedOut, request.mayHaveRun, request.mayHaveRun ? core::Duration{} : soon});
+    close(ticket);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::conclude(Ticket ticket, Request& request, core::Timestamp)
+{
+    if (request.mayHaveRun)
+        refuse(ticket, {RefusalReason::Unknown, true, {}});
+    else
+        refuse(ticket, {RefusalReason::NotRun, false, std::max(request.comeBack, comeBack(*request.pool, 0))});
+    close(ticket);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::abandonRunning(Ticket ticket, Request& request, core::Timestamp now)
+{
+    for (std::size_t i = 0; i < request.attempts.size(); ++i)
+    {
+        Attempt& attempt = request.attempts[i];
+        if (!attempt.running)
+            continue;
+        attempt.running = false;
+        attempt.server->ended(now);
+        const double elapsed = core::toMilliseconds(now - attempt.sentAt);
+        attempt.server->overdue(elapsed, attempt.plainMs);
+        if (elapsed > hopelessWorks * std::max(attempt.expectedMs, request.pool->workMs(request.route.name)))
+            attempt.server->failed(now);
+        request.mayHaveRun = true;
+        Step step;
+        step.kind = StepKind::Abandon;
+        step.ticket = ticket;
+        step.attempt = static_cast<unsigned>(i + 1);
+        step.repeatable = request.route.repeatable;
+        m_steps.push_back(step);
+    }
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::callerLeft(Ticket ticket, core::Timestamp now)
+{
+    const auto found = m_requests.find(ticket);
+    if (found == m_requests.end())
+        return;
+    Request& request = found->second;
+    request.left = true;
+    if (!request.route.repeatable)
+        return; // What may have begun to run is left to end; its answer goes nowhere.
+    abandonRunning(ticket, request, now);
+    close(ticket);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::refuse(Ticket ticket, const Refusal& refusal)
+{
+    Step step;
+    step.kind = StepKind::Refuse;
+    step.ticket = ticket;
+    step.refusal = refusal;
+    m_steps.push_back(step);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::close(Ticket ticket)
+{
+    const auto found = m_requests.find(ticket);
+    assert(found != m_requests.end());
+    m_wakes.erase({found->second.wake, ticket});
+    m_requests.erase(found);
+}
+
+////////////////////////////////////////////////////////////
+std::shared_ptr<ServicePool> Balancer::poolFor(const deployment::HostRoute& route)
+{
+    std::vector<double>& credit = m_credit[route.name];
+    if (credit.size() != route.parts.size())
+        credit.assign(route.parts.size(), 0.0);
+    double total = 0;
+    for (const deployment::SplitPart& part : route.parts)
+        total += part.weight;
+    // Smooth weighted turns: each part earns its share, the one owed most goes and pays for it.
+    std::size_t best = 0;
+    for (std::size_t i = 0; i < route.parts.size(); ++i)
+    {
+        credit[i] += total > 0 ? route.parts[i].weight / total : 1.0 / static_cast<double>(route.parts.size());
+        if (credit[i] > credit[best])
+            best = i;
+    }
+    // The first turn is drawn, so that many nodes with few requests keep the shares together.
+    if (credit.size() > 1 && std::all_of(credit.begin(), credit.end(), [](double owed) { return owed >= 0; }))
+    {
+        double at = m_random.unit() * total;
+        for (best = 0; best + 1 < credit.size() && at >= route.parts[best].weight; ++best)
+            at -= route.parts[best].weight;
+    }
+    credit[best] -= 1;
+    auto& pool = m_pools[route.parts[best].service];
+    if (!pool)
+        pool = std::make_shared<ServicePool>(route.parts[best].service, m_settings, m_born);
+    return pool;
+}
+
+////////////////////////////////////////////////////////////
+Wish Balancer::wishOf(const Request& request) const
+{
+    return {request.route.name, request.route.repeatable, request.tried};
+}
+
+////////////////////////////////////////////////////////////
+double Balancer::retryExtra() const
+{
+    return retryExtraShare * m_settings.retryExtra / m_nodes;
+}
+
+////////////////////////////////////////////////////////////
+core::Duration Balancer::comeBack(const ServicePool& pool, double expectedMs)
+{
+    const double base = std::max(expectedMs, pool.workMs()) * (0.5 + m_random.unit());
+    return std::clamp<core::Duration>(milliseconds(base), leastComeBack, longestComeBack);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::connections(const deployment::Instance& instance, unsigned idle, unsigned open)
+{
+    const auto pool = m_pools.find(instance.service);
+    if (pool == m_pools.end())
+        return;
+    const auto server = pool->second->find(instance.id);
+    if (!server)
+        return;
+    server->setIdleConnections(idle);
+    server->setOpenConnections(open);
+}
+
+////////////////////////////////////////////////////////////
+std::optional<core::Timestamp> Balancer::nextDue() const
+{
+    return m_wakes.empty() ? std::nullopt : std::optional(m_wakes.begin()->first);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::takeSteps(std::vector<Step>& steps)
+{
+    steps.clear();
+    steps.swap(m_steps);
+}
+
+////////////////////////////////////////////////////////////
+bool Balancer::configured() const
+{
+    return m_deployment != nullptr;
+}
+
+////////////////////////////////////////////////////////////
+std::size_t Balancer::unfinished() const
+{
+    return m_requests.size();
+}
+
+} // namespace sailpath::balance
--- /dev/null
+++ b/src/sailpath/balance/ServerView.cpp
@@ -0,0 +1,198 @@
+#include <sailpath/balance/ServerView.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace sailpath::balance
+{
+namespace
+{
+constexpr double   ratioGain = 0.2;         // Share of one answer in an instance's latency ratio
+constexpr double   leastRatio = 0.5;         // Bound of the ratio
+constexpr double   largestRatio = 20;       // Bound of one observation
+constexpr double   coldPace = 1.6;          // Assumed of an instance that is still warming up
+constexpr double   failureGain = 0.3;       // Share of one attempt in the failure share
+constexpr double   failureHalfLifeMs = 3000; // How fast a failure is forgotten without further attempts
+constexpr unsigned failuresToEject = 2;     // In a row
+constexpr auto     firstEjection = std::chrono::milliseconds{800};
+constexpr auto     longestEjection = std::chrono::seconds{6};
+constexpr auto     firstShed = std::chrono::milliseconds{60};
+constexpr auto     longestShed = std::chrono::milliseconds{1000};
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+ServerView::ServerView(deployment::Instance instance, const Settings& settings, core::Timestamp now) :
+m_settings(settings),
+m_instance(std::make_shared<const deployment::Instance>(std::move(instance))),
+m_warmUntil(now + m_instance->warmUp)
+{
+}
+
+////////////////////////////////////////////////////////////
+void ServerView::update(deployment::Instance instance)
+{
+    m_instance = std::make_shared<const deployment::Instance>(std::move(instance));
+}
+
+////////////////////////////////////////////////////////////
+void ServerView::sent(core::Timestamp)
+{
+    ++m_inFlight;
+}
+
+////////////////////////////////////////////////////////////
+void ServerView::ended(core::Timestamp)
+{
+    --m_inFlight;
+}
+
+////////////////////////////////////////////////////////////
+void ServerView::reported(const Load& load, core::Timestamp now)
+{
+    const double all = load.running + load.waiting;
+    m_report = Report{load, std::max(0.0, all - m_inFlight), now};
+}
+
+////////////////////////////////////////////////////////////
+void ServerView::answered(double latencyMs, double expectedMs)
+{
+    const double seen = std::min(largestRatio, latencyMs / std::max(1.0, expectedMs));
+    m_ratio += ratioGain * (seen - m_ratio);
+    m_failures -= failureGain * m_failures;
+    m_inRow = 0;
+    m_sheds = 0;
+    m_ejectedUntil = {};
+    m_shedUntil = {};
+}
+
+////////////////////////////////////////////////////////////
+void ServerView::overdue(double elapsedMs, double expectedMs)
+{
+    const double seen = std::min(largestRatio, elapsedMs / std::max(1.0, expectedMs));
+    if (seen > m_ratio)
+        m_ratio += ratioGain * (seen - m_ratio);
+}
+
+////////////////////////////////////////////////////////////
+void ServerView::failed(core::Timestamp now)
+{
+    m_failures = failureShare(now);
+    m_failures += failureGain * (1 - m_failures);
+    m_failuresAt = now;
+    ++m_inRow;
+    if (m_inRow < failuresToEject)
+        return;
+    const auto doublings = std::min(m_inRow - failuresToEject, 4U);
+    m_ejectedUntil = now + std::min<core::Duration>(firstEjection * (1U << doublings), longestEjection);
+}
+
+////////////////////////////////////////////////////////////
+void ServerView::shed(core::Timestamp now)
+{
+    const auto doublings = std::min(m_sheds, 5U);
+    ++m_sheds;
+    m_shedUntil = now + std::min<core::Duration>(firstShed * (1U << doublings), longestShed);
+}
+
+////////////////////////////////////////////////////////////
+void ServerView::setIdleConnections(unsigned count)
+{
+    m_idle = count;
+}
+
+////////////////////////////////////////////////////////////
+void ServerView::setOpenConnections(unsigned count)
+{
+    m_open = count;
+}
+
+////////////////////////////////////////////////////////////
+double ServerView::finishMs(double workMs, double poolWorkMs, double others, double pace, core::Timestamp now) const
+{
+    const double slots = std::max(1U, m_instance->slots);
+    const double ahead = std::max(0.0, occupancy(others, now) + 1 - slots);
+    double       speed = paceNow(pace, now) * ratio();
+    if (now < m_warmUntil)
+        speed *= coldPace;
+    double time = speed * (workMs + ahead / slots * poolWorkMs);
+    if (m_instance->dataCentre != m_settings.dataCentre)
+        time += core::toMilliseconds(m_settings.otherDataCentre);
+    if (m_idle == 0)
+        time += core::toMilliseconds(m_settings.connectCost);
+    if (now < m_shedUntil)
+        time += 4 * poolWorkMs;
+    return time;
+}
+
+////////////////////////////////////////////////////////////
+double ServerView::occupancy(double others, core::Timestamp now) const
+{
+    double elsewhere = others;
+    if (m_report)
+    {
+        const double age = core::toMilliseconds(now - m_report->at);
+        const double worth = std::exp(-age / core::toMilliseconds(m_settings.reportLife));
+        elsewhere = others + worth * (m_report->others - others);
+    }
+    return m_inFlight + elsewhere;
+}
+
+////////////////////////////////////////////////////////////
+double ServerView::paceNow(double usual, core::Timestamp now) const
+{
+    if (!m_report)
+        return usual;
+    const double age = core::toMilliseconds(now - m_report->at);
+    return usual + std::exp(-age / core::toMilliseconds(m_settings.reportLife)) * (m_report->load.pace - usual);
+}
+
+////////////////////////////////////////////////////////////
+double ServerView::failureShare(core::Timestamp now) const
+{
+    return m_failures * std::exp2(-core::toMilliseconds(now - m_failuresAt) / failureHalfLifeMs);
+}
+
+////////////////////////////////////////////////////////////
+bool ServerView::ejected(core::Timestamp now) const
+{
+    return now < m_ejectedUntil;
+}
+
+////////////////////////////////////////////////////////////
+double ServerView::reportAgeMs(core::Timestamp now) const
+{
+    return m_report ? core::toMilliseconds(now - m_report->at) : -1;
+}
+
+////////////////////////////////////////////////////////////
+std::optional<double> ServerView::reportedOthers() const
+{
+    return m_report ? std::optional<double>(m_report->others) : std::nullopt;
+}
+
+////////////////////////////////////////////////////////////
+const std::shared_ptr<const deployment::Instance>& ServerView::instance() const
+{
+    return m_instance;
+}
+
+////////////////////////////////////////////////////////////
+unsigned ServerView::inFlight() const
+{
+    return m_inFlight;
+}
+
+////////////////////////////////////////////////////////////
+unsigned ServerView::open() const
+{
+    return m_open;
+}
+
+////////////////////////////////////////////////////////////
+double ServerView::ratio() const
+{
+    return std::max(leastRatio, m_ratio);
+}
+
+} // namespace sailpath::balance
--- /dev/null
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -0,0 +1,156 @@
+#include <sailpath/balance/ServicePool.hpp>
+
+#include <algorithm>
+
+namespace sailpath::balance
+{
+namespace
+{
+constexpr double   othersGain = 0.05;   // Share of one report in the pool's mean
+constexpr double   paceGain = 0.03;     // Share of one report in the pool's mean
+constexpr double   workGain = 0.05;     // Share of one answer in the usual work
+constexpr double   failurePenalty = 2;  // Usual works that a failed attempt costs when it can be mended
+constexpr double   lossPenalty = 12;    // Usual works that a failed attempt costs when it cannot
+constexpr double   ejectedPenalty = 40; // Usual works; an ejected server is taken only when all are
+constexpr double   spread = 0.08;       // Random part of a cost, so that nodes with equal views part
+constexpr unsigned leastConnections = 2;
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+ServicePool::ServicePool(std::string name, const Settings& settings, core::Timestamp born) :
+m_name(std::move(name)),
+m_settings(settings),
+m_retries(settings.retryWindow, settings.retryRatio, born),
+m_work(core::toMilliseconds(settings.firstWork))
+{
+}
+
+////////////////////////////////////////////////////////////
+void ServicePool::setConnections(unsigned instanceLimit, unsigned nodes)
+{
+    const double part = m_settings.connectionShare * instanceLimit / std::max(1U, nodes);
+    m_connections = instanceLimit == 0 ? 0 : std::max(leastConnections, static_cast<unsigned>(part));
+}
+
+////////////////////////////////////////////////////////////
+void ServicePool::setInstances(std::vector<deployment::Instance> instances, core::Timestamp now)
+{
+    std::vector<std::shared_ptr<ServerView>> servers;
+    servers.reserve(instances.size());
+    for (deployment::Instance& instance : instances)
+    {
+        auto known = find(instance.id);
+        if (known)
+            known->update(std::move(instance));
+        else
+            known = std::make_shared<ServerView>(std::move(instance), m_settings, now);
+        servers.push_back(std::move(known));
+    }
+    m_servers = std::move(servers);
+}
+
+////////////////////////////////////////////////////////////
+Choice ServicePool::choose(const Wish& wish, core::Timestamp now, core::Random& random) const
+{
+    const double work = workMs(wish.route);
+    Choice       best;
+    double       bestCost = 0;
+    for (const auto& server : m_servers)
+    {
+        if (!mayBeGiven(*server, wish))
+            continue;
+        const double value = cost(*server, wish, work, now) * (1 + spread * random.unit());
+        if (best.server && value >= bestCost)
+            continue;
+        best.server = server;
+        bestCost = value;
+    }
+    if (best.server)
+        best.finishMs = best.server->finishMs(work, m_work, m_others, m_pace, now);
+    return best;
+}
+
+////////////////////////////////////////////////////////////
+bool ServicePool::mayBeGiven(const ServerView& server, const Wish& wish) const
+{
+    if (std::find(wish.tried.begin(), wish.tried.end(), &server) != wish.tried.end())
+        return false;
+    return m_connections == 0 || server.inFlight() < m_connections;
+}
+
+////////////////////////////////////////////////////////////
+double ServicePool::cost(const ServerView& server, const Wish& wish, double work, core::Timestamp now) const
+{
+    const double risk = server.failureShare(now) * (wish.repeatable ? failurePenalty : lossPenalty);
+    const double absence = server.ejected(now) ? ejectedPenalty : 0;
+    return server.finishMs(work, m_work, m_others, m_pace, now) + (risk + absence) * work * m_pace;
+}
+
+////////////////////////////////////////////////////////////
+void ServicePool::learnOthers(double others)
+{
+    m_others += othersGain * (others - m_others);
+}
+
+////////////////////////////////////////////////////////////
+void ServicePool::learnPace(double pace)
+{
+    m_pace += paceGain * (pace - m_pace);
+}
+
+////////////////////////////////////////////////////////////
+void ServicePool::learnWork(std::string_view route, double latencyMs, double plainMs)
+{
+    const double seen = std::clamp(latencyMs / std::max(1.0, plainMs), 0.1, 5.0);
+    const auto   known = m_routeWork.try_emplace(std::string(route), m_work).first;
+    known->second *= 1 + workGain * (seen - 1);
+    m_work += workGain * (known->second - m_work);
+}
+
+////////////////////////////////////////////////////////////
+double ServicePool::workMs(std::string_view route) const
+{
+    const auto known = m_routeWork.find(std::string(route));
+    return known == m_routeWork.end() ? m_work : known->second;
+}
+
+////////////////////////////////////////////////////////////
+double ServicePool::workMs() const
+{
+    return m_work;
+}
+
+////////////////////////////////////////////////////////////
+double ServicePool::usualPace() const
+{
+    return m_pace;
+}
+
+////////////////////////////////////////////////////////////
+RetryWindow& ServicePool::retries()
+{
+    return m_retries;
+}
+
+////////////////////////////////////////////////////////////
+const std::string& ServicePool::name() const
+{
+    return m_name;
+}
+
+////////////////////////////////////////////////////////////
+std::size_t ServicePool::size() const
+{
+    return m_servers.size();
+}
+
+////////////////////////////////////////////////////////////
+std::shared_ptr<ServerView> ServicePool::find(std::string_view instance) const
+{
+    const auto found = std::find_if(m_servers.begin(), m_servers.end(),
+                                    [instance](const auto& server) { return server->instance()->id == instance; });
+    return found == m_servers.end() ? nullptr : *found;
+}
+
+} // namespace sailpath::balance
--- /dev/null
+++ b/src/sailpath/deployment/InstanceBook.cpp
@@ -0,0 +1,111 @@
+#include <sailpath/deployment/InstanceBook.hpp>
+
+#include <algorithm>
+
+namespace sailpath::deployment
+{
+namespace
+{
+constexpr auto   remembrance = std::chrono::seconds{60}; // Of instances that left, to know late writes by
+constexpr double most = 0.5;                             // Share of a service
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+InstanceBook::InstanceBook(core::Duration massBelief, core::Duration illBelief) :
+m_massBelief(massBelief),
+m_illBelief(illBelief)
+{
+}
+
+////////////////////////////////////////////////////////////
+void InstanceBook::announced(const Announcement& announcement, core::Timestamp)
+{
+    Entry& entry = m_entries[announcement.instance.id];
+    if (announcement.sequence < entry.last.sequence)
+        return;
+    entry.last = announcement;
+    entry.drained = entry.drained || announcement.instance.draining;
+    entry.last.instance.draining = entry.drained;
+    entry.believeUntil.reset();
+    entry.forgetAt.reset();
+}
+
+////////////////////////////////////////////////////////////
+bool InstanceBook::mostVanished(const std::string& service) const
+{
+    std::size_t all = 0;
+    std::size_t vanished = 0;
+    for (const auto& [id, entry] : m_entries)
+    {
+        if (entry.drained || entry.forgetAt || entry.last.instance.service != service)
+            continue;
+        ++all;
+        vanished += entry.believeUntil ? 1 : 0;
+    }
+    return static_cast<double>(vanished) > most * static_cast<double>(all);
+}
+
+////////////////////////////////////////////////////////////
+void InstanceBook::vanished(std::string_view id, bool storeIll, core::Timestamp now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || found->second.believeUntil || found->second.forgetAt)
+        return;
+    found->second.believeUntil = now + (storeIll ? m_illBelief : m_massBelief);
+}
+
+////////////////////////////////////////////////////////////
+void InstanceBook::settle(bool storeIll, core::Timestamp now)
+{
+    std::map<std::string, bool> spared;
+    for (const auto& [id, entry] : m_entries)
+    {
+        const std::string& service = entry.last.instance.service;
+        if (entry.believeUntil && spared.find(service) == spared.end())
+            spared[service] = storeIll || mostVanished(service);
+    }
+    for (auto item = m_entries.begin(); item != m_entries.end();)
+    {
+        Entry& entry = item->second;
+        if (entry.forgetAt && now >= *entry.forgetAt)
+        {
+            item = m_entries.erase(item);
+            continue;
+        }
+        const bool believed = entry.believeUntil && !entry.drained && spared[entry.last.instance.service] &&
+                              now < *entry.believeUntil;
+        if (entry.believeUntil && !believed)
+        {
+            entry.believeUntil.reset();
+            entry.forgetAt = now + remembrance;
+        }
+        ++item;
+    }
+}
+
+////////////////////////////////////////////////////////////
+std::vector<Instance> InstanceBook::list() const
+{
+    std::vector<Instance> instances;
+    for (const auto& [id, entry] : m_entries)
+    {
+        if (!entry.forgetAt)
+            instances.push_back(entry.last.instance);
+    }
+    return instances;
+}
+
+////////////////////////////////////////////////////////////
+std::optional<core::Timestamp> InstanceBook::nextDue() const
+{
+    std::optional<core::Timestamp> next;
+    for (const auto& [id, entry] : m_entries)
+    {
+        if (entry.believeUntil && (!next || *entry.believeUntil < *next))
+            next = entry.believeUntil;
+    }
+    return next;
+}
+
+} // namespace sailpath::deployment
--- /dev/null
+++ b/src/sailpath/fleet/FleetThread.cpp
@@ -0,0 +1,317 @@
+#include <sailpath/fleet/FleetThread.hpp>
+
+#include <sailpath/adapters/links/LinkHub.hpp>
+#include <sailpath/deployment/InstanceBook.hpp>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <mutex>
+#include <thread>
+
+namespace sailpath::fleet
+{
+namespace
+{
+using replication::LinkId;
+using replication::SourceAnswer;
+using replication::SourceStatus;
+
+constexpr auto illWithin = std::chrono::seconds{4}; // A failure of the store this recent explains vanished entries
+
+////////////////////////////////////////////////////////////
+core::Timestamp now()
+{
+    const auto since = std::chrono::steady_clock::now().time_since_epoch();
+    return core::Timestamp(std::chrono::duration_cast<core::Duration>(since));
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+struct FleetThread::Impl
+{
+    Impl(FleetSettings given, const MakeSource& makeSource, const Translator& reads, Published told, ports::EventLog& events) :
+    settings(std::move(given)),
+    translator(reads),
+    published(std::move(told)),
+    log(events),
+    timer(context),
+    source(makeSource(context)),
+    replica(settings.replica, now()),
+    book(settings.massBelief, settings.illBelief),
+    hub(context, settings.listen,
+        {[this](LinkId link) { step([&] { replica.linkOpened(link, now()); }); },
+         [this](LinkId link) { step([&] { replica.linkClosed(link, now()); }); },
+         [this](LinkId link, const adapters::links::LinkMessage& message) { received(link, message); }})
+    {
+        asio::post(context, [this] { step([] {}); });
+        thread = std::thread([this] { context.run(); });
+    }
+
+    ~Impl()
+    {
+        asio::post(context, [this] { context.stop(); });
+        thread.join();
+    }
+
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
+
+    void received(LinkId link, const adapters::links::LinkMessage& message)
+    {
+        step(
+            [&]
+            {
+                if (const auto* hello = std::get_if<replication::Hello>(&message))
+                    replica.helloReceived(link, *hello, now());
+                else
+                    replica.updateReceived(link, std::get<replication::Update>(message), now());
+            });
+    }
+
+    template <typename Work>
+    void step(Work work)
+    {
+        work();
+        for (auto actions = replica.takeActions(); !actions.empty(); actions = replica.takeActions())
+        {
+            for (const auto& action : actions)
+                std::visit([this](const auto& item) { perform(item); }, action);
+        }
+        apply(replica.takeChanges());
+        refreshStatus();
+        arm();
+    }
+
+    void arm()
+    {
+        auto next = replica.nextDue();
+        if (const auto due = book.nextDue())
+            next = std::min(next, *due);
+        // A timer that fires early only looks again; setting it anew costs a system call.
+        if (armed && armedFor <= next && armedFor + std::chrono::milliseconds{400} > next)
+            return;
+        armed = true;
+        armedFor = next;
+        timer.expires_at(std::chrono::steady_clock::time_point(next.time_since_epoch()));
+        timer.async_wait(
+            [this](const asio::error_code& error)
+            {
+                if (error)
+                    return;
+                armed = false;
+                step([this] { replica.tick(now()); });
+            });
+    }
+
+    void perform(const replication::ReadStore&)
+    {
+        const auto askedAt = now();
+        source->read(
+            [this, askedAt](const SourceAnswer& answer)
+            {
+                step(
+                    [&]
+                    {
+                        if (answer.status == SourceStatus::Ok)
+                            replica.storeRead(answer.items, answer.at, askedAt, now());
+                        else
+                            failed(answer);
+                    });
+            });
+    }
+
+    void perform(const replication::WatchStore& action)
+    {
+        source->watch(action.after, action.wait,
+                      [this](const SourceAnswer& answer)
+                      {
+                          step(
+                              [&]
+                              {
+                                  if (answer.status == SourceStatus::Ok)
+                                      replica.storeChanged(answer.items, answer.at, now());
+                                  else if (answer.status == SourceStatus::HistoryLost)
+                                      replica.historyLost(now());
+                                  else
+                                      failed(answer);
+                              });
+                      });
+    }
+
+    void failed(const SourceAnswer& answer)
+    {
+        if (!storeLost)
+            log.write(ports::Level::Warning, "store-lost", {{"why", answer.why}, {"ageMs", ageMs()}});
+        storeLost = true;
+        replica.storeFailed(now());
+    }
+
+    void perform(const replication::OpenLink& action)
+    {
+        hub.open(action.link, action.address);
+    }
+
+    void perform(const replication::CloseLink& action)
+    {
+        hub.close(action.link);
+    }
+
+    void perform(const replication::SendHello& action)
+    {
+        hub.send(action.link, action.hello);
+    }
+
+    void perform(const replication::SendUpdate& action)
+    {
+        hub.send(action.link, action.update);
+    }
+
+    void perform(const replication::Note& action)
+    {
+        log.write(ports::Level::Info, action.event, {{"subject", action.subject}, {"value", action.value}});
+    }
+
+    void apply(const std::vector<replication::Item>& changes)
+    {
+        const auto at = now();
+        const bool ill = replica.storeIll(at, illWithin);
+        bool       changed = false;
+        for (const replication::Item& item : changes)
+        {
+            if (translator.isDeployment(item.key))
+                changed = applyDeployment(item) || changed;
+            else if (translator.isInstance(item.key))
+                changed = applyInstance(item, ill, at) || changed;
+        }
+        const auto due = book.nextDue();
+        if (changed || (due && *due <= at))
+        {
+            book.settle(ill, at);
+            publish(ill);
+        }
+        else if (replica.nodes(at) != toldNodes)
+        {
+            publish(ill);
+        }
+    }
+
+    bool applyDeployment(const replication::Item& item)
+    {
+        if (item.gone)
+            return false;
+        core::Findings findings;
+        auto           read = translator.deployment(item.value, findings);
+        if (!read)
+        {
+            log.write(ports::Level::Error, "configuration-rejected",
+                      {{"revision", item.revision}, {"findings", findings.text()}});
+            return false;
+        }
+        if (deployment && read->version <= deployment->version)
+            return false;
+        log.write(ports::Level::Info, "configuration-in-force",
+                  {{"version", read->version},
+                   {"revision", item.revision},
+                   {"routes", read->routes.size()},
+                   {"ageMs", ageMs()}});
+        deployment = std::make_shared<const deployment::Deployment>(std::move(*read));
+        return true;
+    }
+
+    bool applyInstance(const replication::Item& item, bool ill, core::Timestamp at)
+    {
+        if (item.gone)
+        {
+            const std::string id = translator.instanceId(item.key);
+            log.write(ports::Level::Info, "instance-vanished",
+                      {{"instance", id}, {"revision", item.revision}, {"storeIll", ill ? 1 : 0}});
+            book.vanished(id, ill, at);
+            return true;
+        }
+        core::Findings findings;
+        const auto     read = translator.announcement(item.key, item.value, findings);
+        if (!read)
+        {
+            log.write(ports::Level::Error, "instance-rejected", {{"key", item.key}, {"findings", findings.text()}});
+            return false;
+        }
+        log.write(ports::Level::Debug, "instance-announced",
+                  {{"instance", read->instance.id},
+                   {"service", read->instance.service},
+                   {"draining", read->instance.draining ? 1 : 0},
+                   {"revision", item.revision}});
+        book.announced(*read, at);
+        return true;
+    }
+
+    void publish(bool ill)
+    {
+        toldNodes = replica.nodes(now());
+        deployment::Declared declared;
+        declared.deployment = deployment;
+        declared.instances = book.list();
+        declared.nodes = toldNodes;
+        declared.suspect = ill;
+        published(std::move(declared));
+    }
+
+    [[nodiscard]] double ageMs() const
+    {
+        return replica.known() ? core::toMilliseconds(replica.age(now())) : -1.0;
+    }
+
+    void refreshStatus()
+    {
+        const double age = ageMs();
+        if (storeLost && age >= 0 && age < 500)
+        {
+            storeLost = false;
+            log.write(ports::Level::Info, "picture-regained", {{"ageMs", age}});
+        }
+        const std::lock_guard<std::mutex> lock(mutex);
+        shown = {replica.table().at(), deployment ? deployment->version : 0, age, toldNodes, replica.followers(),
+                 source->calls(), replica.watching()};
+    }
+
+    FleetSettings                                 settings;
+    const Translator&                             translator;
+    Published                                     published;
+    ports::EventLog&                              log;
+    asio::io_context                              context{1};
+    asio::steady_timer                            timer;
+    std::unique_ptr<replication::ItemSource>      source;
+    replication::Replica                          replica;
+    deployment::InstanceBook                      book;
+    adapters::links::LinkHub                      hub;
+    std::shared_ptr<const deployment::Deployment> deployment;
+    core::Timestamp                               armedFor{};
+    bool                                          armed{false};
+    bool                                          storeLost{false};
+    unsigned                                      toldNodes{0};
+    mutable std::mutex                            mutex;
+    FleetStatus                                   shown;
+    std::thread                                   thread;
+};
+
+////////////////////////////////////////////////////////////
+FleetThread::FleetThread(FleetSettings settings, const MakeSource& makeSource, const Translator& translator,
+                         Published published, ports::EventLog& log) :
+m_impl(std::make_unique<Impl>(std::move(settings), makeSource, translator, std::move(published), log))
+{
+}
+
+////////////////////////////////////////////////////////////
+FleetThread::~FleetThread() = default;
+
+////////////////////////////////////////////////////////////
+FleetStatus FleetThread::status() const
+{
+    const std::lock_guard<std::mutex> lock(m_impl->mutex);
+    return m_impl->shown;
+}
+
+} // namespace sailpath::fleet
--- /dev/null
+++ b/src/sailpath/gateway/Exchange.cpp
@@ -0,0 +1,98 @@
+#include "Exchange.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace sailpath::gateway::priv
+{
+namespace
+{
+////////////////////////////////////////////////////////////
+std::string_view nameOf(balance::AttemptEnd end)
+{
+    switch (end)
+    {
+    case balance::AttemptEnd::Answered:
+        return "answered";
+    case balance::AttemptEnd::NotRun:
+        return "not-run";
+    case balance::AttemptEnd::NotSent:
+        return "not-sent";
+    case balance::AttemptEnd::Lost:
+        return "lost";
+    }
+    return "";
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+void Exchange::take(const http::Head& head, std::string whole, const Dialect& dialect)
+{
+    id = head.field(dialect.requestId);
+    headOnly = head.method == "HEAD";
+    startLine = head.method + " " + head.target + " HTTP/1.1\r\n";
+    hasBody = !whole.empty() || head.has("Content-Length") || head.has("Transfer-Encoding");
+    body = std::move(whole);
+    const std::string_view connection = head.field("Connection");
+    for (const http::HeaderField& field : head.fields)
+    {
+        const bool replaced = http::sameName(field.name, dialect.deadlineMs) ||
+                              http::sameName(field.name, dialect.targetInstance) ||
+                              http::sameName(field.name, "Expect");
+        if (!replaced && !http::concernsConnection(field.name, connection))
+            fields.append(field.name).append(": ").append(field.value).append("\r\n");
+    }
+}
+
+////////////////////////////////////////////////////////////
+Send Exchange::request(const deployment::Instance& instance, core::Duration left, const Dialect& dialect) const
+{
+    const auto milliseconds =
+        std::max<std::int64_t>(1, std::chrono::duration_cast<std::chrono::milliseconds>(left).count());
+    Send send;
+    send.id = id;
+    send.headOnly = headOnly;
+    send.bytes.reserve(startLine.size() + fields.size() + body.size() + 128);
+    send.bytes.append(startLine).append(fields);
+    send.bytes.append(dialect.deadlineMs).append(": ").append(std::to_string(milliseconds)).append("\r\n");
+    send.bytes.append(dialect.targetInstance).append(": ").append(instance.id).append("\r\n");
+    if (hasBody)
+        send.bytes.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+    send.bytes.append("\r\n").append(body);
+    return send;
+}
+
+////////////////////////////////////////////////////////////
+void Exchange::note(const balance::Step& step, core::Timestamp now)
+{
+    ++attempts;
+    lastSent = now;
+    if (!trail.empty())
+        trail += ',';
+    trail += std::to_string(step.attempt) + ":" + step.instance->id + "@" +
+             std::to_string(static_cast<int>(core::toMilliseconds(now - since))) + "ms/expected=" +
+             std::to_string(static_cast<int>(step.expectedMs)) + "ms/report=" +
+             std::to_string(static_cast<int>(step.reportAgeMs)) + "ms";
+}
+
+////////////////////////////////////////////////////////////
+void Exchange::ended(unsigned attempt, const balance::Outcome& outcome, core::Timestamp now)
+{
+    trail += ",end" + std::to_string(attempt) + "=" + std::string(nameOf(outcome.end)) + "/" +
+             std::to_string(outcome.status) + "@" + std::to_string(static_cast<int>(core::toMilliseconds(now - since))) +
+             "ms";
+}
+
+////////////////////////////////////////////////////////////
+std::shared_ptr<ServerConnection> Exchange::releaseSend(unsigned attempt)
+{
+    const auto found = sends.find(attempt);
+    if (found == sends.end())
+        return nullptr;
+    auto connection = std::move(found->second);
+    sends.erase(found);
+    return connection;
+}
+
+} // namespace sailpath::gateway::priv
--- /dev/null
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -0,0 +1,434 @@
+#include <sailpath/gateway/Gateway.hpp>
+
+#include "CallerConnection.hpp"
+#include "Exchange.hpp"
+#include "ReadinessServer.hpp"
+#include "ServerConnections.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <charconv>
+#include <set>
+#include <unordered_map>
+
+namespace sailpath::gateway
+{
+namespace
+{
+using priv::CallerConnection;
+using priv::Exchange;
+using priv::OwnAnswer;
+using Socket = asio::ip::tcp::socket;
+
+constexpr auto          sweepEvery = std::chrono::milliseconds{500};
+constexpr std::uint64_t longestDeadlineMs = 3'600'000;
+
+////////////////////////////////////////////////////////////
+std::optional<core::Duration> timeLeft(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return std::chrono::milliseconds{std::min(value, longestDeadlineMs)};
+}
+
+////////////////////////////////////////////////////////////
+unsigned statusOf(const balance::Refusal& refusal)
+{
+    switch (refusal.reason)
+    {
+    case balance::RefusalReason::NoRoute:
+        return 404;
+    case balance::RefusalReason::Unknown:
+        return 502;
+    case balance::RefusalReason::TimedOut:
+        return refusal.mayHaveRun ? 504 : 503;
+    default:
+        return 503;
+    }
+}
+
+////////////////////////////////////////////////////////////
+asio::ip::tcp::acceptor listenOn(asio::io_context& context, const adapters::settings::Endpoint& where)
+{
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(where.address), where.port);
+    return {context, endpoint, true};
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+struct Gateway::Impl : public priv::CallerEvents
+{
+    Impl(asio::io_context& loop, GatewaySettings given, const Dialect& names, ports::EventLog& events);
+
+    void accept();
+    void scheduleSweep();
+    void arm();
+    void carryOut();
+    void perform(const balance::Step& step);
+    void forward(const balance::Step& step);
+    void attemptEnded(balance::Ticket ticket, unsigned attempt, const balance::Outcome& outcome,
+                      priv::ServerAnswer answer);
+    void finish(balance::Ticket ticket, const balance::Step& step);
+    void log(const Exchange& exchange, unsigned status, std::string_view reason);
+
+    void                                          requestRead(CallerConnection& caller, const http::Head& head,
+                                                              std::string body) override;
+    void                                          callerLeft(CallerConnection& caller) override;
+    void                                          callerGone(CallerConnection& caller) override;
+    bool                                          reserve(std::int64_t bytes) override;
+    [[nodiscard]] const deployment::CallerLimits& limits() const override;
+    [[nodiscard]] bool                            leaving() const override;
+
+    asio::io_context&                               context;
+    GatewaySettings                                 settings;
+    const Dialect&                                  dialect;
+    ports::EventLog&                                events;
+    balance::Balancer                               balancer;
+    priv::ServerConnections                         servers;
+    asio::ip::tcp::acceptor                         acceptor;
+    asio::steady_timer                              dueTimer;
+    asio::steady_timer                              sweepTimer;
+    std::optional<core::Timestamp>                  armed;
+    std::set<std::shared_ptr<CallerConnection>>     callers;
+    std::unordered_map<balance::Ticket, Exchange>   exchanges;
+    deployment::CallerLimits                        callerLimits;
+    Counters                                        counters;
+    balance::Ticket                                 nextTicket{1};
+    std::int64_t                                    buffered{0};
+    bool                                            ready{false};
+    bool                                            isLeaving{false};
+    bool                                            carrying{false};
+    priv::ReadinessServer                           readiness;
+};
+
+////////////////////////////////////////////////////////////
+Gateway::Impl::Impl(asio::io_context& loop, GatewaySettings given, const Dialect& names, ports::EventLog& log) :
+context(loop),
+settings(std::move(given)),
+dialect(names),
+events(log),
+balancer(settings.balance, priv::now()),
+servers(loop, settings, names, [this](const deployment::Instance& instance, unsigned idle, unsigned open)
+        { balancer.connections(instance, idle, open); }),
+acceptor(listenOn(loop, settings.listen)),
+dueTimer(loop),
+sweepTimer(loop),
+readiness(loop, settings.readinessListen, names.readinessPath, [this] { return ready && !isLeaving; })
+{
+    accept();
+    scheduleSweep();
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::accept()
+{
+    acceptor.async_accept(
+        [this](const asio::error_code& error, Socket socket)
+        {
+            if (error == asio::error::operation_aborted)
+                return;
+            if (!error && callers.size() < settings.callers)
+            {
+                asio::error_code ignored;
+                socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+                auto caller = std::make_shared<CallerConnection>(std::move(socket), *this);
+                callers.insert(caller);
+                caller->start();
+            }
+            accept();
+        });
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::scheduleSweep()
+{
+    sweepTimer.expires_after(sweepEvery);
+    sweepTimer.async_wait(
+        [this](const asio::error_code& error)
+        {
+            if (error)
+                return;
+            const auto at = priv::now();
+            const std::vector<std::shared_ptr<CallerConnection>> all(callers.begin(), callers.end());
+            for (const auto& caller : all)
+                caller->sweep(at);
+            servers.sweep();
+            scheduleSweep();
+        });
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::requestRead(CallerConnection& caller, const http::Head& head, std::string body)
+{
+    const balance::Ticket ticket = nextTicket++;
+    caller.setTicket(ticket);
+    ++counters.requests;
+    Exchange& exchange = exchanges[ticket];
+    exchange.caller = caller.shared_from_this();
+    exchange.since = caller.since();
+    exchange.take(head, std::move(body), dialect);
+
+    balance::Arrival arrival;
+    arrival.host = head.field("Host");
+    arrival.target = head.target;
+    arrival.since = caller.since();
+    arrival.timeLeft = timeLeft(head.field(dialect.deadlineMs));
+    balancer.admit(ticket, arrival, priv::now());
+    carryOut();
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::callerLeft(CallerConnection& caller)
+{
+    ++counters.callersLeft;
+    const balance::Ticket ticket = caller.ticket();
+    balancer.callerLeft(ticket, priv::now());
+    carryOut();
+    const auto found = exchanges.find(ticket);
+    if (found != exchanges.end() && found->second.sends.empty())
+        exchanges.erase(found);
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::callerGone(CallerConnection& caller)
+{
+    callers.erase(caller.shared_from_this());
+}
+
+////////////////////////////////////////////////////////////
+bool Gateway::Impl::reserve(std::int64_t bytes)
+{
+    if (bytes > 0 && buffered + bytes > static_cast<std::int64_t>(settings.bufferedBytes))
+        return false;
+    buffered += bytes;
+    return true;
+}
+
+////////////////////////////////////////////////////////////
+const deployment::CallerLimits& Gateway::Impl::limits() const
+{
+    return callerLimits;
+}
+
+////////////////////////////////////////////////////////////
+bool Gateway::Impl::leaving() const
+{
+    return isLeaving;
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::carryOut()
+{
+    // Carrying a step out can bring the next ones about; they are taken by the outermost call.
+    if (carrying)
+        return;
+    carrying = true;
+    std::vector<balance::Step> steps;
+    for (balancer.takeSteps(steps); !steps.empty(); balancer.takeSteps(steps))
+    {
+        for (const balance::Step& step : steps)
+            perform(step);
+    }
+    carrying = false;
+    arm();
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::arm()
+{
+    const auto next = balancer.nextDue();
+    if (!next || (armed && *armed <= *next && *armed > priv::now()))
+        return;
+    armed = next;
+    dueTimer.expires_at(std::chrono::steady_clock::time_point(next->time_since_epoch()));
+    dueTimer.async_wait(
+        [this](const asio::error_code& error)
+        {
+            if (error)
+                return;
+            armed.reset();
+            balancer.due(priv::now());
+            carryOut();
+        });
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::perform(const balance::Step& step)
+{
+    switch (step.kind)
+    {
+    case balance::StepKind::Forward:
+        return forward(step);
+    case balance::StepKind::Abandon:
+    {
+        const auto found = exchanges.find(step.ticket);
+        if (found == exchanges.end())
+            return;
+        const auto connection = found->second.releaseSend(step.attempt);
+        // What may not be repeated is left to end: its server stops by itself at the deadline.
+        if (connection && step.repeatable)
+            connection->abandon();
+        return;
+    }
+    case balance::StepKind::Answer:
+    case balance::StepKind::Refuse:
+        return finish(step.ticket, step);
+    case balance::StepKind::Hold:
+        return;
+    }
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::forward(const balance::Step& step)
+{
+    const auto found = exchanges.find(step.ticket);
+    if (found == exchanges.end())
+        return;
+    Exchange& exchange = found->second;
+    ++counters.attempts;
+    counters.secondSends += step.attempt > 1 ? 1 : 0;
+    exchange.note(step, priv::now());
+    const auto connection = servers.take(step.instance, !step.repeatable);
+    exchange.sends[step.attempt] = connection;
+    const auto ticket = step.ticket;
+    const auto attempt = step.attempt;
+    connection->send(exchange.request(*step.instance, step.deadline - priv::now(), dialect),
+                     [this, ticket, attempt](const balance::Outcome& outcome, priv::ServerAnswer answer)
+                     { attemptEnded(ticket, attempt, outcome, std::move(answer)); });
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::attemptEnded(balance::Ticket ticket, unsigned attempt, const balance::Outcome& outcome,
+                                 priv::ServerAnswer answer)
+{
+    const auto found = exchanges.find(ticket);
+    if (found != exchanges.end())
+    {
+        found->second.sends.erase(attempt);
+        found->second.ended(attempt, outcome, priv::now());
+        found->second.answers[attempt] = std::move(answer);
+    }
+    balancer.attemptEnded(ticket, attempt, outcome, priv::now());
+    carryOut();
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::finish(balance::Ticket ticket, const balance::Step& step)
+{
+    const auto found = exchanges.find(ticket);
+    if (found == exchanges.end())
+        return;
+    Exchange   exchange = std::move(found->second);
+    exchanges.erase(found);
+    const auto caller = exchange.caller.lock();
+    if (step.kind == balance::StepKind::Answer)
+    {
+        priv::ServerAnswer& answer = exchange.answers[step.attempt];
+        ++counters.answered;
+        log(exchange, answer.head.status, "answered");
+        if (caller && caller->ticket() == ticket)
+            caller->answer(answer.head, std::move(answer.body));
+        return;
+    }
+    OwnAnswer own;
+    own.status = statusOf(step.refusal);
+    own.reason = balance::toString(step.refusal.reason);
+    own.comeBack = step.refusal.comeBack;
+    ++(step.refusal.mayHaveRun ? counters.failed : counters.refused);
+    log(exchange, own.status, own.reason);
+    if (caller && caller->ticket() == ticket)
+        caller->answer(own);
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::log(const Exchange& exchange, unsigned status, std::string_view reason)
+{
+    const bool usual = status < 400 && exchange.attempts == 1;
+    const auto level = usual ? ports::Level::Debug : ports::Level::Info;
+    if (!events.writes(level))
+        return;
+    const auto took = core::toMilliseconds(priv::now() - exchange.since);
+    events.write(level, "request-ended",
+                 {{"request", exchange.id},
+                  {"status", status},
+                  {"reason", reason},
+                  {"ms", took},
+                  {"attempts", exchange.attempts},
+                  {"sends", exchange.trail}});
+}
+
+////////////////////////////////////////////////////////////
+Gateway::Gateway(asio::io_context& context, GatewaySettings settings, const Dialect& dialect, ports::EventLog& log) :
+m_impl(std::make_unique<Impl>(context, std::move(settings), dialect, log))
+{
+}
+
+////////////////////////////////////////////////////////////
+Gateway::~Gateway() = default;
+
+////////////////////////////////////////////////////////////
+void Gateway::configure(const deployment::Declared& declared)
+{
+    m_impl->balancer.configure(declared, priv::now());
+    if (declared.deployment)
+        m_impl->callerLimits = declared.deployment->limits;
+    const bool ready = declared.deployment && !declared.instances.empty();
+    if (ready && !m_impl->ready)
+        m_impl->events.write(ports::Level::Info, "ready",
+                             {{"version", declared.deployment->version}, {"instances", declared.instances.size()}});
+    m_impl->ready = m_impl->ready || ready;
+    m_impl->carryOut();
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::leave()
+{
+    m_impl->isLeaving = true;
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::closeIdle()
+{
+    asio::error_code ignored;
+    m_impl->acceptor.close(ignored);
+    const std::vector<std::shared_ptr<CallerConnection>> all(m_impl->callers.begin(), m_impl->callers.end());
+    for (const auto& caller : all)
+        caller->closeIfIdle();
+}
+
+////////////////////////////////////////////////////////////
+std::size_t Gateway::unfinished() const
+{
+    return m_impl->exchanges.size();
+}
+
+////////////////////////////////////////////////////////////
+std::size_t Gateway::callers() const
+{
+    return m_impl->callers.size();
+}
+
+////////////////////////////////////////////////////////////
+const Counters& Gateway::counters() const
+{
+    return m_impl->counters;
+}
+
+////////////////////////////////////////////////////////////
+std::uint16_t Gateway::port() const
+{
+    return m_impl->acceptor.local_endpoint().port();
+}
+
+////////////////////////////////////////////////////////////
+std::uint16_t Gateway::readinessPort() const
+{
+    return m_impl->readiness.port();
+}
+
+} // namespace sailpath::gateway
--- /dev/null
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -0,0 +1,302 @@
+#include "ServerConnection.hpp"
+
+#include <asio/write.hpp>
+
+#include <charconv>
+#include <netinet/tcp.h>
+
+namespace sailpath::gateway::priv
+{
+namespace
+{
+constexpr std::uint32_t headLimit = 64U * 1024;
+
+constexpr unsigned statusMisdirected = 421;
+constexpr unsigned statusTooMany = 429;
+constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusTimeout = 408;
+
+////////////////////////////////////////////////////////////
+core::Duration secondsOf(std::string_view text)
+{
+    double value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || value < 0 || value > 3600)
+        return {};
+    (void)end;
+    return core::fromMilliseconds(value * 1000);
+}
+
+////////////////////////////////////////////////////////////
+/// \brief The time in a `Keep-Alive` field, `timeout=N`
+////////////////////////////////////////////////////////////
+core::Duration keepAliveOf(std::string_view field)
+{
+    constexpr std::string_view key = "timeout=";
+    const auto                 at = field.find(key);
+    return at == std::string_view::npos ? core::Duration{} : secondsOf(field.substr(at + key.size()));
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+ServerConnection::ServerConnection(asio::io_context& context, std::shared_ptr<const deployment::Instance> instance,
+                                   const GatewaySettings& settings, const Dialect& dialect, Changed changed) :
+m_socket(context),
+m_timer(context),
+m_instance(std::move(instance)),
+m_settings(settings),
+m_dialect(dialect),
+m_changed(std::move(changed))
+{
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::send(Send request, Done done)
+{
+    m_request = std::move(request);
+    m_done = std::move(done);
+    startReader();
+    if (m_state == State::New)
+        return connect();
+    m_state = State::Busy;
+    write();
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::startReader()
+{
+    const auto kind = m_request.headOnly ? http::MessageKind::AnswerNoBody : http::MessageKind::Answer;
+    m_reader = std::make_unique<http::MessageReader>(kind, headLimit, m_settings.answerBytes);
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::connect()
+{
+    m_state = State::Connecting;
+    asio::error_code ignored;
+    m_socket.open(asio::ip::tcp::v4(), ignored);
+    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    const asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT> silence(
+        static_cast<int>(m_settings.silence.count() / 1000));
+    m_socket.set_option(silence, ignored);
+    auto self = shared_from_this();
+    m_timer.expires_after(m_settings.connectTimeout);
+    m_timer.async_wait(
+        [self](const asio::error_code& error)
+        {
+            if (!error && self->m_state == State::Connecting)
+                self->ended(false);
+        });
+    const asio::ip::tcp::endpoint where(asio::ip::make_address(m_instance->address, ignored), m_instance->port);
+    m_socket.async_connect(where,
+                           [self](const asio::error_code& error)
+                           {
+                               if (self->m_state != State::Connecting)
+                                   return;
+                               self->m_timer.cancel();
+                               if (error)
+                                   return self->ended(false);
+                               self->m_state = State::Busy;
+                               self->write();
+                               self->read();
+                           });
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::write()
+{
+    m_written = false;
+    auto self = shared_from_this();
+    asio::async_write(m_socket, asio::buffer(m_request.bytes),
+                      [self](const asio::error_code& error, std::size_t)
+                      {
+                          // An error shows on the reading side too, where an answer may still wait.
+                          self->m_written = !error;
+                      });
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::read()
+{
+    auto self = shared_from_this();
+    m_socket.async_read_some(asio::buffer(m_buffer),
+                             [self](const asio::error_code& error, std::size_t bytes)
+                             {
+                                 if (self->m_state == State::Closed)
+                                     return;
+                                 if (error)
+                                     return self->ended(error == asio::error::eof);
+                                 self->received(bytes);
+                                 if (self->m_state != State::Closed)
+                                     self->read();
+                             });
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::received(std::size_t bytes)
+{
+    // Bytes that come at rest belong to no request.
+    if (m_state != State::Busy)
+        return close();
+    m_unread.append(m_buffer.data(), bytes);
+    while (m_state == State::Busy && !m_unread.empty())
+    {
+        m_unread.erase(0, m_reader->read(m_unread));
+        const http::ReadState state = m_reader->state();
+        if (state == http::ReadState::Head || state == http::ReadState::Body)
+            return;
+        if (state != http::ReadState::Done)
+            return ended(false);
+        answered();
+    }
+}
+
+////////////////////////////////////////////////////////////
+bool ServerConnection::belongs(const http::Head& head) const
+{
+    const std::string_view id = head.field(m_dialect.requestId);
+    const bool             success = head.status >= 200 && head.status < 300;
+    return id.empty() ? !success : id == m_request.id;
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::answered()
+{
+    const http::Head& head = m_reader->head();
+    const bool        interim = head.status < 200;
+    if (interim || !belongs(head))
+    {
+        // An answer to an earlier request, or none yet; the one that is due may follow.
+        m_poisoned = m_poisoned || !interim;
+        if (head.untilEnd)
+            return ended(false);
+        startReader();
+        return;
+    }
+    balance::Outcome outcome;
+    judge(outcome, head);
+    const bool keep = head.keepAlive && !head.untilEnd && m_written && !m_poisoned && m_unread.empty();
+    outcome.leaving = outcome.leaving || (!head.keepAlive && !head.untilEnd);
+    m_restLimit = keepAliveOf(head.field("Keep-Alive"));
+    ServerAnswer answer{head, m_reader->takeBody()};
+    finish(outcome, std::move(answer), keep);
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::judge(balance::Outcome& outcome, const http::Head& head) const
+{
+    outcome.status = head.status;
+    if (m_dialect.parseLoad)
+        outcome.load = m_dialect.parseLoad(head.field(m_dialect.load));
+    outcome.comeBack = secondsOf(head.field("Retry-After"));
+    const bool success = head.status >= 200 && head.status < 300;
+    if (success)
+    {
+        const bool whole = head.has(m_dialect.signature) && !head.has("Content-Encoding");
+        outcome.end = whole ? balance::AttemptEnd::Answered : balance::AttemptEnd::Lost;
+        return;
+    }
+    if (head.has(m_dialect.notExecuted) || head.status == statusMisdirected)
+    {
+        outcome.end = balance::AttemptEnd::NotRun;
+        outcome.leaving = head.status == statusMisdirected;
+        return;
+    }
+    // These say that the request did not run; without the mark that is not to be passed on.
+    const bool promises =
+        head.status == statusUnavailable || head.status == statusTooMany || head.status == statusTimeout;
+    outcome.end = promises ? balance::AttemptEnd::Lost : balance::AttemptEnd::Answered;
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::ended(bool inOrder)
+{
+    const State before = m_state;
+    if (before == State::Busy && inOrder && m_reader->state() == http::ReadState::Body)
+    {
+        m_reader->ended();
+        if (m_reader->state() == http::ReadState::Done && belongs(m_reader->head()))
+            return answered();
+    }
+    m_state = State::Closed;
+    asio::error_code ignored;
+    m_timer.cancel();
+    m_socket.close(ignored);
+    if (before == State::Connecting || before == State::Busy)
+    {
+        balance::Outcome outcome;
+        outcome.end = before == State::Connecting ? balance::AttemptEnd::NotSent : balance::AttemptEnd::Lost;
+        const Done done = std::move(m_done);
+        m_done = nullptr;
+        m_changed(*this);
+        if (done)
+            done(outcome, {});
+        return;
+    }
+    m_changed(*this);
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::finish(const balance::Outcome& outcome, ServerAnswer answer, bool keep)
+{
+    const Done done = std::move(m_done);
+    m_done = nullptr;
+    m_unread.clear();
+    m_since = std::chrono::steady_clock::now();
+    m_state = keep ? State::Idle : State::Closed;
+    if (!keep)
+    {
+        asio::error_code ignored;
+        m_socket.close(ignored);
+    }
+    m_changed(*this);
+    if (done)
+        done(outcome, std::move(answer));
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::abandon()
+{
+    m_done = nullptr;
+    close();
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::close()
+{
+    if (m_state != State::Closed)
+        ended(false);
+}
+
+////////////////////////////////////////////////////////////
+const deployment::Instance& ServerConnection::instance() const
+{
+    return *m_instance;
+}
+
+////////////////////////////////////////////////////////////
+bool ServerConnection::idle() const
+{
+    return m_state == State::Idle;
+}
+
+////////////////////////////////////////////////////////////
+bool ServerConnection::closed() const
+{
+    return m_state == State::Closed;
+}
+
+////////////////////////////////////////////////////////////
+core::Duration ServerConnection::rest() const
+{
+    return std::chrono::duration_cast<core::Duration>(std::chrono::steady_clock::now() - m_since);
+}
+
+////////////////////////////////////////////////////////////
+core::Duration ServerConnection::restLimit() const
+{
+    return m_restLimit;
+}
+
+} // namespace sailpath::gateway::priv
--- /dev/null
+++ b/src/sailpath/gateway/ServerConnections.cpp
@@ -0,0 +1,99 @@
+#include "ServerConnections.hpp"
+
+#include <algorithm>
+
+namespace sailpath::gateway::priv
+{
+////////////////////////////////////////////////////////////
+ServerConnections::ServerConnections(asio::io_context& context, const GatewaySettings& settings, const Dialect& dialect,
+                                     Counted counted) :
+m_context(context),
+m_settings(settings),
+m_dialect(dialect),
+m_counted(std::move(counted))
+{
+}
+
+////////////////////////////////////////////////////////////
+std::shared_ptr<ServerConnection>
+ServerConnections::take(const std::shared_ptr<const deployment::Instance>& instance, bool proven)
+{
+    List& list = m_byInstance[instance->id];
+    // The one that came to rest last is the likeliest to be open still.
+    for (auto item = list.rbegin(); item != list.rend(); ++item)
+    {
+        if (!(*item)->idle())
+            continue;
+        const core::Duration limit = proven ? std::min(m_settings.provenFor, restLimit(**item)) : restLimit(**item);
+        if ((*item)->rest() < limit)
+            return *item;
+    }
+    ++m_opened;
+    auto added = std::make_shared<ServerConnection>(m_context, instance, m_settings, m_dialect,
+                                                    [this](ServerConnection& connection) { changed(connection); });
+    list.push_back(added);
+    return added;
+}
+
+////////////////////////////////////////////////////////////
+core::Duration ServerConnections::restLimit(const ServerConnection& connection) const
+{
+    const core::Duration told = connection.restLimit() * 6 / 10;
+    return told.count() > 0 ? std::min(told, m_settings.serverIdle) : m_settings.serverIdle;
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnections::sweep()
+{
+    std::vector<std::shared_ptr<ServerConnection>> stale;
+    for (const auto& [id, list] : m_byInstance)
+        std::copy_if(list.begin(), list.end(), std::back_inserter(stale),
+                     [this](const auto& item) { return item->idle() && item->rest() > restLimit(*item); });
+    for (const auto& connection : stale)
+        connection->close();
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnections::closeAll()
+{
+    std::vector<std::shared_ptr<ServerConnection>> idle;
+    for (const auto& [id, list] : m_byInstance)
+        std::copy_if(list.begin(), list.end(), std::back_inserter(idle), [](const auto& item) { return item->idle(); });
+    for (const auto& connection : idle)
+        connection->close();
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnections::changed(ServerConnection& connection)
+{
+    const deployment::Instance instance = connection.instance();
+    if (connection.closed())
+    {
+        const auto found = m_byInstance.find(instance.id);
+        if (found != m_byInstance.end())
+        {
+            std::erase_if(found->second, [&](const auto& item) { return item.get() == &connection; });
+            if (found->second.empty())
+                m_byInstance.erase(found);
+        }
+    }
+    count(instance);
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnections::count(const deployment::Instance& instance)
+{
+    const auto found = m_byInstance.find(instance.id);
+    if (found == m_byInstance.end())
+        return m_counted(instance, 0, 0);
+    const auto idle = std::count_if(found->second.begin(), found->second.end(), [](const auto& item) { return item->idle(); });
+    m_counted(instance, static_cast<unsigned>(idle), static_cast<unsigned>(found->second.size()));
+}
+
+////////////////////////////////////////////////////////////
+std::uint64_t ServerConnections::opened() const
+{
+    return m_opened;
+}
+
+} // namespace sailpath::gateway::priv
--- /dev/null
+++ b/src/sailpath/gateway/ServerConnections.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "ServerConnection.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace sailpath::gateway::priv
+{
+////////////////////////////////////////////////////////////
+/// \brief All connections to servers, by instance
+////////////////////////////////////////////////////////////
+class ServerConnections
+{
+public:
+    using Counted = std::function<void(const deployment::Instance&, unsigned idle, unsigned open)>;
+
+    ServerConnections(asio::io_context& context, const GatewaySettings& settings, const Dialect& dialect,
+                      Counted counted);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief A connection at rest, or a new one
+    ///
+    /// \param proven Only one that rested for a short time
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] std::shared_ptr<ServerConnection> take(const std::shared_ptr<const deployment::Instance>& instance,
+                                                         bool proven);
+
+    void sweep();    //!< Close what rested for long
+    void closeAll(); //!< Close all that rest
+
+    [[nodiscard]] std::uint64_t opened() const; //!< Connections opened since the start
+
+private:
+    void changed(ServerConnection& connection);
+    void count(const deployment::Instance& instance);
+    [[nodiscard]] core::Duration restLimit(const ServerConnection& connection) const;
+
+    using List = std::vector<std::shared_ptr<ServerConnection>>;
+
+    asio::io_context&                     m_context;   //!< Loop
+    const GatewaySettings&                m_settings;  //!< Constants
+    const Dialect&                        m_dialect;   //!< Names
+    Counted                               m_counted;   //!< Told the counts
+    std::unordered_map<std::string, List> m_byInstance; //!< Open ones
+    std::uint64_t                         m_opened{0}; //!< Since the start
+};
+
+} // namespace sailpath::gateway::priv
--- /dev/null
+++ b/src/sailpath/http/MessageReader.cpp
@@ -0,0 +1,214 @@
+#include <sailpath/http/MessageReader.hpp>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <variant>
+
+namespace sailpath::http
+{
+namespace
+{
+namespace beast = boost::beast::http;
+using Text = boost::beast::string_view;
+using ErrorCode = boost::beast::error_code;
+
+////////////////////////////////////////////////////////////
+std::string toString(Text text)
+{
+    return {text.data(), text.size()};
+}
+
+////////////////////////////////////////////////////////////
+/// \brief What the library's parser tells is kept here
+////////////////////////////////////////////////////////////
+struct Collected
+{
+    Head        head;
+    std::string body;
+    bool        headDone{false};
+};
+
+////////////////////////////////////////////////////////////
+template <bool isRequest>
+class Parser : public beast::basic_parser<isRequest>
+{
+public:
+    explicit Parser(Collected& collected) :
+    m_collected(collected)
+    {
+    }
+
+private:
+    // Names and signatures are the library's.
+    void on_request_impl(beast::verb, Text method, Text target, int version, ErrorCode&) override // NOLINT
+    {
+        m_collected.head.method = toString(method);
+        m_collected.head.target = toString(target);
+        m_collected.head.version = static_cast<unsigned>(version);
+    }
+
+    void on_response_impl(int status, Text reason, int version, ErrorCode&) override // NOLINT
+    {
+        m_collected.head.status = static_cast<unsigned>(status);
+        m_collected.head.reason = toString(reason);
+        m_collected.head.version = static_cast<unsigned>(version);
+    }
+
+    void on_field_impl(beast::field, Text name, Text value, ErrorCode&) override // NOLINT
+    {
+        m_collected.head.fields.push_back({toString(name), toString(value)});
+    }
+
+    void on_header_impl(ErrorCode&) override // NOLINT
+    {
+        m_collected.headDone = true;
+    }
+
+    void on_body_init_impl(const boost::optional<std::uint64_t>&, ErrorCode&) override // NOLINT
+    {
+    }
+
+    std::size_t on_body_impl(Text body, ErrorCode&) override // NOLINT
+    {
+        m_collected.body.append(body.data(), body.size());
+        return body.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t, Text, ErrorCode&) override // NOLINT
+    {
+    }
+
+    std::size_t on_chunk_body_impl(std::uint64_t, Text body, ErrorCode&) override // NOLINT
+    {
+        m_collected.body.append(body.data(), body.size());
+        return body.size();
+    }
+
+    void on_finish_impl(ErrorCode&) override // NOLINT
+    {
+    }
+
+    Collected& m_collected;
+};
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+struct MessageReader::Impl
+{
+    Collected                                                      collected;
+    std::variant<std::monostate, Parser<true>, Parser<false>>      parser;
+    ReadState                                                      state{ReadState::Head};
+
+    template <typename Work>
+    auto visit(Work work)
+    {
+        return parser.index() == 1 ? work(std::get<1>(parser)) : work(std::get<2>(parser));
+    }
+
+    void finishHead()
+    {
+        collected.head.keepAlive = visit([](auto& it) { return it.keep_alive(); });
+        collected.head.untilEnd = visit([](auto& it) { return it.need_eof(); });
+    }
+
+    void judge(const ErrorCode& error)
+    {
+        if (error == beast::error::header_limit)
+            state = ReadState::HeadTooLarge;
+        else if (error == beast::error::body_limit)
+            state = ReadState::BodyTooLarge;
+        else
+            state = ReadState::Malformed;
+    }
+};
+
+////////////////////////////////////////////////////////////
+MessageReader::MessageReader(MessageKind kind, std::uint32_t headLimit, std::uint64_t bodyLimit) :
+m_impl(std::make_unique<Impl>())
+{
+    if (kind == MessageKind::Request)
+        m_impl->parser.emplace<1>(m_impl->collected);
+    else
+        m_impl->parser.emplace<2>(m_impl->collected);
+    m_impl->visit(
+        [&](auto& parser)
+        {
+            parser.eager(true);
+            parser.header_limit(headLimit);
+            parser.body_limit(bodyLimit);
+            parser.skip(kind == MessageKind::AnswerNoBody);
+        });
+}
+
+////////////////////////////////////////////////////////////
+MessageReader::~MessageReader() = default;
+
+////////////////////////////////////////////////////////////
+std::size_t MessageReader::read(std::string_view bytes)
+{
+    std::size_t taken = 0;
+    while (taken < bytes.size() && (m_impl->state == ReadState::Head || m_impl->state == ReadState::Body))
+    {
+        ErrorCode         error;
+        const std::size_t used = m_impl->visit(
+            [&](auto& parser) { return parser.put(boost::asio::buffer(bytes.data() + taken, bytes.size() - taken), error); });
+        taken += used;
+        if (m_impl->state == ReadState::Head && m_impl->collected.headDone)
+        {
+            m_impl->state = ReadState::Body;
+            m_impl->finishHead();
+        }
+        if (error && error != beast::error::need_more)
+        {
+            m_impl->judge(error);
+            return taken;
+        }
+        if (m_impl->visit([](auto& parser) { return parser.is_done(); }))
+            m_impl->state = ReadState::Done;
+        else if (used == 0 || error == beast::error::need_more)
+            return taken;
+    }
+    return taken;
+}
+
+////////////////////////////////////////////////////////////
+void MessageReader::ended()
+{
+    if (m_impl->state != ReadState::Body)
+        return;
+    ErrorCode error;
+    m_impl->visit([&](auto& parser) { parser.put_eof(error); });
+    if (error)
+        m_impl->state = ReadState::Malformed;
+    else
+        m_impl->state = ReadState::Done;
+}
+
+////////////////////////////////////////////////////////////
+ReadState MessageReader::state() const
+{
+    return m_impl->state;
+}
+
+////////////////////////////////////////////////////////////
+const Head& MessageReader::head() const
+{
+    return m_impl->collected.head;
+}
+
+////////////////////////////////////////////////////////////
+std::string MessageReader::takeBody()
+{
+    return std::move(m_impl->collected.body);
+}
+
+////////////////////////////////////////////////////////////
+std::size_t MessageReader::bodySize() const
+{
+    return m_impl->collected.body.size();
+}
+
+} // namespace sailpath::http
