Servers are asked for their load before a send

Cause: a server's pace changes many times a second (35% of the time work takes five times as long); reports on answers were 100 to 1000 ms old at the next choice, so a third of the requests began on a slow server.

--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -72,6 +72,13 @@
     ////////////////////////////////////////////////////////////
     void attemptEnded(Ticket ticket, unsigned attempt, const Outcome& outcome, core::Timestamp now);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Hear what a probe found
+    ///
+    /// \param load Null when the server did not tell
+    ////////////////////////////////////////////////////////////
+    void probed(Ticket ticket, unsigned probe, const Outcome& outcome, core::Timestamp now);
+
     ////////////////////////////////////////////////////////////
     /// \brief Note that the caller of a request has left
     ////////////////////////////////////////////////////////////
@@ -110,6 +117,20 @@
         bool                        running{true};  //!< No end was reported
     };
 
+    ////////////////////////////////////////////////////////////
+    /// \brief The search for a server: rounds of probes until one looks good
+    ////////////////////////////////////////////////////////////
+    struct Search
+    {
+        bool                                     active{false};  //!< Under way
+        bool                                     pausing{false}; //!< Between rounds
+        core::Timestamp                          next{};         //!< End of the round or the pause
+        unsigned                                 waiting{0};     //!< Probes of the round without an answer
+        std::vector<ServerView*>                 asked;          //!< In the rounds so far, not yet to be asked again
+        std::vector<std::shared_ptr<ServerView>> probes;         //!< By number, from 1
+        std::size_t                              roundStart{0};  //!< First probe of the round
+    };
+
     struct Request
     {
         deployment::HostRoute        route;                 //!< As of its arrival
@@ -120,15 +141,25 @@
         core::Timestamp              wake{};                //!< When it is to be looked at next
         std::vector<Attempt>         attempts;              //!< In order; the first is number 1
         std::vector<ServerView*>     tried;                 //!< Servers of the attempts
+        Search                       search;                //!< For a server
         unsigned                     sends{0};              //!< Attempts that may have reached a server
         bool                         mayHaveRun{false};     //!< Some attempt's outcome is not known
+        unsigned                     lastAnswer{0};         //!< Attempt whose answer is passed on if nothing better comes
+        core::Timestamp              noHedgeUntil{};        //!< No further send before
         bool                         left{false};           //!< Its caller left
         core::Duration               comeBack{};            //!< Latest word of a server on when to come back
     };
 
     [[nodiscard]] std::shared_ptr<ServicePool> poolFor(const deployment::HostRoute& route);
     [[nodiscard]] bool                         tooLate(const Request& request, const Choice& choice, core::Timestamp now) const;
-    [[nodiscard]] bool                         sendAgain(Ticket ticket, Request& request, core::Timestamp now);
+    [[nodiscard]] bool                         maySendAgain(Request& request, core::Timestamp now) const;
+    [[nodiscard]] bool                         sendAgain(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now);
+    void seek(Ticket ticket, Request& request, core::Timestamp now);
+    void beginRound(Ticket ticket, Request& request, core::Timestamp now);
+    void endRound(Ticket ticket, Request& request, core::Timestamp now);
+    void settle(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now);
+    [[nodiscard]] bool good(const Request& request, const Choice& choice, core::Timestamp now) const;
+    [[nodiscard]] bool meetsTarget(const Request& request, double finishMs, core::Timestamp now) const;
     void forward(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now);
     void learn(Request& request, Attempt& attempt, const Outcome& outcome, core::Timestamp now);
     void conclude(Ticket ticket, Request& request, core::Timestamp now);
--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -47,6 +47,7 @@
     ////////////////////////////////////////////////////////////
     ServicePool(std::string name, const Settings& settings, core::Timestamp born);
 
+    void setRule(const deployment::ServiceRule& rule, unsigned nodes); //!< Put what holds for the service in force
     void setConnections(unsigned instanceLimit, unsigned nodes); //!< Connections that one instance takes from all nodes
 
     ////////////////////////////////////////////////////////////
@@ -59,6 +60,19 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] Choice choose(const Wish& wish, core::Timestamp now, core::Random& random) const;
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Servers that are worth asking for their load, the most promising first
+    ///
+    /// \param asked Servers that are not to be asked
+    /// \param most  At most so many
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] std::vector<std::shared_ptr<ServerView>> worthProbing(const Wish& wish, std::span<ServerView* const> asked,
+                                                                        std::size_t most, core::Timestamp now,
+                                                                        core::Random& random) const;
+
+    [[nodiscard]] bool takeProbe(core::Timestamp now); //!< Count a probe, if the budget allows one
+    [[nodiscard]] bool mayProbe() const;               //!< Servers tell their load at a known path
+
     void learnOthers(double others);                                          //!< A report told of others' requests
     void learnPace(double pace);                                              //!< A report told a pace
     void learnWork(std::string_view route, double latencyMs, double plainMs); //!< A good answer arrived
@@ -68,6 +82,7 @@
     [[nodiscard]] double             usualPace() const;                    //!< Mean pace of late
     [[nodiscard]] RetryWindow&       retries();                            //!< Budget
     [[nodiscard]] const std::string& name() const;                         //!< Of the service
+    [[nodiscard]] const std::string& healthPath() const;                   //!< What a probe asks for
     [[nodiscard]] std::size_t        size() const;                         //!< Instances that take requests
     [[nodiscard]] std::shared_ptr<ServerView> find(std::string_view instance) const; //!< Null when there is none
 
@@ -79,6 +94,11 @@
     const Settings&                          m_settings;        //!< Constants
     std::vector<std::shared_ptr<ServerView>> m_servers;         //!< Those that take requests
     RetryWindow                              m_retries;         //!< Budget
+    std::string                              m_healthPath;      //!< What a probe asks for
+    bool                                     m_tellsLoad{false}; //!< Some answer carried a load report
+    unsigned                                 m_nodes{1};        //!< That share the budget for probes
+    double                                   m_probes{0};       //!< Probes that may be sent now
+    core::Timestamp                          m_probesAt{};      //!< Time of that figure
     unsigned                                 m_connections{0};  //!< Most own connections to one instance
     double                                   m_others{0};       //!< Others' requests at an instance, of late
     double                                   m_pace{1};         //!< Pace of late
--- a/include/sailpath/balance/Settings.hpp
+++ b/include/sailpath/balance/Settings.hpp
@@ -21,7 +21,12 @@
     core::Duration reportLife{std::chrono::milliseconds{150}};      //!< How fast a load report loses its worth
     core::Duration wayBack{std::chrono::milliseconds{8}};           //!< Kept back of the time for the answer's way
     core::Duration firstWork{std::chrono::milliseconds{100}};       //!< Assumed work before anything was measured
-    std::size_t    heldRequests{256};                               //!< Requests that may wait on this node
+    double         probeRate{20};                                   //!< Probes that a server may get a second, from all nodes
+    core::Duration reportFresh{std::chrono::milliseconds{15}};      //!< Age up to which a report needs no probe
+    core::Duration probeWait{std::chrono::milliseconds{15}};        //!< Longest wait for the probes of one round
+    core::Duration roundPause{std::chrono::milliseconds{10}};       //!< Between rounds of probes that found nothing good
+    unsigned       probesPerRound{3};                               //!< Servers asked at once
+    bool           probing{true};                                   //!< Ask servers for their load before a send
     double         connectionShare{0.8};                            //!< Of an instance's connections, used by all nodes together
     std::uint64_t  seed{1};                                         //!< Of the random choices
     bool           hedging{true};                                   //!< Send again before an answer is late
--- a/include/sailpath/balance/Step.hpp
+++ b/include/sailpath/balance/Step.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace sailpath::balance
@@ -49,7 +50,7 @@
 enum class StepKind
 {
     Forward, //!< Send it to `instance` as attempt `attempt`
-    Hold,    //!< Wait; a later step follows
+    Probe,   //!< Ask `instance` for its load at `path`, as probe `attempt`
     Answer,  //!< Pass on the answer of attempt `attempt`; the ticket is done
     Refuse,  //!< Answer with `refusal`; the ticket is done
     Abandon  //!< Break off attempt `attempt`; its end need not be reported
@@ -62,7 +63,8 @@
 {
     StepKind                                    kind{StepKind::Refuse}; //!< What to do
     Ticket                                      ticket{0};              //!< Which request
-    unsigned                                    attempt{0};             //!< Which attempt, from 1
+    unsigned                                    attempt{0};             //!< Which attempt or probe, from 1
+    std::string                                 path;                   //!< For `Probe`
     std::shared_ptr<const deployment::Instance> instance;               //!< For `Forward`
     core::Timestamp                             deadline{};             //!< For `Forward`: when the server has to be done
     bool                                        repeatable{false};      //!< Whether it may run more than once
--- a/include/sailpath/deployment/InstanceBook.hpp
+++ b/include/sailpath/deployment/InstanceBook.hpp
@@ -25,14 +25,14 @@
     ////////////////////////////////////////////////////////////
     /// \brief Start empty
     ///
-    /// \param massBelief Time that instances are believed in that vanish with most of their service
-    /// \param illBelief  Time that instances are believed in that vanish beside failures of the store
+    /// \param belief Time that instances are believed in that vanish with most of their service
+    ///               or beside failures of the store; shorter than the time that servers take to leave
     ////////////////////////////////////////////////////////////
-    InstanceBook(core::Duration massBelief, core::Duration illBelief);
+    explicit InstanceBook(core::Duration belief);
 
-    void announced(const Announcement& announcement, core::Timestamp now);       //!< An entry was written
-    void vanished(std::string_view id, bool storeIll, core::Timestamp now);      //!< An entry was removed
-    void settle(bool storeIll, core::Timestamp now);                             //!< Drop those whose time is up
+    void announced(const Announcement& announcement);             //!< An entry was written
+    void vanished(std::string_view id, core::Timestamp earliest); //!< An entry was removed, at that time or later
+    void settle(bool storeIll, core::Timestamp now);              //!< Drop those whose time is up
 
     [[nodiscard]] std::vector<Instance>          list() const;    //!< Those to be believed in, draining ones included
     [[nodiscard]] std::optional<core::Timestamp> nextDue() const; //!< When `settle` is to be called
@@ -48,9 +48,8 @@
 
     [[nodiscard]] bool mostVanished(const std::string& service) const;
 
-    core::Duration                            m_massBelief; //!< Time
-    core::Duration                            m_illBelief;  //!< Time
-    std::map<std::string, Entry, std::less<>> m_entries;    //!< By id
+    core::Duration                            m_belief;  //!< Time
+    std::map<std::string, Entry, std::less<>> m_entries; //!< By id
 };
 
 } // namespace sailpath::deployment
--- a/include/sailpath/fleet/FleetThread.hpp
+++ b/include/sailpath/fleet/FleetThread.hpp
@@ -24,8 +24,7 @@
 {
     replication::ReplicaSettings replica;                                    //!< Copy of the store
     adapters::settings::Endpoint listen;                                     //!< Where peers connect
-    core::Duration               massBelief{std::chrono::milliseconds{1100}}; //!< See `deployment::InstanceBook`
-    core::Duration               illBelief{std::chrono::seconds{5}};          //!< See `deployment::InstanceBook`
+    core::Duration               belief{std::chrono::milliseconds{1100}};     //!< See `deployment::InstanceBook`
 };
 
 ////////////////////////////////////////////////////////////
--- a/include/sailpath/gateway/Dialect.hpp
+++ b/include/sailpath/gateway/Dialect.hpp
@@ -18,6 +18,7 @@
     std::string requestId;      //!< Header: id of one sending of a request
     std::string deadlineMs;     //!< Header: milliseconds that the sender waits
     std::string targetInstance; //!< Header: the only instance that may run the request
+    std::string instanceId;     //!< Header: the instance that answers a probe
     std::string signature;      //!< Header: the server's mark on its answer
     std::string notExecuted;    //!< Header: the server did not run the request
     std::string load;           //!< Header: load report
--- a/src/programs/GatewayProgram.cpp
+++ b/src/programs/GatewayProgram.cpp
@@ -35,6 +35,7 @@
     Option{"retry-ratio", OptionKind::Number, "0.1", "further sends as a share of requests, over the fleet"},
     Option{"retry-extra", OptionKind::Number, "0", "further sends beyond the share in a window, over the fleet"},
     Option{"retry-window-s", OptionKind::Number, "10", "span that the retry budget is counted over, seconds"},
+    Option{"probe-rate", OptionKind::Number, "20", "probes that a server may get a second, from all nodes"},
     Option{"memory-mb", OptionKind::Number, "256", "memory that the process may use"},
     Option{"descriptors", OptionKind::Whole, "4096", "file descriptors that the process may use"},
     Option{"log-file", OptionKind::Text, "", "event log; standard error when empty"},
@@ -68,6 +69,7 @@
     gateway.balance.retryRatio = settings.number("retry-ratio");
     gateway.balance.retryExtra = settings.number("retry-extra");
     gateway.balance.retryWindow = seconds(settings, "retry-window-s");
+    gateway.balance.probeRate = settings.number("probe-rate");
     gateway.balance.seed = std::random_device{}();
     return gateway;
 }
@@ -84,7 +86,7 @@
     const core::Duration drain = seconds(settings, "drain-s");
     fleet.replica.staleAfter = drain * 7 / 10;
     fleet.replica.watchWait = drain / 2;
-    fleet.massBelief = drain * 11 / 20;
+    fleet.belief = drain * 11 / 20;
     fleet.replica.seed = std::random_device{}();
     return fleet;
 }
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -16,6 +16,8 @@
 constexpr double   hedgeRoom = 1.2;       // Further time over the estimate that a second send is given
 constexpr double   leastHedgeWorks = 1.3; // Expected times that the first send is given
 constexpr double   hopelessWorks = 3.0;   // Expected times after which a send is taken for stuck
+constexpr double   goodFactor = 1.4;      // Usual work that a server may take and be chosen at once
+constexpr double   searchRoom = 1.2;      // Usual works that have to be left to look on
 constexpr double   lateFactor = 1.6;      // Targets that a request may be expected to take and still be let in
 constexpr unsigned statusServerFailed = 500;
 
@@ -88,7 +90,7 @@
     {
         const auto pool = m_pools.find(rule.name);
         if (pool != m_pools.end())
-            pool->second->setConnections(rule.connections, m_nodes);
+            pool->second->setRule(rule, m_nodes);
     }
 }
 
@@ -108,14 +110,140 @@
     request.callerDeadline = arrival.timeLeft ? arrival.since + *arrival.timeLeft : never;
     request.deadline = std::min(arrival.since + route->timeout - m_settings.wayBack, request.callerDeadline);
     request.pool->retries().requested(now);
+    seek(ticket, m_requests.emplace(ticket, std::move(request)).first->second, now);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::seek(Ticket ticket, Request& request, core::Timestamp now)
+{
+    request.search = Search{};
     const Choice choice = request.pool->choose(wishOf(request), now, m_random);
+    if (!choice.server || !request.pool->mayProbe() || good(request, choice, now))
+        return settle(ticket, request, choice, now);
+    request.search.active = true;
+    beginRound(ticket, request, now);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::beginRound(Ticket ticket, Request& request, core::Timestamp now)
+{
+    Search& search = request.search;
+    auto    servers = request.pool->worthProbing(wishOf(request), search.asked, m_settings.probesPerRound, now, m_random);
+    if (servers.empty())
+    {
+        search.asked.clear();
+        servers = request.pool->worthProbing(wishOf(request), search.asked, m_settings.probesPerRound, now, m_random);
+    }
+    search.pausing = false;
+    search.waiting = 0;
+    search.roundStart = search.probes.size();
+    search.next = now + m_settings.probeWait;
+    for (const auto& server : servers)
+    {
+        if (!request.pool->takeProbe(now))
+            break;
+        ++search.waiting;
+        search.asked.push_back(server.get());
+        search.probes.push_back(server);
+        Step step;
+        step.kind = StepKind::Probe;
+        step.ticket = ticket;
+        step.attempt = static_cast<unsigned>(search.probes.size());
+        step.instance = server->instance();
+        step.path = request.pool->healthPath();
+        m_steps.push_back(std::move(step));
+    }
+    if (search.waiting == 0)
+        return settle(ticket, request, request.pool->choose(wishOf(request), now, m_random), now);
+    plan(ticket, request, now);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::probed(Ticket ticket, unsigned probe, const Outcome& outcome, core::Timestamp now)
+{
+    const auto found = m_requests.find(ticket);
+    if (found == m_requests.end())
+        return;
+    Request& request = found->second;
+    Search&  search = request.search;
+    if (probe == 0 || probe > search.probes.size())
+        return;
+    ServerView& server = *search.probes[probe - 1];
+    if (outcome.load)
+    {
+        server.reported(*outcome.load, now);
+        request.pool->learnPace(outcome.load->pace);
+        if (const auto others = server.reportedOthers())
+            request.pool->learnOthers(*others);
+    }
+    else if (outcome.end == AttemptEnd::Lost || outcome.end == AttemptEnd::NotSent)
+        server.failed(now);
+    if (!search.active || search.pausing || probe <= search.roundStart)
+        return;
+    --search.waiting;
+    const Choice choice = request.pool->choose(wishOf(request), now, m_random);
+    if (choice.server && good(request, choice, now))
+        return settle(ticket, request, choice, now);
+    if (search.waiting == 0)
+        endRound(ticket, request, now);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::endRound(Ticket ticket, Request& request, core::Timestamp now)
+{
+    const Choice choice = request.pool->choose(wishOf(request), now, m_random);
+    const double typical = request.pool->workMs(request.route.name);
+    const bool   hasTime = meetsTarget(request, searchRoom * typical + core::toMilliseconds(m_settings.roundPause), now);
+    if (!choice.server || meetsTarget(request, choice.finishMs, now) || !hasTime)
+        return settle(ticket, request, choice, now);
+    request.search.pausing = true;
+    request.search.next = now + m_settings.roundPause;
+    plan(ticket, request, now);
+}
+
+////////////////////////////////////////////////////////////
+bool Balancer::good(const Request& request, const Choice& choice, core::Timestamp now) const
+{
+    const double age = choice.server->reportAgeMs(now);
+    const bool   fresh = age >= 0 && age <= core::toMilliseconds(m_settings.reportFresh);
+    const double typical = request.pool->workMs(request.route.name);
+    return fresh && choice.finishMs <= goodFactor * typical + core::toMilliseconds(m_settings.connectCost);
+}
+
+////////////////////////////////////////////////////////////
+bool Balancer::meetsTarget(const Request& request, double finishMs, core::Timestamp now) const
+{
+    const auto done = now + milliseconds(finishMs) + m_settings.wayBack;
+    return done <= request.since + request.route.targetLatency;
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::settle(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now)
+{
+    request.search.active = false;
+    if (!request.attempts.empty())
+    {
+        const bool running = request.attempts.back().running;
+        const bool useful = choice.server && (!running || meetsTarget(request, choice.finishMs, now) ||
+                                              now - request.attempts.back().sentAt > request.route.targetLatency);
+        if (useful && sendAgain(ticket, request, choice, now))
+            return plan(ticket, request, now);
+        if (running)
+            return plan(ticket, request, now);
+        return conclude(ticket, request, now);
+    }
     if (!choice.server)
-        return refuse(ticket, {RefusalReason::NoServer, false, soon});
+    {
+        refuse(ticket, {RefusalReason::NoServer, false, soon});
+        return close(ticket);
+    }
     if (tooLate(request, choice, now))
-        return refuse(ticket, {RefusalReason::Overloaded, false, comeBack(*request.pool, choice.finishMs)});
-    Request& kept = m_requests.emplace(ticket, std::move(request)).first->second;
-    forward(ticket, kept, choice, now);
-    plan(ticket, kept, now);
+    {
+        refuse(ticket, {RefusalReason::Overloaded, false, comeBack(*request.pool, choice.finishMs)});
+        return close(ticket);
+    }
+    forward(ticket, request, choice, now);
+    plan(ticket, request, now);
 }
 
 ////////////////////////////////////////////////////////////
@@ -167,18 +295,12 @@
     if (elsewhere)
         return;
     const bool mayRepeat = request.route.repeatable || !request.mayHaveRun;
-    if (!request.left && mayRepeat && sendAgain(ticket, request, now))
-        return plan(ticket, request, now);
-    if (outcome.end == AttemptEnd::Answered)
+    if (!request.left && mayRepeat && maySendAgain(request, now))
     {
-        Step step;
-        step.kind = StepKind::Answer;
-        step.ticket = ticket;
-        step.attempt = number;
-        m_steps.push_back(step);
-        close(ticket);
-        return;
+        request.lastAnswer = outcome.end == AttemptEnd::Answered ? number : 0;
+        return seek(ticket, request, now);
     }
+    request.lastAnswer = outcome.end == AttemptEnd::Answered ? number : 0;
     conclude(ticket, request, now);
 }
 
@@ -216,12 +338,19 @@
 }
 
 ////////////////////////////////////////////////////////////
-bool Balancer::sendAgain(Ticket ticket, Request& request, core::Timestamp now)
+bool Balancer::maySendAgain(Request& request, core::Timestamp now) const
 {
     if (request.sends >= request.route.attempts || request.attempts.size() >= request.route.attempts + mostUnsent)
         return false;
-    const Choice choice = request.pool->choose(wishOf(request), now, m_random);
-    if (!choice.server || now + milliseconds(choice.finishMs / 2) > request.deadline)
+    if (now + milliseconds(request.pool->workMs(request.route.name) / 2) > request.deadline)
+        return false;
+    return request.sends == 0 || request.pool->retries().allows(retryExtra(), now);
+}
+
+////////////////////////////////////////////////////////////
+bool Balancer::sendAgain(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now)
+{
+    if (!maySendAgain(request, now) || now + milliseconds(choice.finishMs / 2) > request.deadline)
         return false;
     // What never reached a server costs no budget.
     if (request.sends > 0 && !request.pool->retries().take(retryExtra(), now))
@@ -261,6 +390,13 @@
     if (request.wake != core::Timestamp{})
         m_wakes.erase({request.wake, ticket});
     request.wake = request.deadline;
+    if (request.search.active)
+        request.wake = std::min(request.wake, request.search.next);
+    if (request.search.active || request.attempts.empty())
+    {
+        m_wakes.insert({request.wake, ticket});
+        return;
+    }
     const Attempt& last = request.attempts.back();
     const bool mayHedge = m_settings.hedging && request.route.repeatable && !request.left &&
                           request.sends < request.route.attempts && last.running;
@@ -275,6 +411,7 @@
         core::Timestamp at = patience <= latestUseful ? latestUseful : stuck;
         if (at <= now)
             at = std::max(stuck, now + milliseconds(typical));
+        at = std::max(at, request.noHedgeUntil);
         request.wake = std::min(request.wake, at);
     }
     m_wakes.insert({request.wake, ticket});
@@ -283,8 +420,13 @@
 ////////////////////////////////////////////////////////////
 void Balancer::hedge(Ticket ticket, Request& request, core::Timestamp now)
 {
-    (void)sendAgain(ticket, request, now);
-    plan(ticket, request, now);
+    if (!maySendAgain(request, now))
+    {
+        // Looked at again only when it is stuck; the deadline ends it in any case.
+        request.noHedgeUntil = now + milliseconds(hopelessWorks * request.pool->workMs(request.route.name));
+        return plan(ticket, request, now);
+    }
+    seek(ticket, request, now);
 }
 
 ////////////////////////////////////////////////////////////
@@ -296,8 +438,12 @@
         Request&     request = m_requests.at(ticket);
         if (request.deadline <= now)
             timeOut(ticket, request, now);
-        else
+        else if (!request.search.active)
             hedge(ticket, request, now);
+        else if (request.search.pausing)
+            beginRound(ticket, request, now);
+        else
+            endRound(ticket, request, now);
     }
 }
 
@@ -312,7 +458,15 @@
 ////////////////////////////////////////////////////////////
 void Balancer::conclude(Ticket ticket, Request& request, core::Timestamp)
 {
-    if (request.mayHaveRun)
+    if (request.lastAnswer != 0)
+    {
+        Step step;
+        step.kind = StepKind::Answer;
+        step.ticket = ticket;
+        step.attempt = request.lastAnswer;
+        m_steps.push_back(step);
+    }
+    else if (request.mayHaveRun)
         refuse(ticket, {RefusalReason::Unknown, true, {}});
     else
         refuse(ticket, {RefusalReason::NotRun, false, std::max(request.comeBack, comeBack(*request.pool, 0))});
@@ -351,7 +505,9 @@
         return;
     Request& request = found->second;
     request.left = true;
-    if (!request.route.repeatable)
+    const bool sent = std::any_of(request.attempts.begin(), request.attempts.end(),
+                                  [](const Attempt& attempt) { return attempt.running; });
+    if (!request.route.repeatable && sent)
         return; // What may have begun to run is left to end; its answer goes nowhere.
     abandonRunning(ticket, request, now);
     close(ticket);
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -13,6 +13,9 @@
 constexpr double   lossPenalty = 12;    // Usual works that a failed attempt costs when it cannot
 constexpr double   ejectedPenalty = 40; // Usual works; an ejected server is taken only when all are
 constexpr double   spread = 0.08;       // Random part of a cost, so that nodes with equal views part
+constexpr double   probeSpread = 0.25;  // Random part when servers to be probed are ranked
+constexpr double   probeShare = 0.8;    // Of the budget for probes that is used
+constexpr double   probeBurstSeconds = 2;
 constexpr unsigned leastConnections = 2;
 
 } // namespace
@@ -26,6 +29,59 @@
 {
 }
 
+////////////////////////////////////////////////////////////
+void ServicePool::setRule(const deployment::ServiceRule& rule, unsigned nodes)
+{
+    m_healthPath = rule.healthPath;
+    m_nodes = std::max(1U, nodes);
+    setConnections(rule.connections, nodes);
+}
+
+////////////////////////////////////////////////////////////
+bool ServicePool::mayProbe() const
+{
+    return m_settings.probing && m_tellsLoad && !m_healthPath.empty();
+}
+
+////////////////////////////////////////////////////////////
+bool ServicePool::takeProbe(core::Timestamp now)
+{
+    const double rate = probeShare * m_settings.probeRate * static_cast<double>(m_servers.size()) / m_nodes;
+    const double passed = std::min(probeBurstSeconds, core::toSeconds(now - m_probesAt));
+    m_probes = std::min(rate * probeBurstSeconds, m_probes + rate * passed);
+    m_probesAt = now;
+    if (m_probes < 1)
+        return false;
+    m_probes -= 1;
+    return true;
+}
+
+////////////////////////////////////////////////////////////
+std::vector<std::shared_ptr<ServerView>> ServicePool::worthProbing(const Wish& wish, std::span<ServerView* const> asked,
+                                                                   std::size_t most, core::Timestamp now,
+                                                                   core::Random& random) const
+{
+    const double                                                 work = workMs(wish.route);
+    std::vector<std::pair<double, std::shared_ptr<ServerView>>> ranked;
+    for (const auto& server : m_servers)
+    {
+        if (!mayBeGiven(*server, wish) || std::find(asked.begin(), asked.end(), server.get()) != asked.end())
+            continue;
+        ranked.emplace_back(cost(*server, wish, work, now) * (1 + probeSpread * random.unit()), server);
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
+    std::vector<std::shared_ptr<ServerView>> chosen;
+    for (std::size_t i = 0; i < std::min(most, ranked.size()); ++i)
+        chosen.push_back(std::move(ranked[i].second));
+    return chosen;
+}
+
+////////////////////////////////////////////////////////////
+const std::string& ServicePool::healthPath() const
+{
+    return m_healthPath;
+}
+
 ////////////////////////////////////////////////////////////
 void ServicePool::setConnections(unsigned instanceLimit, unsigned nodes)
 {
@@ -96,6 +152,7 @@
 ////////////////////////////////////////////////////////////
 void ServicePool::learnPace(double pace)
 {
+    m_tellsLoad = true;
     m_pace += paceGain * (pace - m_pace);
 }
 
--- a/src/sailpath/deployment/InstanceBook.cpp
+++ b/src/sailpath/deployment/InstanceBook.cpp
@@ -12,14 +12,13 @@
 } // namespace
 
 ////////////////////////////////////////////////////////////
-InstanceBook::InstanceBook(core::Duration massBelief, core::Duration illBelief) :
-m_massBelief(massBelief),
-m_illBelief(illBelief)
+InstanceBook::InstanceBook(core::Duration belief) :
+m_belief(belief)
 {
 }
 
 ////////////////////////////////////////////////////////////
-void InstanceBook::announced(const Announcement& announcement, core::Timestamp)
+void InstanceBook::announced(const Announcement& announcement)
 {
     Entry& entry = m_entries[announcement.instance.id];
     if (announcement.sequence < entry.last.sequence)
@@ -47,12 +46,12 @@
 }
 
 ////////////////////////////////////////////////////////////
-void InstanceBook::vanished(std::string_view id, bool storeIll, core::Timestamp now)
+void InstanceBook::vanished(std::string_view id, core::Timestamp earliest)
 {
     const auto found = m_entries.find(id);
     if (found == m_entries.end() || found->second.believeUntil || found->second.forgetAt)
         return;
-    found->second.believeUntil = now + (storeIll ? m_illBelief : m_massBelief);
+    found->second.believeUntil = earliest + m_belief;
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/fleet/FleetThread.cpp
+++ b/src/sailpath/fleet/FleetThread.cpp
@@ -19,7 +19,7 @@
 using replication::SourceAnswer;
 using replication::SourceStatus;
 
-constexpr auto illWithin = std::chrono::seconds{4}; // A failure of the store this recent explains vanished entries
+constexpr auto illWithin = std::chrono::milliseconds{1500}; // A failure of the store this recent explains vanished entries
 
 ////////////////////////////////////////////////////////////
 core::Timestamp now()
@@ -41,7 +41,7 @@
     timer(context),
     source(makeSource(context)),
     replica(settings.replica, now()),
-    book(settings.massBelief, settings.illBelief),
+    book(settings.belief),
     hub(context, settings.listen,
         {[this](LinkId link) { step([&] { replica.linkOpened(link, now()); }); },
          [this](LinkId link) { step([&] { replica.linkClosed(link, now()); }); },
@@ -75,13 +75,15 @@
     template <typename Work>
     void step(Work work)
     {
+        const auto before = now();
+        const auto oldAge = replica.known() ? replica.age(before) : core::Duration{};
         work();
         for (auto actions = replica.takeActions(); !actions.empty(); actions = replica.takeActions())
         {
             for (const auto& action : actions)
                 std::visit([this](const auto& item) { perform(item); }, action);
         }
-        apply(replica.takeChanges());
+        apply(replica.takeChanges(), oldAge);
         refreshStatus();
         arm();
     }
@@ -175,7 +177,7 @@
         log.write(ports::Level::Info, action.event, {{"subject", action.subject}, {"value", action.value}});
     }
 
-    void apply(const std::vector<replication::Item>& changes)
+    void apply(const std::vector<replication::Item>& changes, core::Duration oldAge)
     {
         const auto at = now();
         const bool ill = replica.storeIll(at, illWithin);
@@ -185,7 +187,7 @@
             if (translator.isDeployment(item.key))
                 changed = applyDeployment(item) || changed;
             else if (translator.isInstance(item.key))
-                changed = applyInstance(item, ill, at) || changed;
+                changed = applyInstance(item, ill, oldAge, at) || changed;
         }
         const auto due = book.nextDue();
         if (changed || (due && *due <= at))
@@ -222,14 +224,15 @@
         return true;
     }
 
-    bool applyInstance(const replication::Item& item, bool ill, core::Timestamp at)
+    bool applyInstance(const replication::Item& item, bool ill, core::Duration oldAge, core::Timestamp at)
     {
         if (item.gone)
         {
             const std::string id = translator.instanceId(item.key);
             log.write(ports::Level::Info, "instance-vanished",
                       {{"instance", id}, {"revision", item.revision}, {"storeIll", ill ? 1 : 0}});
-            book.vanished(id, ill, at);
+            // It may have vanished any time since the picture was last known to be the store's.
+            book.vanished(id, at - oldAge);
             return true;
         }
         core::Findings findings;
@@ -244,7 +247,7 @@
                    {"service", read->instance.service},
                    {"draining", read->instance.draining ? 1 : 0},
                    {"revision", item.revision}});
-        book.announced(*read, at);
+        book.announced(*read);
         return true;
     }
 
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -71,6 +71,7 @@
     void carryOut();
     void perform(const balance::Step& step);
     void forward(const balance::Step& step);
+    void probe(const balance::Step& step);
     void attemptEnded(balance::Ticket ticket, unsigned attempt, const balance::Outcome& outcome,
                       priv::ServerAnswer answer);
     void finish(balance::Ticket ticket, const balance::Step& step);
@@ -278,8 +279,8 @@
     case balance::StepKind::Answer:
     case balance::StepKind::Refuse:
         return finish(step.ticket, step);
-    case balance::StepKind::Hold:
-        return;
+    case balance::StepKind::Probe:
+        return probe(step);
     }
 }
 
@@ -302,6 +303,25 @@
                      { attemptEnded(ticket, attempt, outcome, std::move(answer)); });
 }
 
+////////////////////////////////////////////////////////////
+void Gateway::Impl::probe(const balance::Step& step)
+{
+    ++counters.probes;
+    priv::Send send;
+    send.probe = true;
+    send.bytes.append("GET ").append(step.path).append(" HTTP/1.1\r\nHost: ").append(step.instance->address);
+    send.bytes.append("\r\n\r\n");
+    const auto ticket = step.ticket;
+    const auto number = step.attempt;
+    servers.take(step.instance, false)
+        ->send(std::move(send),
+               [this, ticket, number](const balance::Outcome& outcome, const priv::ServerAnswer&)
+               {
+                   balancer.probed(ticket, number, outcome, priv::now());
+                   carryOut();
+               });
+}
+
 ////////////////////////////////////////////////////////////
 void Gateway::Impl::attemptEnded(balance::Ticket ticket, unsigned attempt, const balance::Outcome& outcome,
                                  priv::ServerAnswer answer)
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -157,6 +157,8 @@
 {
     const std::string_view id = head.field(m_dialect.requestId);
     const bool             success = head.status >= 200 && head.status < 300;
+    if (m_request.probe)
+        return id.empty();
     return id.empty() ? !success : id == m_request.id;
 }
 
@@ -175,7 +177,10 @@
         return;
     }
     balance::Outcome outcome;
-    judge(outcome, head);
+    if (m_request.probe)
+        judgeProbe(outcome, head);
+    else
+        judge(outcome, head);
     const bool keep = head.keepAlive && !head.untilEnd && m_written && !m_poisoned && m_unread.empty();
     outcome.leaving = outcome.leaving || (!head.keepAlive && !head.untilEnd);
     m_restLimit = keepAliveOf(head.field("Keep-Alive"));
@@ -209,6 +214,20 @@
     outcome.end = promises ? balance::AttemptEnd::Lost : balance::AttemptEnd::Answered;
 }
 
+////////////////////////////////////////////////////////////
+void ServerConnection::judgeProbe(balance::Outcome& outcome, const http::Head& head) const
+{
+    outcome.status = head.status;
+    outcome.end = balance::AttemptEnd::Answered;
+    const std::string_view instance = head.field(m_dialect.instanceId);
+    const bool             other = !instance.empty() && instance != m_instance->id;
+    // Another instance has the address now; what it says is not this one's load.
+    if (other)
+        outcome.end = balance::AttemptEnd::Lost;
+    else if (m_dialect.parseLoad)
+        outcome.load = m_dialect.parseLoad(head.field(m_dialect.load));
+}
+
 ////////////////////////////////////////////////////////////
 void ServerConnection::ended(bool inOrder)
 {
--- a/src/sailpath/gateway/ServerConnection.hpp
+++ b/src/sailpath/gateway/ServerConnection.hpp
@@ -33,6 +33,7 @@
     std::string id;              //!< That the answer has to repeat
     std::string bytes;           //!< Head and body
     bool        headOnly{false}; //!< Its answer has no body
+    bool        probe{false};    //!< Asks for the load; the answer has no id
 };
 
 ////////////////////////////////////////////////////////////
@@ -74,6 +75,7 @@
     void ended(bool inOrder);
     void answered();
     void judge(balance::Outcome& outcome, const http::Head& head) const;
+    void judgeProbe(balance::Outcome& outcome, const http::Head& head) const;
     void finish(const balance::Outcome& outcome, ServerAnswer answer, bool keep);
     void startReader();
     [[nodiscard]] bool belongs(const http::Head& head) const;
