--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -92,6 +92,7 @@
 
     std::string                              m_name;            //!< Of the service
     const Settings&                          m_settings;        //!< Constants
+    std::unordered_map<std::string, std::shared_ptr<ServerView>> m_byId; //!< The same by id
     std::vector<std::shared_ptr<ServerView>> m_servers;         //!< Those that take requests
     RetryWindow                              m_retries;         //!< Budget
     std::string                              m_healthPath;      //!< What a probe asks for
--- a/include/sailpath/http/MessageReader.hpp
+++ b/include/sailpath/http/MessageReader.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -68,6 +69,7 @@
     [[nodiscard]] ReadState   state() const; //!< How far it is
     [[nodiscard]] const Head& head() const;  //!< Valid once the head is whole
     [[nodiscard]] std::string takeBody();    //!< Moves out what has been read of the body
+    [[nodiscard]] std::optional<std::uint64_t> bodyLength() const; //!< As the head tells it
     [[nodiscard]] std::size_t bodySize() const; //!< Bytes of the body read and not taken
 
 private:
--- a/include/sailpath/replication/Message.hpp
+++ b/include/sailpath/replication/Message.hpp
@@ -16,6 +16,7 @@
     std::string   address;    //!< `IP:PORT` where peers connect
     std::string   dataCentre; //!< Where it runs
     std::uint32_t ageMs{0};   //!< Time since it was heard of at first hand
+    std::uint32_t capacity{0}; //!< How well it can serve others; doubles with each step
 
     friend bool operator==(const NodeAddress&, const NodeAddress&) = default;
 };
--- a/include/sailpath/replication/Replica.hpp
+++ b/include/sailpath/replication/Replica.hpp
@@ -29,7 +29,10 @@
     core::Duration           avoidance{std::chrono::seconds{3}};          //!< A relay that failed is left alone
     core::Duration           nodeLife{std::chrono::seconds{8}};           //!< A node not heard of is forgotten
     core::Duration           countLife{std::chrono::seconds{14}};         //!< A node counts for shared budgets
-    unsigned                 relays{2};                                   //!< Nodes that watch the store for all
+    unsigned                 relays{2};                                   //!< Nodes that watch the store for all, at least
+    unsigned                 nodesPerRelay{75};                           //!< One more relay for each so many nodes
+    unsigned                 upstreams{2};                                //!< Relays that a node follows
+    core::Duration           gather{std::chrono::milliseconds{25}};       //!< Changes this close together are told at once
     std::uint64_t            seed{1};                                     //!< Of the random choices
 };
 
@@ -115,6 +118,7 @@
         std::uint64_t   sentAt{0};     //!< Revision sent
         bool            wantsAll{true}; //!< Needs the whole picture
         core::Timestamp nextBeat{};    //!< Next update without news
+        core::Timestamp fedAt{};       //!< Last update
         core::Timestamp nextNodes{};   //!< Next telling of the nodes
     };
 
@@ -130,6 +134,7 @@
     struct Known
     {
         std::string     dataCentre;       //!< Where it runs
+        std::uint32_t   capacity{0};      //!< How well it can serve others
         core::Timestamp heard{};          //!< At first hand, by anybody
         core::Timestamp avoidUntil{};     //!< Not to be used as a relay
         unsigned        failures{0};      //!< In a row
@@ -143,7 +148,8 @@
     void feed(LinkId link, Follower& follower, core::Timestamp now);
     void startWatch(core::Timestamp now);
     void noteFresh(core::Timestamp asOf, core::Timestamp now);
-    [[nodiscard]] std::vector<std::string> chooseRelays(core::Timestamp now) const;
+    [[nodiscard]] std::vector<std::string> rankRelays(core::Timestamp now) const;
+    [[nodiscard]] std::vector<std::string> chooseUpstreams(const std::vector<std::string>& relays) const;
     [[nodiscard]] std::vector<NodeAddress> nodeList(core::Timestamp now) const;
     [[nodiscard]] core::Timestamp          staleAt() const;
     [[nodiscard]] bool                     shouldWatch(core::Timestamp now) const;
@@ -167,6 +173,7 @@
     LinkId                          m_nextLink{1};                  //!< Odd numbers are this side's
     StoreState                      m_store{StoreState::Idle};      //!< Call under way
     bool                            m_needRead{true};               //!< The history is not usable
+    bool                            m_booted{false};                //!< The store was asked since the start
     bool                            m_relayRole{false};             //!< Ranks among the relays
     bool                            m_proving{false};               //!< The watch under way returns at once
     core::Timestamp                 m_nextStore{};                  //!< Next call, after failures
--- a/src/programs/GatewayProgram.cpp
+++ b/src/programs/GatewayProgram.cpp
@@ -11,6 +11,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <array>
+#include <cmath>
 #include <csignal>
 #include <random>
 
@@ -36,6 +37,8 @@
     Option{"retry-extra", OptionKind::Number, "0", "further sends beyond the share in a window, over the fleet"},
     Option{"retry-window-s", OptionKind::Number, "10", "span that the retry budget is counted over, seconds"},
     Option{"probe-rate", OptionKind::Number, "20", "probes that a server may get a second, from all nodes"},
+    Option{"link-mbps", OptionKind::Number, "100", "bandwidth of this VM, Mbit/s"},
+    Option{"cpu-share", OptionKind::Number, "1", "cores that this VM may use"},
     Option{"memory-mb", OptionKind::Number, "256", "memory that the process may use"},
     Option{"descriptors", OptionKind::Whole, "4096", "file descriptors that the process may use"},
     Option{"log-file", OptionKind::Text, "", "event log; standard error when empty"},
@@ -46,7 +49,8 @@
                                               options};
 constexpr auto                        noticeTime = std::chrono::milliseconds{2300}; // For the balancer in front
 constexpr auto                        stopCheck = std::chrono::milliseconds{50};
-constexpr double                      graceShare = 0.93;     // Of the grace; the process has ended by then
+constexpr auto                        lingerTime = std::chrono::seconds{1}; // For callers' connections to end
+constexpr double                      graceShare = 0.9;     // Of the grace; the process has ended by then
 constexpr double                      bufferShare = 0.25;    // Of the memory, for request bodies
 constexpr double                      bytesPerMegabyte = 1e6;
 constexpr std::size_t                 callersShare = 2;      // One in two descriptors may be a caller's
@@ -74,12 +78,23 @@
     return gateway;
 }
 
+////////////////////////////////////////////////////////////
+/// \brief How well this VM can serve its peers: the binary order of its scarcer resource
+////////////////////////////////////////////////////////////
+std::uint32_t capacity(const Settings& settings)
+{
+    constexpr double smallestLink = 5;   // Mbit/s
+    constexpr double smallestShare = 0.05; // Cores
+    const double     scarcer = std::min(settings.number("link-mbps") / smallestLink, settings.number("cpu-share") / smallestShare);
+    return static_cast<std::uint32_t>(std::max(0.0, std::log2(std::max(1.0, scarcer))));
+}
+
 ////////////////////////////////////////////////////////////
 fleet::FleetSettings fleetSettings(const Settings& settings)
 {
     fleet::FleetSettings fleet;
     fleet.listen = settings.endpoint("peer-listen");
-    fleet.replica.self = {settings.text("peer-listen"), settings.text("data-centre"), 0};
+    fleet.replica.self = {settings.text("peer-listen"), settings.text("data-centre"), 0, capacity(settings)};
     for (const auto& seed : settings.endpoints("seeds"))
         fleet.replica.seeds.push_back(seed.text());
     // All that happens to a change on its way has to fit into the servers' time for leaving.
@@ -134,7 +149,9 @@
     {
         m_gateway.closeIdle();
         const auto elapsed = std::chrono::steady_clock::now() - m_since;
-        const bool done = m_gateway.unfinished() == 0 && m_gateway.callers() == 0;
+        // What is left then are callers that have not sent a whole request.
+        const bool patient = elapsed < noticeTime + lingerTime;
+        const bool done = m_gateway.unfinished() == 0 && (m_gateway.callers() == 0 || !patient);
         if (!done && elapsed < m_grace)
             return wait(stopCheck);
         m_log.write(ports::Level::Info, "stopped", {{"unfinished", m_gateway.unfinished()}});
--- a/src/sailpath/adapters/links/Codec.cpp
+++ b/src/sailpath/adapters/links/Codec.cpp
@@ -22,12 +22,13 @@
     to.setAddress(from.address);
     to.setDataCentre(from.dataCentre);
     to.setAgeMs(from.ageMs);
+    to.setCapacity(from.capacity);
 }
 
 ////////////////////////////////////////////////////////////
 replication::NodeAddress get(wire::NodeAddress::Reader from)
 {
-    return {from.getAddress().cStr(), from.getDataCentre().cStr(), from.getAgeMs()};
+    return {from.getAddress().cStr(), from.getDataCentre().cStr(), from.getAgeMs(), from.getCapacity()};
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/adapters/links/Links.capnp
+++ b/src/sailpath/adapters/links/Links.capnp
@@ -14,6 +14,7 @@
   address @0 :Text;
   dataCentre @1 :Text;
   ageMs @2 :UInt32;
+  capacity @3 :UInt32;
 }
 
 struct Hello {
--- a/src/sailpath/adapters/links/Links.capnp.h
+++ b/src/sailpath/adapters/links/Links.capnp.h
@@ -237,6 +237,8 @@
 
   inline  ::uint32_t getAgeMs() const;
 
+  inline  ::uint32_t getCapacity() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -282,6 +284,9 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
+  inline  ::uint32_t getCapacity();
+  inline void setCapacity( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -783,6 +788,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t NodeAddress::Reader::getCapacity() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t NodeAddress::Builder::getCapacity() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void NodeAddress::Builder::setCapacity( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Hello::Reader::hasSelf() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -94,16 +94,20 @@
 {
     std::vector<std::shared_ptr<ServerView>> servers;
     servers.reserve(instances.size());
+    std::unordered_map<std::string, std::shared_ptr<ServerView>> byId;
     for (deployment::Instance& instance : instances)
     {
-        auto known = find(instance.id);
-        if (known)
+        const std::string id = instance.id;
+        auto              known = find(id);
+        if (known && *known->instance() != instance)
             known->update(std::move(instance));
-        else
+        else if (!known)
             known = std::make_shared<ServerView>(std::move(instance), m_settings, now);
+        byId.emplace(id, known);
         servers.push_back(std::move(known));
     }
     m_servers = std::move(servers);
+    m_byId = std::move(byId);
 }
 
 ////////////////////////////////////////////////////////////
@@ -140,7 +144,9 @@
 {
     const double risk = server.failureShare(now) * (wish.repeatable ? failurePenalty : lossPenalty);
     const double absence = server.ejected(now) ? ejectedPenalty : 0;
-    return server.finishMs(work, m_work, m_others, m_pace, now) + (risk + absence) * work * m_pace;
+    // Bytes between data centres are dear, so a near server may be somewhat slower.
+    const double distance = server.instance()->dataCentre == m_settings.dataCentre ? 0 : m_settings.otherDataCentreCost;
+    return server.finishMs(work, m_work, m_others, m_pace, now) + distance * work + (risk + absence) * work * m_pace;
 }
 
 ////////////////////////////////////////////////////////////
@@ -205,9 +211,8 @@
 ////////////////////////////////////////////////////////////
 std::shared_ptr<ServerView> ServicePool::find(std::string_view instance) const
 {
-    const auto found = std::find_if(m_servers.begin(), m_servers.end(),
-                                    [instance](const auto& server) { return server->instance()->id == instance; });
-    return found == m_servers.end() ? nullptr : *found;
+    const auto found = m_byId.find(std::string(instance));
+    return found == m_byId.end() ? nullptr : found->second;
 }
 
 } // namespace sailpath::balance
--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/write.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 
@@ -9,6 +10,7 @@
 {
 namespace
 {
+constexpr auto        comeBackLater = std::chrono::seconds{1};
 constexpr std::size_t mostReadAhead = 64UL * 1024; // Bytes kept of requests that follow the one under way
 
 ////////////////////////////////////////////////////////////
@@ -111,17 +113,14 @@
         m_since = m_activity;
         m_headSeen = false;
     }
-    const std::size_t before = m_reader->bodySize();
     m_unread.erase(0, m_reader->read(m_unread));
-    const auto grown = static_cast<std::int64_t>(m_reader->bodySize() - before);
-    if (grown > 0 && !m_events.reserve(grown))
-        return refuse(503, "no memory for another body");
-    m_reserved += grown;
     switch (m_reader->state())
     {
     case http::ReadState::Head:
         return;
     case http::ReadState::Body:
+        if (!reserveBody())
+            return refuse(503, "no memory for another body");
         return headRead();
     case http::ReadState::HeadTooLarge:
         return refuse(431, "the head is too large");
@@ -130,6 +129,8 @@
     case http::ReadState::Malformed:
         return refuse(400, "no request of the protocol");
     case http::ReadState::Done:
+        if (!reserveBody())
+            return refuse(503, "no memory for another body");
         break;
     }
     const std::unique_ptr<http::MessageReader> reader = std::move(m_reader);
@@ -139,6 +140,20 @@
     m_events.requestRead(*this, reader->head(), reader->takeBody());
 }
 
+////////////////////////////////////////////////////////////
+bool CallerConnection::reserveBody()
+{
+    // A length that is told is reserved whole, so that bodies that grow side by side cannot all fail.
+    const auto told = static_cast<std::int64_t>(m_reader->bodyLength().value_or(0));
+    const auto needed = std::max(told, static_cast<std::int64_t>(m_reader->bodySize()));
+    if (needed <= m_reserved)
+        return true;
+    if (!m_events.reserve(needed - m_reserved))
+        return false;
+    m_reserved = needed;
+    return true;
+}
+
 ////////////////////////////////////////////////////////////
 void CallerConnection::headRead()
 {
@@ -163,6 +178,7 @@
     own.status = status;
     own.reason = reason;
     own.close = true;
+    own.comeBack = status == 503 ? core::Duration(comeBackLater) : core::Duration{};
     answer(own);
 }
 
--- a/src/sailpath/gateway/CallerConnection.hpp
+++ b/src/sailpath/gateway/CallerConnection.hpp
@@ -75,6 +75,7 @@
     void received(std::size_t bytes);
     void parse();
     void headRead();
+    [[nodiscard]] bool reserveBody();
     void refuse(unsigned status, std::string_view reason);
     void write(bool keep);
     void written(bool good);
--- a/src/sailpath/http/MessageReader.cpp
+++ b/src/sailpath/http/MessageReader.cpp
@@ -205,6 +205,13 @@
     return std::move(m_impl->collected.body);
 }
 
+////////////////////////////////////////////////////////////
+std::optional<std::uint64_t> MessageReader::bodyLength() const
+{
+    const auto length = m_impl->visit([](auto& parser) { return parser.content_length(); });
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
 ////////////////////////////////////////////////////////////
 std::size_t MessageReader::bodySize() const
 {
--- a/src/sailpath/replication/Replica.cpp
+++ b/src/sailpath/replication/Replica.cpp
@@ -58,10 +58,11 @@
 }
 
 ////////////////////////////////////////////////////////////
-std::vector<std::string> Replica::chooseRelays(core::Timestamp now) const
+std::vector<std::string> Replica::rankRelays(core::Timestamp now) const
 {
     struct Ranked
     {
+        std::uint32_t capacity;
         std::uint64_t rank;
         std::string   address;
         std::string   dataCentre;
@@ -71,13 +72,17 @@
     { return std::find(m_settings.seeds.begin(), m_settings.seeds.end(), address) != m_settings.seeds.end(); };
     // Before peers have told of others, only seeds count as relays, or every node would be one.
     if (now - m_born > bootWait || m_settings.seeds.empty() || isSeed(m_settings.self.address))
-        ranked.push_back({core::hash(m_settings.self.address), m_settings.self.address, m_settings.self.dataCentre});
+        ranked.push_back({m_settings.self.capacity, core::hash(m_settings.self.address), m_settings.self.address,
+                          m_settings.self.dataCentre});
     for (const auto& [address, known] : m_known)
     {
         if (now - known.heard < m_settings.nodeLife && now >= known.avoidUntil)
-            ranked.push_back({core::hash(address), address, known.dataCentre});
+            ranked.push_back({known.capacity, core::hash(address), address, known.dataCentre});
     }
-    std::sort(ranked.begin(), ranked.end(), [](const Ranked& left, const Ranked& right) { return left.rank < right.rank; });
+    std::sort(ranked.begin(), ranked.end(),
+              [](const Ranked& left, const Ranked& right)
+              { return left.capacity != right.capacity ? left.capacity > right.capacity : left.rank < right.rank; });
+    const std::size_t        wanted = std::max<std::size_t>(m_settings.relays, nodes(now) / m_settings.nodesPerRelay + 1);
     // The first, then the first in other data centres, then whoever follows.
     std::vector<std::string> chosen;
     std::vector<std::string> places;
@@ -87,7 +92,7 @@
         {
             const bool taken = std::find(chosen.begin(), chosen.end(), node.address) != chosen.end();
             const bool samePlace = std::find(places.begin(), places.end(), node.dataCentre) != places.end();
-            if (chosen.size() >= m_settings.relays || taken || (samePlace && !anyPlace))
+            if (chosen.size() >= wanted || taken || (samePlace && !anyPlace))
                 continue;
             chosen.push_back(node.address);
             places.push_back(node.dataCentre);
@@ -96,6 +101,20 @@
     return chosen;
 }
 
+////////////////////////////////////////////////////////////
+std::vector<std::string> Replica::chooseUpstreams(const std::vector<std::string>& relays) const
+{
+    std::vector<std::string> others;
+    std::copy_if(relays.begin(), relays.end(), std::back_inserter(others),
+                 [this](const std::string& address) { return address != m_settings.self.address; });
+    // Each node follows relays of its own choice, so that these share the work.
+    std::sort(others.begin(), others.end(),
+              [this](const std::string& left, const std::string& right)
+              { return core::hash(left + m_settings.self.address) < core::hash(right + m_settings.self.address); });
+    others.resize(std::min<std::size_t>(others.size(), m_settings.upstreams));
+    return others;
+}
+
 ////////////////////////////////////////////////////////////
 void Replica::manageUpstreams(core::Timestamp now)
 {
@@ -114,13 +133,12 @@
         item = m_upstreams.erase(item);
         avoid(address, now, "relay-silent");
     }
-    const std::vector<std::string> relays = chooseRelays(now);
+    std::vector<std::string> relays = rankRelays(now);
     m_relayRole = std::find(relays.begin(), relays.end(), m_settings.self.address) != relays.end();
+    relays = chooseUpstreams(relays);
     bool allFed = true;
     for (const std::string& address : relays)
     {
-        if (address == m_settings.self.address)
-            continue;
         const auto link = std::find_if(m_upstreams.begin(), m_upstreams.end(),
                                        [&](const auto& item) { return item.second.address == address; });
         allFed = allFed && link != m_upstreams.end() && link->second.fed;
@@ -149,7 +167,8 @@
 ////////////////////////////////////////////////////////////
 bool Replica::shouldWatch(core::Timestamp now) const
 {
-    if (m_relayRole || !m_followers.empty())
+    // Everybody reads the store once at its start: relays would choke on whole pictures for all.
+    if (!m_booted || m_relayRole || !m_followers.empty())
         return true;
     if (age(now) > m_settings.staleAfter && now - m_born > bootWait)
         return true;
@@ -166,6 +185,7 @@
     if (m_needRead || !known())
     {
         m_store = StoreState::Reading;
+        m_booted = true;
         m_actions.push_back(ReadStore{});
         return;
     }
@@ -322,6 +342,7 @@
         return;
     Known& known = m_known[node.address];
     known.dataCentre = node.dataCentre;
+    known.capacity = node.capacity;
     known.heard = std::max(known.heard, heard);
 }
 
@@ -346,7 +367,9 @@
         const auto known = m_known.find(follower.node.address);
         if (known != m_known.end())
             known->second.heard = now;
-        if (now >= follower.nextBeat || m_table.at() > follower.sentAt)
+        if (m_table.at() > follower.sentAt)
+            follower.nextBeat = std::min(follower.nextBeat, follower.fedAt + m_settings.gather);
+        if (now >= follower.nextBeat)
             feed(link, follower, now);
     }
 }
@@ -370,6 +393,7 @@
         update.nodes = nodeList(now);
         follower.nextNodes = now + nodesEvery;
     }
+    follower.fedAt = now;
     follower.nextBeat = now + m_settings.beat;
     m_actions.push_back(SendUpdate{link, std::move(update)});
 }
@@ -381,7 +405,7 @@
     for (const auto& [address, known] : m_known)
     {
         if (now - known.heard < m_settings.nodeLife && !known.dataCentre.empty())
-            nodes.push_back({address, known.dataCentre, ageMs(known.heard, now)});
+            nodes.push_back({address, known.dataCentre, ageMs(known.heard, now), known.capacity});
     }
     return nodes;
 }
--- a/test/gateway/Gateway.test.cpp
+++ b/test/gateway/Gateway.test.cpp
@@ -360,8 +360,7 @@
         caller->write(std::string(4000, 'x'));
         refused += statusOf(caller->readAnswer()) == 503 ? 1 : 0;
     }
-    BOOST_TEST(refused >= 1);
-    BOOST_TEST(refused < 3);
+    BOOST_TEST(refused == 1);
 }
 
 BOOST_AUTO_TEST_CASE(APlannedStopAnswersWhatIsUnderWayAndIsNotReady)
--- a/test/support/ReplicaGroup.cpp
+++ b/test/support/ReplicaGroup.cpp
@@ -43,7 +43,7 @@
     ++node.life;
     node.seen.clear();
     replication::ReplicaSettings settings;
-    settings.self = {addressOf(index), "dc" + std::to_string(index % dataCentres), 0};
+    settings.self = {addressOf(index), "dc" + std::to_string(index % dataCentres), 0, 0};
     for (std::size_t i = 0; i < std::min(seeds, m_nodes.size()); ++i)
         settings.seeds.push_back(addressOf(i));
     settings.seed = m_seed * 1000 + index;
