Nodes are told packed and seldom; a watch pauses after news

Change: 8 bytes a node, grouped by data centre, every N/20 s or when a tenth more are known; 80 ms pause after news.

--- a/include/sailpath/replication/Replica.hpp
+++ b/include/sailpath/replication/Replica.hpp
@@ -27,8 +27,8 @@
     core::Duration           beat{std::chrono::milliseconds{350}};        //!< Between updates without news
     core::Duration           linkSilence{std::chrono::milliseconds{1100}}; //!< Without an update, a relay is given up
     core::Duration           avoidance{std::chrono::seconds{3}};          //!< A relay that failed is left alone
-    core::Duration           nodeLife{std::chrono::seconds{8}};           //!< A node not heard of is forgotten
-    core::Duration           countLife{std::chrono::seconds{14}};         //!< A node counts for shared budgets
+    core::Duration           nodeLife{std::chrono::seconds{20}};          //!< A node not heard of is forgotten
+    core::Duration           countLife{std::chrono::seconds{25}};         //!< A node counts for shared budgets
     unsigned                 relays{2};                                   //!< Nodes that watch the store for all, at least
     unsigned                 nodesPerRelay{75};                           //!< One more relay for each so many nodes
     unsigned                 upstreams{2};                                //!< Relays that a node follows
@@ -120,6 +120,8 @@
         core::Timestamp nextBeat{};    //!< Next update without news
         core::Timestamp fedAt{};       //!< Last update
         core::Timestamp nextNodes{};   //!< Next telling of the nodes
+        core::Timestamp newNodesAt{};  //!< Not before, when there are many new ones
+        std::size_t     nodesTold{0};  //!< Nodes at the last telling
     };
 
     struct Upstream
--- a/src/sailpath/adapters/links/Codec.cpp
+++ b/src/sailpath/adapters/links/Codec.cpp
@@ -1,12 +1,17 @@
 #include <sailpath/adapters/links/Codec.hpp>
 
+#include <sailpath/adapters/settings/Endpoint.hpp>
+
 #include "Links.capnp.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 
+#include <algorithm>
+#include <arpa/inet.h>
 #include <array>
 #include <cstring>
+#include <map>
 #include <vector>
 
 namespace sailpath::adapters::links
@@ -14,6 +19,7 @@
 namespace
 {
 constexpr std::size_t   prefixBytes = 4;
+constexpr std::size_t   packedBytes = 8; // Of a node
 constexpr std::uint32_t longestMessage = 64U << 20U;
 
 ////////////////////////////////////////////////////////////
@@ -50,6 +56,58 @@
             from.getGone()};
 }
 
+////////////////////////////////////////////////////////////
+void pack(std::string& out, const replication::NodeAddress& node)
+{
+    const auto endpoint = settings::parseEndpoint(node.address);
+    in_addr    ip{};
+    if (!endpoint || inet_pton(AF_INET, endpoint->address.c_str(), &ip) != 1)
+        return;
+    const std::uint32_t tenths = std::min<std::uint32_t>(node.ageMs / 100, 255);
+    out.append(reinterpret_cast<const char*>(&ip), sizeof(ip));
+    out += static_cast<char>(endpoint->port >> 8U);
+    out += static_cast<char>(endpoint->port & 255U);
+    out += static_cast<char>(tenths);
+    out += static_cast<char>(std::min<std::uint32_t>(node.capacity, 255));
+}
+
+////////////////////////////////////////////////////////////
+replication::NodeAddress unpack(std::string_view bytes, std::string dataCentre)
+{
+    std::array<char, INET_ADDRSTRLEN> text{};
+    in_addr                           ip{};
+    std::memcpy(&ip, bytes.data(), sizeof(ip));
+    inet_ntop(AF_INET, &ip, text.data(), text.size());
+    const auto byte = [bytes](std::size_t at) { return static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[at])); };
+    const auto port = byte(4) << 8U | byte(5);
+    return {std::string(text.data()) + ":" + std::to_string(port), std::move(dataCentre), byte(6) * 100, byte(7)};
+}
+
+////////////////////////////////////////////////////////////
+void put(wire::Update::Builder to, const std::vector<replication::NodeAddress>& nodes)
+{
+    std::map<std::string, std::string> groups;
+    for (const replication::NodeAddress& node : nodes)
+        pack(groups[node.dataCentre], node);
+    auto     list = to.initNodes(static_cast<unsigned>(groups.size()));
+    unsigned index = 0;
+    for (const auto& [dataCentre, packed] : groups)
+    {
+        list[index].setDataCentre(dataCentre);
+        list[index].setPacked(kj::arrayPtr(reinterpret_cast<const kj::byte*>(packed.data()), packed.size()));
+        ++index;
+    }
+}
+
+////////////////////////////////////////////////////////////
+void get(wire::NodeGroup::Reader from, std::vector<replication::NodeAddress>& nodes)
+{
+    const auto packed = from.getPacked();
+    for (std::size_t at = 0; at + packedBytes <= packed.size(); at += packedBytes)
+        nodes.push_back(unpack({reinterpret_cast<const char*>(packed.begin()) + at, packedBytes},
+                               from.getDataCentre().cStr()));
+}
+
 ////////////////////////////////////////////////////////////
 void put(wire::Message::Builder to, const replication::Hello& from)
 {
@@ -69,9 +127,7 @@
     auto items = update.initItems(static_cast<unsigned>(from.items.size()));
     for (unsigned i = 0; i < items.size(); ++i)
         put(items[i], from.items[i]);
-    auto nodes = update.initNodes(static_cast<unsigned>(from.nodes.size()));
-    for (unsigned i = 0; i < nodes.size(); ++i)
-        put(nodes[i], from.nodes[i]);
+    put(update, from.nodes);
 }
 
 ////////////////////////////////////////////////////////////
@@ -88,7 +144,7 @@
     for (const auto item : update.getItems())
         to.items.push_back(get(item));
     for (const auto node : update.getNodes())
-        to.nodes.push_back(get(node));
+        get(node, to.nodes);
     return to;
 }
 
--- a/src/sailpath/adapters/links/Links.capnp
+++ b/src/sailpath/adapters/links/Links.capnp
@@ -17,6 +17,12 @@
   capacity @3 :UInt32;
 }
 
+# Nodes of one data centre, 8 bytes each: IPv4 address, port, tenths of a second since heard of, capacity.
+struct NodeGroup {
+  dataCentre @0 :Text;
+  packed @1 :Data;
+}
+
 struct Hello {
   self @0 :NodeAddress;
   at @1 :UInt64;
@@ -28,7 +34,7 @@
   illAgeMs @2 :UInt32;
   full @3 :Bool;
   items @4 :List(Item);
-  nodes @5 :List(NodeAddress);
+  nodes @5 :List(NodeGroup);
 }
 
 struct Message {
--- a/src/sailpath/adapters/links/Links.capnp.c++
+++ b/src/sailpath/adapters/links/Links.capnp.c++
@@ -184,6 +184,65 @@
   0, 4, i_8932caab3aa656cc, nullptr, nullptr, { &s_8932caab3aa656cc, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_dbe059b79c2bc948 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     72, 201,  43, 156, 183,  89, 224, 219,
+     12,   0,   0,   0,   1,   0,   0,   0,
+     23,  93, 158,  58, 196, 241, 210, 183,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 178,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     76, 105, 110, 107, 115,  46,  99,  97,
+    112, 110, 112,  58,  78, 111, 100, 101,
+     71, 114, 111, 117, 112,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  90,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     56,   0,   0,   0,   2,   0,   1,   0,
+    100,  97, 116,  97,  67, 101, 110, 116,
+    114, 101,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    112,  97,  99, 107, 101, 100,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_dbe059b79c2bc948 = b_dbe059b79c2bc948.words;
+#if !CAPNP_LITE
+static const uint16_t m_dbe059b79c2bc948[] = {0, 1};
+static const uint16_t i_dbe059b79c2bc948[] = {0, 1};
+const ::capnp::_::RawSchema s_dbe059b79c2bc948 = {
+  0xdbe059b79c2bc948, b_dbe059b79c2bc948.words, 48, nullptr, m_dbe059b79c2bc948,
+  0, 2, i_dbe059b79c2bc948, nullptr, nullptr, { &s_dbe059b79c2bc948, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<47> b_c87b1e24730f6b78 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     120, 107,  15, 115,  36,  30, 123, 200,
@@ -356,7 +415,7 @@
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   3,   0,   1,   0,
      16,   0,   0,   0,   0,   0,   0,   0,
-    204,  86, 166,  58, 171, 202,  50, 137,
+     72, 201,  43, 156, 183,  89, 224, 219,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
@@ -366,8 +425,8 @@
 ::capnp::word const* const bp_d66f6187d315db04 = b_d66f6187d315db04.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_d66f6187d315db04[] = {
-  &s_8932caab3aa656cc,
   &s_ae5dbc8e26022706,
+  &s_dbe059b79c2bc948,
 };
 static const uint16_t m_d66f6187d315db04[] = {1, 0, 3, 2, 4, 5};
 static const uint16_t i_d66f6187d315db04[] = {0, 1, 2, 3, 4, 5};
@@ -464,6 +523,14 @@
 constexpr ::capnp::_::RawSchema const* NodeAddress::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// NodeGroup
+constexpr uint16_t NodeGroup::_capnpPrivate::dataWordSize;
+constexpr uint16_t NodeGroup::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind NodeGroup::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* NodeGroup::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 // Hello
 constexpr uint16_t Hello::_capnpPrivate::dataWordSize;
 constexpr uint16_t Hello::_capnpPrivate::pointerCount;
--- a/src/sailpath/adapters/links/Links.capnp.h
+++ b/src/sailpath/adapters/links/Links.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(ae5dbc8e26022706);
 CAPNP_DECLARE_SCHEMA(8932caab3aa656cc);
+CAPNP_DECLARE_SCHEMA(dbe059b79c2bc948);
 CAPNP_DECLARE_SCHEMA(c87b1e24730f6b78);
 CAPNP_DECLARE_SCHEMA(d66f6187d315db04);
 CAPNP_DECLARE_SCHEMA(b0cd7532b5aa38e9);
@@ -60,6 +61,21 @@
   };
 };
 
+struct NodeGroup {
+  NodeGroup() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dbe059b79c2bc948, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Hello {
   Hello() = delete;
 
@@ -313,6 +329,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class NodeGroup::Reader {
+public:
+  typedef NodeGroup Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline bool hasPacked() const;
+  inline  ::capnp::Data::Reader getPacked() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class NodeGroup::Builder {
+public:
+  typedef NodeGroup Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline bool hasPacked();
+  inline  ::capnp::Data::Builder getPacked();
+  inline void setPacked( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPacked(unsigned int size);
+  inline void adoptPacked(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPacked();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class NodeGroup::Pipeline {
+public:
+  typedef NodeGroup Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Hello::Reader {
 public:
   typedef Hello Reads;
@@ -429,7 +536,7 @@
   inline  ::capnp::List< ::sailpath::adapters::links::wire::Item,  ::capnp::Kind::STRUCT>::Reader getItems() const;
 
   inline bool hasNodes() const;
-  inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>::Reader getNodes() const;
+  inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Reader getNodes() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -479,11 +586,11 @@
   inline ::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::Item,  ::capnp::Kind::STRUCT>> disownItems();
 
   inline bool hasNodes();
-  inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>::Builder getNodes();
-  inline void setNodes( ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>::Builder initNodes(unsigned int size);
-  inline void adoptNodes(::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>> disownNodes();
+  inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Builder getNodes();
+  inline void setNodes( ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Builder initNodes(unsigned int size);
+  inline void adoptNodes(::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>> disownNodes();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -802,6 +909,74 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool NodeGroup::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeGroup::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader NodeGroup::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder NodeGroup::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void NodeGroup::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder NodeGroup::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void NodeGroup::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> NodeGroup::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool NodeGroup::Reader::hasPacked() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeGroup::Builder::hasPacked() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader NodeGroup::Reader::getPacked() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder NodeGroup::Builder::getPacked() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeGroup::Builder::setPacked( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder NodeGroup::Builder::initPacked(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeGroup::Builder::adoptPacked(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> NodeGroup::Builder::disownPacked() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Hello::Reader::hasSelf() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -953,29 +1128,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>::Reader Update::Reader::getNodes() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Reader Update::Reader::getNodes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>::Builder Update::Builder::getNodes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Builder Update::Builder::getNodes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Update::Builder::setNodes( ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void Update::Builder::setNodes( ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>::Builder Update::Builder::initNodes(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Builder Update::Builder::initNodes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void Update::Builder::adoptNodes(
-    ::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>> Update::Builder::disownNodes() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeAddress,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>> Update::Builder::disownNodes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
--- a/src/sailpath/replication/Replica.cpp
+++ b/src/sailpath/replication/Replica.cpp
@@ -16,7 +16,10 @@
 constexpr auto          firstBackoff = std::chrono::milliseconds{250};
 constexpr auto          longestBackoff = std::chrono::milliseconds{1500};
 constexpr auto          proofWait = std::chrono::milliseconds{1};
-constexpr auto          nodesEvery = std::chrono::seconds{1};
+constexpr auto          nodesEvery = std::chrono::milliseconds{50}; // For each node known, between tellings of them
+constexpr auto          newNodesAfter = std::chrono::milliseconds{300};
+constexpr double        newNodesShare = 0.1; // More nodes than were told, so that they are told at once
+constexpr auto          watchPause = std::chrono::milliseconds{80};  // After news, so that more comes with the next call
 constexpr auto          relaySteady = std::chrono::milliseconds{1200}; // A relay is fresh this long before the own watch ends
 constexpr auto          connectPatience = std::chrono::milliseconds{700};
 constexpr std::uint32_t longestAge = std::numeric_limits<std::uint32_t>::max();
@@ -227,6 +230,8 @@
     m_storeFailures = 0;
     m_table.take(items, at, m_changes);
     noteFresh(now, now);
+    if (!items.empty())
+        m_nextStore = now + watchPause;
     tick(now);
 }
 
@@ -388,10 +393,14 @@
         follower.wantsAll = false;
         follower.sentAt = update.at;
     }
-    if (now >= follower.nextNodes)
+    const std::size_t known = m_known.size() + 1;
+    const bool        many = static_cast<double>(known) > (1 + newNodesShare) * static_cast<double>(follower.nodesTold);
+    if (now >= follower.nextNodes || (many && now >= follower.newNodesAt))
     {
         update.nodes = nodeList(now);
-        follower.nextNodes = now + nodesEvery;
+        follower.nodesTold = known;
+        follower.newNodesAt = now + newNodesAfter;
+        follower.nextNodes = now + std::max<core::Duration>(std::chrono::seconds{1}, nodesEvery * known);
     }
     follower.fedAt = now;
     follower.nextBeat = now + m_settings.beat;
