--- a/include/sailpath/adapters/links/Codec.hpp
+++ b/include/sailpath/adapters/links/Codec.hpp
@@ -21,8 +21,8 @@
 ////////////////////////////////////////////////////////////
 struct Decoded
 {
-    std::optional<LinkMessage> message;         //!< Null when it is not whole yet
-    std::size_t                taken{0};        //!< Bytes used
+    std::optional<LinkMessage> message;          //!< Null when it is not whole yet
+    std::size_t                taken{0};         //!< Bytes used
     bool                       malformed{false}; //!< The stream is of no more use
 };
 
--- a/include/sailpath/adapters/logging/Log4cplusEventLog.hpp
+++ b/include/sailpath/adapters/logging/Log4cplusEventLog.hpp
@@ -22,6 +22,11 @@
     ////////////////////////////////////////////////////////////
     Log4cplusEventLog(std::string node, const std::string& file, std::string_view level);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Write to standard output from now on, and lose lines rather than wait for a reader
+    ////////////////////////////////////////////////////////////
+    void useStandardOutput();
+
     ~Log4cplusEventLog() override;
     Log4cplusEventLog(const Log4cplusEventLog&) = delete;
     Log4cplusEventLog& operator=(const Log4cplusEventLog&) = delete;
--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -23,10 +23,10 @@
 ////////////////////////////////////////////////////////////
 struct Arrival
 {
-    std::string_view              host;       //!< Host header
-    std::string_view              target;     //!< Path and query
-    core::Timestamp               since{};    //!< When its first byte came
-    std::optional<core::Duration> timeLeft;   //!< Time the caller waits from then on, when it says so
+    std::string_view              host;     //!< Host header
+    std::string_view              target;   //!< Path and query
+    core::Timestamp               since{};  //!< When its first byte came
+    std::optional<core::Duration> timeLeft; //!< Time the caller waits from then on, when it says so
 };
 
 ////////////////////////////////////////////////////////////
@@ -104,17 +104,18 @@
     ////////////////////////////////////////////////////////////
     void takeSteps(std::vector<Step>& steps);
 
+    [[nodiscard]] bool        hasRoute(std::string_view host, std::string_view target) const; //!< A route covers it
     [[nodiscard]] bool        configured() const; //!< Requests can be decided about
     [[nodiscard]] std::size_t unfinished() const; //!< Requests held or at servers
 
 private:
     struct Attempt
     {
-        std::shared_ptr<ServerView> server;         //!< Where
-        core::Timestamp             sentAt{};       //!< When
-        double                      expectedMs{0};  //!< Estimated time to the answer
-        double                      plainMs{0};     //!< The same without the instance's own ratio
-        bool                        running{true};  //!< No end was reported
+        std::shared_ptr<ServerView> server;        //!< Where
+        core::Timestamp             sentAt{};      //!< When
+        double                      expectedMs{0}; //!< Estimated time to the answer
+        double                      plainMs{0};    //!< The same without the instance's own ratio
+        bool                        running{true}; //!< No end was reported
     };
 
     ////////////////////////////////////////////////////////////
@@ -133,58 +134,58 @@
 
     struct Request
     {
-        deployment::HostRoute        route;                 //!< As of its arrival
-        std::shared_ptr<ServicePool> pool;                  //!< Service it goes to
-        core::Timestamp              since{};               //!< Its first byte
-        core::Timestamp              deadline{};            //!< Final answer
-        core::Timestamp              callerDeadline{};      //!< When its caller stops waiting
-        core::Timestamp              wake{};                //!< When it is to be looked at next
-        std::vector<Attempt>         attempts;              //!< In order; the first is number 1
-        std::vector<ServerView*>     tried;                 //!< Servers of the attempts
-        Search                       search;                //!< For a server
-        unsigned                     sends{0};              //!< Attempts that may have reached a server
-        bool                         mayHaveRun{false};     //!< Some attempt's outcome is not known
-        unsigned                     lastAnswer{0};         //!< Attempt whose answer is passed on if nothing better comes
-        core::Timestamp              noHedgeUntil{};        //!< No further send before
-        bool                         left{false};           //!< Its caller left
-        core::Duration               comeBack{};            //!< Latest word of a server on when to come back
+        deployment::HostRoute        route;             //!< As of its arrival
+        std::shared_ptr<ServicePool> pool;              //!< Service it goes to
+        core::Timestamp              since{};           //!< Its first byte
+        core::Timestamp              deadline{};        //!< Final answer
+        core::Timestamp              callerDeadline{};  //!< When its caller stops waiting
+        core::Timestamp              wake{};            //!< When it is to be looked at next
+        std::vector<Attempt>         attempts;          //!< In order; the first is number 1
+        std::vector<ServerView*>     tried;             //!< Servers of the attempts
+        Search                       search;            //!< For a server
+        unsigned                     sends{0};          //!< Attempts that may have reached a server
+        bool                         mayHaveRun{false}; //!< Some attempt's outcome is not known
+        unsigned                     lastAnswer{0};     //!< Attempt whose answer is passed on if nothing better comes
+        core::Timestamp              noHedgeUntil{};    //!< No further send before
+        bool                         left{false};       //!< Its caller left
+        core::Duration               comeBack{};        //!< Latest word of a server on when to come back
     };
 
     [[nodiscard]] std::shared_ptr<ServicePool> poolFor(const deployment::HostRoute& route);
-    [[nodiscard]] bool                         tooLate(const Request& request, const Choice& choice, core::Timestamp now) const;
-    [[nodiscard]] bool                         maySendAgain(Request& request, core::Timestamp now) const;
-    [[nodiscard]] bool                         sendAgain(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now);
-    void seek(Ticket ticket, Request& request, core::Timestamp now);
-    void beginRound(Ticket ticket, Request& request, core::Timestamp now);
-    void endRound(Ticket ticket, Request& request, core::Timestamp now);
-    void settle(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now);
-    [[nodiscard]] bool good(const Request& request, const Choice& choice, core::Timestamp now) const;
-    [[nodiscard]] bool fresh(const Choice& choice, core::Timestamp now) const;
-    [[nodiscard]] bool meetsTarget(const Request& request, double finishMs, core::Timestamp now) const;
-    void forward(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now);
-    void learn(Request& request, Attempt& attempt, const Outcome& outcome, core::Timestamp now);
-    void conclude(Ticket ticket, Request& request, core::Timestamp now);
-    void refuse(Ticket ticket, const Refusal& refusal);
-    void timeOut(Ticket ticket, Request& request, core::Timestamp now);
-    void hedge(Ticket ticket, Request& request, core::Timestamp now);
-    void abandonRunning(Ticket ticket, Request& request, core::Timestamp now);
-    void plan(Ticket ticket, Request& request, core::Timestamp now);
-    void close(Ticket ticket);
+    [[nodiscard]] bool           tooLate(const Request& request, const Choice& choice, core::Timestamp now) const;
+    [[nodiscard]] bool           maySendAgain(Request& request, core::Timestamp now) const;
+    [[nodiscard]] bool           sendAgain(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now);
+    void                         seek(Ticket ticket, Request& request, core::Timestamp now);
+    void                         beginRound(Ticket ticket, Request& request, core::Timestamp now);
+    void                         endRound(Ticket ticket, Request& request, core::Timestamp now);
+    void                         settle(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now);
+    [[nodiscard]] bool           good(const Request& request, const Choice& choice, core::Timestamp now) const;
+    [[nodiscard]] bool           fresh(const Choice& choice, core::Timestamp now) const;
+    [[nodiscard]] bool           meetsTarget(const Request& request, double finishMs, core::Timestamp now) const;
+    void                         forward(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now);
+    void                         learn(Request& request, Attempt& attempt, const Outcome& outcome, core::Timestamp now);
+    void                         conclude(Ticket ticket, Request& request, core::Timestamp now);
+    void                         refuse(Ticket ticket, const Refusal& refusal);
+    void                         timeOut(Ticket ticket, Request& request, core::Timestamp now);
+    void                         hedge(Ticket ticket, Request& request, core::Timestamp now);
+    void                         abandonRunning(Ticket ticket, Request& request, core::Timestamp now);
+    void                         plan(Ticket ticket, Request& request, core::Timestamp now);
+    void                         close(Ticket ticket);
     [[nodiscard]] Wish           wishOf(const Request& request) const;
     [[nodiscard]] double         retryExtra() const;
     [[nodiscard]] core::Duration comeBack(const ServicePool& pool, double expectedMs);
 
-    Settings                                                      m_settings; //!< Constants
-    core::Timestamp                                               m_born;     //!< Start of this life
-    core::Random                                                  m_random;   //!< For choices
+    Settings                                                      m_settings;   //!< Constants
+    core::Timestamp                                               m_born;       //!< Start of this life
+    core::Random                                                  m_random;     //!< For choices
     std::shared_ptr<const deployment::Deployment>                 m_deployment; //!< In force
-    deployment::RouteTable                                        m_routes;   //!< In force
-    std::unordered_map<std::string, std::shared_ptr<ServicePool>> m_pools;    //!< By service
-    std::unordered_map<std::string, std::vector<double>>          m_credit;   //!< By route: what each part is owed
-    unsigned                                                      m_nodes{1}; //!< That share budgets
-    std::unordered_map<Ticket, Request>                           m_requests; //!< Unfinished
-    std::set<std::pair<core::Timestamp, Ticket>>                  m_wakes;    //!< What is due when
-    std::vector<Step>                                             m_steps;    //!< Decided, not taken
+    deployment::RouteTable                                        m_routes;     //!< In force
+    std::unordered_map<std::string, std::shared_ptr<ServicePool>> m_pools;      //!< By service
+    std::unordered_map<std::string, std::vector<double>>          m_credit;     //!< By route: what each part is owed
+    unsigned                                                      m_nodes{1};   //!< That share budgets
+    std::unordered_map<Ticket, Request>                           m_requests;   //!< Unfinished
+    std::set<std::pair<core::Timestamp, Ticket>>                  m_wakes;      //!< What is due when
+    std::vector<Step>                                             m_steps;      //!< Decided, not taken
 };
 
 } // namespace sailpath::balance
--- a/include/sailpath/balance/ServerView.hpp
+++ b/include/sailpath/balance/ServerView.hpp
@@ -23,15 +23,15 @@
 
     void update(deployment::Instance instance); //!< Take over a newer announcement of the same instance
 
-    void sent(core::Timestamp now);                              //!< A request was sent
-    void ended(core::Timestamp now);                             //!< A request came to an end
-    void reported(const Load& load, core::Timestamp now);        //!< A load report arrived
-    void answered(double latencyMs, double expectedMs);          //!< A good answer arrived
-    void overdue(double elapsedMs, double expectedMs);           //!< An attempt was broken off after that time
-    void failed(core::Timestamp now);                            //!< An attempt failed by the server's doing
-    void shed(core::Timestamp now);                              //!< The server turned a request away
-    void setIdleConnections(unsigned count);                     //!< Connections at rest to it
-    void setOpenConnections(unsigned count);                     //!< Connections to it, busy ones included
+    void sent(core::Timestamp now);                       //!< A request was sent
+    void ended(core::Timestamp now);                      //!< A request came to an end
+    void reported(const Load& load, core::Timestamp now); //!< A load report arrived
+    void answered(double latencyMs, double expectedMs);   //!< A good answer arrived
+    void overdue(double elapsedMs, double expectedMs);    //!< An attempt was broken off after that time
+    void failed(core::Timestamp now);                     //!< An attempt failed by the server's doing
+    void shed(core::Timestamp now);                       //!< The server turned a request away
+    void setIdleConnections(unsigned count);              //!< Connections at rest to it
+    void setOpenConnections(unsigned count);              //!< Connections to it, busy ones included
 
     ////////////////////////////////////////////////////////////
     /// \brief Estimated milliseconds until a request sent now is answered
@@ -41,18 +41,19 @@
     /// \param others     Requests of other nodes to assume when no fresh report says
     /// \param pace       Pace to assume when no fresh report says
     ////////////////////////////////////////////////////////////
-    [[nodiscard]] double finishMs(double workMs, double poolWorkMs, double others, double pace, core::Timestamp now) const;
+    [[nodiscard]] double finishMs(double workMs, double poolWorkMs, double others, double pace,
+                                  core::Timestamp now) const;
 
     [[nodiscard]] double occupancy(double others, core::Timestamp now) const; //!< Estimated requests of all nodes there
     [[nodiscard]] double failureShare(core::Timestamp now) const;             //!< Share of recent attempts that failed
-    [[nodiscard]] bool   ejected(core::Timestamp now) const;                  //!< Whether it is to be left alone for now
-    [[nodiscard]] double reportAgeMs(core::Timestamp now) const;              //!< Age of the last report; negative without one
-    [[nodiscard]] std::optional<double> reportedOthers() const;               //!< Others' requests as of the last report
+    [[nodiscard]] bool   ejected(core::Timestamp now) const;     //!< Whether it is to be left alone for now
+    [[nodiscard]] double reportAgeMs(core::Timestamp now) const; //!< Age of the last report; negative without one
+    [[nodiscard]] std::optional<double> reportedOthers() const;  //!< Others' requests as of the last report
 
     [[nodiscard]] const std::shared_ptr<const deployment::Instance>& instance() const; //!< As announced
     [[nodiscard]] unsigned                                           inFlight() const; //!< Own requests there
     [[nodiscard]] unsigned                                           open() const;     //!< Own connections to it
-    [[nodiscard]] double                                             ratio() const;    //!< Observed over expected latency
+    [[nodiscard]] double                                             ratio() const; //!< Observed over expected latency
 
 private:
     [[nodiscard]] double paceNow(double usual, core::Timestamp now) const;
@@ -64,20 +65,20 @@
         core::Timestamp at{};     //!< When it arrived
     };
 
-    const Settings&                             m_settings;      //!< Constants
-    std::shared_ptr<const deployment::Instance> m_instance;      //!< As announced
-    core::Timestamp                             m_warmUntil{};   //!< End of its slow start
-    unsigned                                    m_inFlight{0};   //!< Own requests there
-    unsigned                                    m_idle{0};       //!< Connections at rest
-    unsigned                                    m_open{0};       //!< All connections
-    std::optional<Report>                       m_report;        //!< Last report
-    double                                      m_ratio{1};      //!< Observed over expected latency
-    double                                      m_failures{0};   //!< Share of recent attempts that failed, as of `m_failuresAt`
-    core::Timestamp                             m_failuresAt{};  //!< Time of the last failure
-    unsigned                                    m_inRow{0};      //!< Failures in a row
-    core::Timestamp                             m_ejectedUntil{}; //!< Left alone until then
-    core::Timestamp                             m_shedUntil{};   //!< Taken for full until then
-    unsigned                                    m_sheds{0};      //!< Refusals in a row
+    const Settings&                             m_settings;    //!< Constants
+    std::shared_ptr<const deployment::Instance> m_instance;    //!< As announced
+    core::Timestamp                             m_warmUntil{}; //!< End of its slow start
+    unsigned                                    m_inFlight{0}; //!< Own requests there
+    unsigned                                    m_idle{0};     //!< Connections at rest
+    unsigned                                    m_open{0};     //!< All connections
+    std::optional<Report>                       m_report;      //!< Last report
+    double                                      m_ratio{1};    //!< Observed over expected latency
+    double          m_failures{0};    //!< Share of recent attempts that failed, as of `m_failuresAt`
+    core::Timestamp m_failuresAt{};   //!< Time of the last failure
+    unsigned        m_inRow{0};       //!< Failures in a row
+    core::Timestamp m_ejectedUntil{}; //!< Left alone until then
+    core::Timestamp m_shedUntil{};    //!< Taken for full until then
+    unsigned        m_sheds{0};       //!< Refusals in a row
 };
 
 } // namespace sailpath::balance
--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -19,9 +19,9 @@
 ////////////////////////////////////////////////////////////
 struct Wish
 {
-    std::string_view           route;             //!< Name of the route, for its usual work
-    bool                       repeatable{false}; //!< A failure may be mended by another send
-    std::span<ServerView* const> tried;           //!< Servers that had it already
+    std::string_view             route;             //!< Name of the route, for its usual work
+    bool                         repeatable{false}; //!< A failure may be mended by another send
+    std::span<ServerView* const> tried;             //!< Servers that had it already
 };
 
 ////////////////////////////////////////////////////////////
@@ -29,8 +29,8 @@
 ////////////////////////////////////////////////////////////
 struct Choice
 {
-    std::shared_ptr<ServerView> server;        //!< Null when none may be given anything
-    double                      finishMs{0};   //!< Estimated time to the answer
+    std::shared_ptr<ServerView> server;      //!< Null when none may be given anything
+    double                      finishMs{0}; //!< Estimated time to the answer
 };
 
 ////////////////////////////////////////////////////////////
@@ -66,7 +66,8 @@
     /// \param asked Servers that are not to be asked
     /// \param most  At most so many
     ////////////////////////////////////////////////////////////
-    [[nodiscard]] std::vector<std::shared_ptr<ServerView>> worthProbing(const Wish& wish, std::span<ServerView* const> asked,
+    [[nodiscard]] std::vector<std::shared_ptr<ServerView>> worthProbing(const Wish&                  wish,
+                                                                        std::span<ServerView* const> asked,
                                                                         std::size_t most, core::Timestamp now,
                                                                         core::Random& random) const;
 
@@ -77,34 +78,34 @@
     void learnPace(double pace);                                              //!< A report told a pace
     void learnWork(std::string_view route, double latencyMs, double plainMs); //!< A good answer arrived
 
-    [[nodiscard]] double             workMs(std::string_view route) const; //!< Usual work of a route's request
-    [[nodiscard]] double             workMs() const;                       //!< Usual work over all routes
-    [[nodiscard]] double             usualPace() const;                    //!< Mean pace of late
-    [[nodiscard]] RetryWindow&       retries();                            //!< Budget
-    [[nodiscard]] const std::string& name() const;                         //!< Of the service
-    [[nodiscard]] const std::string& healthPath() const;                   //!< What a probe asks for
-    [[nodiscard]] std::size_t        size() const;                         //!< Instances that take requests
+    [[nodiscard]] double                      workMs(std::string_view route) const; //!< Usual work of a route's request
+    [[nodiscard]] double                      workMs() const;                       //!< Usual work over all routes
+    [[nodiscard]] double                      usualPace() const;                    //!< Mean pace of late
+    [[nodiscard]] RetryWindow&                retries();                            //!< Budget
+    [[nodiscard]] const std::string&          name() const;                         //!< Of the service
+    [[nodiscard]] const std::string&          healthPath() const;                   //!< What a probe asks for
+    [[nodiscard]] std::size_t                 size() const;                         //!< Instances that take requests
     [[nodiscard]] std::shared_ptr<ServerView> find(std::string_view instance) const; //!< Null when there is none
 
 private:
     [[nodiscard]] bool   mayBeGiven(const ServerView& server, const Wish& wish) const;
     [[nodiscard]] double cost(const ServerView& server, const Wish& wish, double work, core::Timestamp now) const;
 
-    std::string                              m_name;            //!< Of the service
-    const Settings&                          m_settings;        //!< Constants
-    std::unordered_map<std::string, std::shared_ptr<ServerView>> m_byId; //!< The same by id
-    std::vector<std::shared_ptr<ServerView>> m_servers;         //!< Those that take requests
-    RetryWindow                              m_retries;         //!< Budget
-    std::string                              m_healthPath;      //!< What a probe asks for
-    bool                                     m_tellsLoad{false}; //!< Some answer carried a load report
-    unsigned                                 m_nodes{1};        //!< That share the budget for probes
-    double                                   m_probes{0};       //!< Probes that may be sent now
-    core::Timestamp                          m_probesAt{};      //!< Time of that figure
-    unsigned                                 m_connections{0};  //!< Most own connections to one instance
-    double                                   m_others{0};       //!< Others' requests at an instance, of late
-    double                                   m_pace{1};         //!< Pace of late
-    double                                   m_work;            //!< Usual work, milliseconds
-    std::unordered_map<std::string, double>  m_routeWork;       //!< Usual work by route, milliseconds
+    std::string                                                  m_name;       //!< Of the service
+    const Settings&                                              m_settings;   //!< Constants
+    std::unordered_map<std::string, std::shared_ptr<ServerView>> m_byId;       //!< The same by id
+    std::vector<std::shared_ptr<ServerView>>                     m_servers;    //!< Those that take requests
+    RetryWindow                                                  m_retries;    //!< Budget
+    std::string                                                  m_healthPath; //!< What a probe asks for
+    bool                                    m_tellsLoad{false};                //!< Some answer carried a load report
+    unsigned                                m_nodes{1};                        //!< That share the budget for probes
+    double                                  m_probes{0};                       //!< Probes that may be sent now
+    core::Timestamp                         m_probesAt{};                      //!< Time of that figure
+    unsigned                                m_connections{0};                  //!< Most own connections to one instance
+    double                                  m_others{0}; //!< Others' requests at an instance, of late
+    double                                  m_pace{1};   //!< Pace of late
+    double                                  m_work;      //!< Usual work, milliseconds
+    std::unordered_map<std::string, double> m_routeWork; //!< Usual work by route, milliseconds
 };
 
 } // namespace sailpath::balance
--- a/include/sailpath/balance/Settings.hpp
+++ b/include/sailpath/balance/Settings.hpp
@@ -12,26 +12,26 @@
 ////////////////////////////////////////////////////////////
 struct Settings
 {
-    std::string    dataCentre;                                      //!< Where this node runs
-    double         retryRatio{0.1};                                 //!< Further sends as a share of requests, over the fleet
-    double         retryExtra{0};                                   //!< Further sends beyond the share, over the fleet
-    core::Duration retryWindow{std::chrono::seconds{10}};           //!< Span that the retry budget is counted over
-    core::Duration otherDataCentre{std::chrono::milliseconds{4}};   //!< Assumed round trip to another data centre
-    double         otherDataCentreCost{0.5};                        //!< Usual works that a far server may be behind a near one
-    core::Duration connectCost{std::chrono::milliseconds{8}};       //!< What a new connection is weighed as
-    core::Duration reportLife{std::chrono::milliseconds{150}};      //!< How fast a load report loses its worth
-    core::Duration wayBack{std::chrono::milliseconds{8}};           //!< Kept back of the time for the answer's way
-    core::Duration firstWork{std::chrono::milliseconds{100}};       //!< Assumed work before anything was measured
-    double         probeRate{20};                                   //!< Probes that a server may get a second, from all nodes
-    core::Duration reportFresh{std::chrono::milliseconds{15}};      //!< Age up to which a report needs no probe
-    core::Duration probeWait{std::chrono::milliseconds{15}};        //!< Longest wait for the probes of one round
-    core::Duration roundPause{std::chrono::milliseconds{10}};       //!< Between rounds of probes that found nothing good
-    unsigned       probesPerRound{3};                               //!< Servers asked at once
-    bool           probing{true};                                   //!< Ask servers for their load before a send
-    double         connectionShare{0.8};                            //!< Of an instance's connections, used by all nodes together
-    std::uint64_t  seed{1};                                         //!< Of the random choices
-    bool           hedging{true};                                   //!< Send again before an answer is late
-    bool           gating{true};                                    //!< Refuse what is expected to be late
+    std::string    dataCentre;                            //!< Where this node runs
+    double         retryRatio{0.1};                       //!< Further sends as a share of requests, over the fleet
+    double         retryExtra{0};                         //!< Further sends beyond the share, over the fleet
+    core::Duration retryWindow{std::chrono::seconds{10}}; //!< Span that the retry budget is counted over
+    core::Duration otherDataCentre{std::chrono::milliseconds{4}}; //!< Assumed round trip to another data centre
+    double         otherDataCentreCost{0.5}; //!< Usual works that a far server may be behind a near one
+    core::Duration connectCost{std::chrono::milliseconds{8}};  //!< What a new connection is weighed as
+    core::Duration reportLife{std::chrono::milliseconds{150}}; //!< How fast a load report loses its worth
+    core::Duration wayBack{std::chrono::milliseconds{8}};      //!< Kept back of the time for the answer's way
+    core::Duration firstWork{std::chrono::milliseconds{100}};  //!< Assumed work before anything was measured
+    double         probeRate{20}; //!< Probes that a server may get a second, from all nodes
+    core::Duration reportFresh{std::chrono::milliseconds{15}}; //!< Age up to which a report needs no probe
+    core::Duration probeWait{std::chrono::milliseconds{15}};   //!< Longest wait for the probes of one round
+    core::Duration roundPause{std::chrono::milliseconds{10}};  //!< Between rounds of probes that found nothing good
+    unsigned       probesPerRound{3};                          //!< Servers asked at once
+    bool           probing{true};                              //!< Ask servers for their load before a send
+    double         connectionShare{0.8}; //!< Of an instance's connections, used by all nodes together
+    std::uint64_t  seed{1};              //!< Of the random choices
+    bool           hedging{true};        //!< Send again before an answer is late
+    bool           gating{true};         //!< Refuse what is expected to be late
 };
 
 } // namespace sailpath::balance
--- a/include/sailpath/balance/Step.hpp
+++ b/include/sailpath/balance/Step.hpp
@@ -66,11 +66,11 @@
     unsigned                                    attempt{0};             //!< Which attempt or probe, from 1
     std::string                                 path;                   //!< For `Probe`
     std::shared_ptr<const deployment::Instance> instance;               //!< For `Forward`
-    core::Timestamp                             deadline{};             //!< For `Forward`: when the server has to be done
-    bool                                        repeatable{false};      //!< Whether it may run more than once
-    double                                      expectedMs{0};          //!< For `Forward`: estimated time to the answer
-    double                                      reportAgeMs{-1};        //!< For `Forward`: age of the load report behind it
-    Refusal                                     refusal;                //!< For `Refuse`
+    core::Timestamp                             deadline{};        //!< For `Forward`: when the server has to be done
+    bool                                        repeatable{false}; //!< Whether it may run more than once
+    double                                      expectedMs{0};     //!< For `Forward`: estimated time to the answer
+    double                                      reportAgeMs{-1};   //!< For `Forward`: age of the load report behind it
+    Refusal                                     refusal;           //!< For `Refuse`
 };
 
 ////////////////////////////////////////////////////////////
--- a/include/sailpath/deployment/Deployment.hpp
+++ b/include/sailpath/deployment/Deployment.hpp
@@ -24,15 +24,15 @@
 ////////////////////////////////////////////////////////////
 struct HostRoute
 {
-    std::string            name;                                 //!< Unique in the deployment
-    std::string            host;                                 //!< Host header, without a port
-    std::string            pathPrefix;                           //!< Begins and ends with a slash
-    bool                   repeatable{false};                    //!< Whether a request may run more than once
-    core::Duration         timeout{std::chrono::seconds{10}};    //!< Longest time until the final answer
+    std::string            name;                                   //!< Unique in the deployment
+    std::string            host;                                   //!< Host header, without a port
+    std::string            pathPrefix;                             //!< Begins and ends with a slash
+    bool                   repeatable{false};                      //!< Whether a request may run more than once
+    core::Duration         timeout{std::chrono::seconds{10}};      //!< Longest time until the final answer
     core::Duration         targetLatency{std::chrono::seconds{1}}; //!< Time within which an answer is wanted
-    unsigned               priority{0};                          //!< Rank; 0 goes first
-    unsigned               attempts{1};                          //!< Servers that one request may be sent to
-    std::vector<SplitPart> parts;                                //!< Services; never empty
+    unsigned               priority{0};                            //!< Rank; 0 goes first
+    unsigned               attempts{1};                            //!< Servers that one request may be sent to
+    std::vector<SplitPart> parts;                                  //!< Services; never empty
 
     friend bool operator==(const HostRoute&, const HostRoute&) = default;
 };
--- a/include/sailpath/deployment/InstanceBook.hpp
+++ b/include/sailpath/deployment/InstanceBook.hpp
@@ -40,10 +40,10 @@
 private:
     struct Entry
     {
-        Announcement                   last;         //!< As it last said
+        Announcement                   last;           //!< As it last said
         bool                           drained{false}; //!< It said that it drains
-        std::optional<core::Timestamp> believeUntil; //!< Its entry vanished; null while it stands
-        std::optional<core::Timestamp> forgetAt;     //!< Not in force; kept to know late writes by
+        std::optional<core::Timestamp> believeUntil;   //!< Its entry vanished; null while it stands
+        std::optional<core::Timestamp> forgetAt;       //!< Not in force; kept to know late writes by
     };
 
     [[nodiscard]] bool mostVanished(const std::string& service) const;
--- a/include/sailpath/deployment/RouteTable.hpp
+++ b/include/sailpath/deployment/RouteTable.hpp
@@ -35,7 +35,7 @@
     [[nodiscard]] const HostRoute* find(std::string_view host, std::string_view path) const;
 
 private:
-    std::shared_ptr<const Deployment>                               m_deployment; //!< Owner of the routes
+    std::shared_ptr<const Deployment>                              m_deployment; //!< Owner of the routes
     std::unordered_map<std::string, std::vector<const HostRoute*>> m_byHost;     //!< Longest prefix first
 };
 
--- a/include/sailpath/entry/Proxy.hpp
+++ b/include/sailpath/entry/Proxy.hpp
@@ -4,7 +4,7 @@
 #include <sailpath/adapters/http/CallerRequest.hpp>
 #include <sailpath/entry/ClaimDoor.hpp>
 #include <sailpath/entry/DispatcherDoor.hpp>
-#include <sailpath/entry/TrafficMetrics.hpp>
+#include <sailpath/metrics/TrafficMetrics.hpp>
 #include <sailpath/ports/EventLog.hpp>
 
 #include <atomic>
@@ -36,7 +36,7 @@
     /// \param log     Receives events
     ////////////////////////////////////////////////////////////
     Proxy(std::string node, DispatcherDoor& door, adapters::http::BackendClient& client, ClaimDoor& claims,
-          TrafficMetrics& metrics, ports::EventLog& log);
+          metrics::TrafficMetrics& metrics, ports::EventLog& log);
 
     ////////////////////////////////////////////////////////////
     /// \copydoc RequestHandler::serve
@@ -66,7 +66,7 @@
     DispatcherDoor&                m_door;         //!< Decisions
     adapters::http::BackendClient& m_client;       //!< Connections to servers
     ClaimDoor&                     m_claims;       //!< Keys of requests
-    TrafficMetrics&                m_metrics;      //!< Counts and latencies
+    metrics::TrafficMetrics&       m_metrics;      //!< Counts and latencies
     ports::EventLog&               m_log;          //!< Events
     std::atomic<std::uint64_t>     m_nextId{1};    //!< For request ids
     std::int64_t                   m_start;        //!< Start of this process, part of claim tokens
--- a/include/sailpath/fleet/FleetThread.hpp
+++ b/include/sailpath/fleet/FleetThread.hpp
@@ -22,9 +22,9 @@
 ////////////////////////////////////////////////////////////
 struct FleetSettings
 {
-    replication::ReplicaSettings replica;                                    //!< Copy of the store
-    adapters::settings::Endpoint listen;                                     //!< Where peers connect
-    core::Duration               belief{std::chrono::milliseconds{1100}};     //!< See `deployment::InstanceBook`
+    replication::ReplicaSettings replica;                                 //!< Copy of the store
+    adapters::settings::Endpoint listen;                                  //!< Where peers connect
+    core::Duration               belief{std::chrono::milliseconds{1100}}; //!< See `deployment::InstanceBook`
 };
 
 ////////////////////////////////////////////////////////////
@@ -32,13 +32,13 @@
 ////////////////////////////////////////////////////////////
 struct FleetStatus
 {
-    std::uint64_t revision{0};      //!< Of the copy
-    std::uint64_t version{0};       //!< Of the configuration in force
-    double        ageMs{-1};        //!< Of the copy; negative without one
-    unsigned      nodes{0};         //!< Known of
-    std::size_t   followers{0};     //!< Fed by this node
-    std::uint64_t storeCalls{0};    //!< Since the start
-    bool          watching{false};  //!< This node calls the store
+    std::uint64_t revision{0};     //!< Of the copy
+    std::uint64_t version{0};      //!< Of the configuration in force
+    double        ageMs{-1};       //!< Of the copy; negative without one
+    unsigned      nodes{0};        //!< Known of
+    std::size_t   followers{0};    //!< Fed by this node
+    std::uint64_t storeCalls{0};   //!< Since the start
+    bool          watching{false}; //!< This node calls the store
 };
 
 ////////////////////////////////////////////////////////////
--- a/include/sailpath/fleet/Translator.hpp
+++ b/include/sailpath/fleet/Translator.hpp
@@ -29,13 +29,13 @@
     /// \param findings Receives what is wrong, with its place; then there is no result
     ////////////////////////////////////////////////////////////
     [[nodiscard]] virtual std::optional<deployment::Deployment> deployment(std::string_view value,
-                                                                           core::Findings& findings) const = 0;
+                                                                           core::Findings&  findings) const = 0;
 
     ////////////////////////////////////////////////////////////
     /// \brief Read an announcement
     ////////////////////////////////////////////////////////////
-    [[nodiscard]] virtual std::optional<deployment::Announcement> announcement(std::string_view key, std::string_view value,
-                                                                               core::Findings& findings) const = 0;
+    [[nodiscard]] virtual std::optional<deployment::Announcement>
+    announcement(std::string_view key, std::string_view value, core::Findings& findings) const = 0;
 };
 
 } // namespace sailpath::fleet
--- a/include/sailpath/gateway/Gateway.hpp
+++ b/include/sailpath/gateway/Gateway.hpp
@@ -7,7 +7,9 @@
 #include <sailpath/gateway/Metrics.hpp>
 #include <sailpath/ports/EventLog.hpp>
 
+#include <functional>
 #include <memory>
+#include <string>
 
 namespace asio
 {
@@ -40,6 +42,8 @@
 
     void configure(const deployment::Declared& declared); //!< Put what is declared in force
 
+    void addMetrics(std::function<std::string()> further); //!< Text that the metrics page ends with
+
     void leave();     //!< Planned stop: not ready, connections end at the next answer
     void closeIdle(); //!< Planned stop: end connections at rest, take no new ones
 
@@ -48,6 +52,7 @@
     [[nodiscard]] const Counters& counters() const;      //!< Since the start
     [[nodiscard]] std::uint16_t   port() const;          //!< Where callers connect
     [[nodiscard]] std::uint16_t   readinessPort() const; //!< Where readiness is asked for
+    [[nodiscard]] std::uint16_t   metricsPort() const;   //!< Where metrics are asked for; 0 for nowhere
 
 private:
     struct Impl;
--- a/include/sailpath/http/MessageReader.hpp
+++ b/include/sailpath/http/MessageReader.hpp
@@ -15,9 +15,9 @@
 ////////////////////////////////////////////////////////////
 enum class MessageKind
 {
-    Request,       //!< From a caller
-    Answer,        //!< From a server
-    AnswerNoBody   //!< From a server, to a request that asks for the head only
+    Request,     //!< From a caller
+    Answer,      //!< From a server
+    AnswerNoBody //!< From a server, to a request that asks for the head only
 };
 
 ////////////////////////////////////////////////////////////
@@ -25,10 +25,10 @@
 ////////////////////////////////////////////////////////////
 enum class ReadState
 {
-    Head,     //!< The head is not whole yet
-    Body,     //!< The head is whole, the body is not
-    Done,     //!< The message is whole
-    Malformed, //!< It is no message of the protocol
+    Head,         //!< The head is not whole yet
+    Body,         //!< The head is whole, the body is not
+    Done,         //!< The message is whole
+    Malformed,    //!< It is no message of the protocol
     HeadTooLarge, //!< The head passes the limit
     BodyTooLarge  //!< The body passes the limit
 };
@@ -66,11 +66,11 @@
     ////////////////////////////////////////////////////////////
     void ended();
 
-    [[nodiscard]] ReadState   state() const; //!< How far it is
-    [[nodiscard]] const Head& head() const;  //!< Valid once the head is whole
-    [[nodiscard]] std::string takeBody();    //!< Moves out what has been read of the body
+    [[nodiscard]] ReadState                    state() const;      //!< How far it is
+    [[nodiscard]] const Head&                  head() const;       //!< Valid once the head is whole
+    [[nodiscard]] std::string                  takeBody();         //!< Moves out what has been read of the body
     [[nodiscard]] std::optional<std::uint64_t> bodyLength() const; //!< As the head tells it
-    [[nodiscard]] std::size_t bodySize() const; //!< Bytes of the body read and not taken
+    [[nodiscard]] std::size_t                  bodySize() const;   //!< Bytes of the body read and not taken
 
 private:
     struct Impl;
--- a/include/sailpath/entry/TrafficMetrics.hpp
+++ b/include/sailpath/metrics/TrafficMetrics.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace sailpath::entry
+namespace sailpath::metrics
 {
 ////////////////////////////////////////////////////////////
 /// \brief Counts and latencies of requests, by workspace
@@ -45,4 +45,4 @@
     std::unique_ptr<Impl> m_impl; //!< The library's accumulators
 };
 
-} // namespace sailpath::entry
+} // namespace sailpath::metrics
--- a/include/sailpath/replication/ItemTable.hpp
+++ b/include/sailpath/replication/ItemTable.hpp
@@ -43,17 +43,17 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] std::vector<Item> all() const;
 
-    [[nodiscard]] std::uint64_t at() const;         //!< Revision that the table is of; 0 before the first
+    [[nodiscard]] std::uint64_t at() const;          //!< Revision that the table is of; 0 before the first
     [[nodiscard]] std::uint64_t oldestSince() const; //!< `since` is complete for revisions from here on
 
 private:
     void put(const Item& item, std::vector<Item>& changed);
     void forgetRemovals();
 
-    std::map<std::string, Item, std::less<>> m_items;          //!< By key; removals are kept for a while
-    std::uint64_t                            m_at{0};          //!< Revision that the table is of
-    std::uint64_t                            m_forgotten{0};   //!< Highest revision of a removal that was forgotten
-    std::size_t                              m_removals{0};    //!< Removals kept
+    std::map<std::string, Item, std::less<>> m_items;        //!< By key; removals are kept for a while
+    std::uint64_t                            m_at{0};        //!< Revision that the table is of
+    std::uint64_t                            m_forgotten{0}; //!< Highest revision of a removal that was forgotten
+    std::size_t                              m_removals{0};  //!< Removals kept
 };
 
 } // namespace sailpath::replication
--- a/include/sailpath/replication/Message.hpp
+++ b/include/sailpath/replication/Message.hpp
@@ -13,9 +13,9 @@
 ////////////////////////////////////////////////////////////
 struct NodeAddress
 {
-    std::string   address;    //!< `IP:PORT` where peers connect
-    std::string   dataCentre; //!< Where it runs
-    std::uint32_t ageMs{0};   //!< Time since it was heard of at first hand
+    std::string   address;     //!< `IP:PORT` where peers connect
+    std::string   dataCentre;  //!< Where it runs
+    std::uint32_t ageMs{0};    //!< Time since it was heard of at first hand
     std::uint32_t capacity{0}; //!< How well it can serve others; doubles with each step
 
     friend bool operator==(const NodeAddress&, const NodeAddress&) = default;
@@ -35,12 +35,12 @@
 ////////////////////////////////////////////////////////////
 struct Update
 {
-    std::uint64_t            at{0};        //!< The store's revision that the picture is of
-    std::uint32_t            ageMs{0};     //!< Time since the picture was known to be the store's
-    std::uint32_t            illAgeMs{0};  //!< Time since the store failed a call of the relay
-    bool                     full{false};  //!< All items; others do not exist as of `at`
-    std::vector<Item>        items;        //!< Changes
-    std::vector<NodeAddress> nodes;        //!< Nodes known of; empty when left out
+    std::uint64_t            at{0};       //!< The store's revision that the picture is of
+    std::uint32_t            ageMs{0};    //!< Time since the picture was known to be the store's
+    std::uint32_t            illAgeMs{0}; //!< Time since the store failed a call of the relay
+    bool                     full{false}; //!< All items; others do not exist as of `at`
+    std::vector<Item>        items;       //!< Changes
+    std::vector<NodeAddress> nodes;       //!< Nodes known of; empty when left out
 };
 
 } // namespace sailpath::replication
--- a/include/sailpath/replication/Replica.hpp
+++ b/include/sailpath/replication/Replica.hpp
@@ -20,20 +20,20 @@
 ////////////////////////////////////////////////////////////
 struct ReplicaSettings
 {
-    NodeAddress              self;                                        //!< This node
-    std::vector<std::string> seeds;                                       //!< `IP:PORT` of nodes to begin with
-    core::Duration           watchWait{std::chrono::milliseconds{1000}};  //!< Longest wait of one watch call
-    core::Duration           staleAfter{std::chrono::milliseconds{1400}}; //!< Age at which the store is asked itself
-    core::Duration           beat{std::chrono::milliseconds{350}};        //!< Between updates without news
+    NodeAddress              self;                                         //!< This node
+    std::vector<std::string> seeds;                                        //!< `IP:PORT` of nodes to begin with
+    core::Duration           watchWait{std::chrono::milliseconds{1000}};   //!< Longest wait of one watch call
+    core::Duration           staleAfter{std::chrono::milliseconds{1400}};  //!< Age at which the store is asked itself
+    core::Duration           beat{std::chrono::milliseconds{350}};         //!< Between updates without news
     core::Duration           linkSilence{std::chrono::milliseconds{1100}}; //!< Without an update, a relay is given up
-    core::Duration           avoidance{std::chrono::seconds{3}};          //!< A relay that failed is left alone
-    core::Duration           nodeLife{std::chrono::seconds{20}};          //!< A node not heard of is forgotten
-    core::Duration           countLife{std::chrono::seconds{25}};         //!< A node counts for shared budgets
-    unsigned                 relays{2};                                   //!< Nodes that watch the store for all, at least
-    unsigned                 nodesPerRelay{75};                           //!< One more relay for each so many nodes
-    unsigned                 upstreams{2};                                //!< Relays that a node follows
-    core::Duration           gather{std::chrono::milliseconds{25}};       //!< Changes this close together are told at once
-    std::uint64_t            seed{1};                                     //!< Of the random choices
+    core::Duration           avoidance{std::chrono::seconds{3}};           //!< A relay that failed is left alone
+    core::Duration           nodeLife{std::chrono::seconds{20}};           //!< A node not heard of is forgotten
+    core::Duration           countLife{std::chrono::seconds{25}};          //!< A node counts for shared budgets
+    unsigned                 relays{2};                             //!< Nodes that watch the store for all, at least
+    unsigned                 nodesPerRelay{75};                     //!< One more relay for each so many nodes
+    unsigned                 upstreams{2};                          //!< Relays that a node follows
+    core::Duration           gather{std::chrono::milliseconds{25}}; //!< Changes this close together are told at once
+    std::uint64_t            seed{1};                               //!< Of the random choices
 };
 
 using LinkId = std::uint64_t; //!< Number of a link, given by the replica when it opens one, by the program otherwise
@@ -94,62 +94,63 @@
     void historyLost(core::Timestamp now);
     void storeFailed(core::Timestamp now);
 
-    void linkOpened(LinkId link, core::Timestamp now);                         //!< An `OpenLink` succeeded
-    void linkClosed(LinkId link, core::Timestamp now);                         //!< A link ended or did not come up
-    void helloReceived(LinkId link, const Hello& hello, core::Timestamp now);  //!< A node wants updates
+    void linkOpened(LinkId link, core::Timestamp now);                           //!< An `OpenLink` succeeded
+    void linkClosed(LinkId link, core::Timestamp now);                           //!< A link ended or did not come up
+    void helloReceived(LinkId link, const Hello& hello, core::Timestamp now);    //!< A node wants updates
     void updateReceived(LinkId link, const Update& update, core::Timestamp now); //!< A relay sent one
 
-    [[nodiscard]] std::vector<ReplicaAction> takeActions(); //!< What is to be done
-    [[nodiscard]] std::vector<Item>          takeChanges(); //!< Items that changed here since the last call
+    [[nodiscard]] std::vector<ReplicaAction> takeActions();   //!< What is to be done
+    [[nodiscard]] std::vector<Item>          takeChanges();   //!< Items that changed here since the last call
     [[nodiscard]] core::Timestamp            nextDue() const; //!< When `tick` is to be called next
 
-    [[nodiscard]] const ItemTable& table() const;                          //!< The copy
-    [[nodiscard]] core::Duration   age(core::Timestamp now) const;         //!< Time since it was known to be the store's
-    [[nodiscard]] bool             known() const;                          //!< There is a copy
-    [[nodiscard]] bool             storeIll(core::Timestamp now, core::Duration within) const; //!< The store failed somebody of late
-    [[nodiscard]] unsigned         nodes(core::Timestamp now) const;       //!< Nodes known of, this one included
-    [[nodiscard]] bool             watching() const;                       //!< This node calls the store
-    [[nodiscard]] std::size_t      followers() const;                      //!< Nodes that get updates from this one
+    [[nodiscard]] const ItemTable& table() const;                  //!< The copy
+    [[nodiscard]] core::Duration   age(core::Timestamp now) const; //!< Time since it was known to be the store's
+    [[nodiscard]] bool             known() const;                  //!< There is a copy
+    [[nodiscard]] bool             storeIll(core::Timestamp now,
+                                            core::Duration  within) const; //!< The store failed somebody of late
+    [[nodiscard]] unsigned         nodes(core::Timestamp now) const;      //!< Nodes known of, this one included
+    [[nodiscard]] bool             watching() const;                      //!< This node calls the store
+    [[nodiscard]] std::size_t      followers() const;                     //!< Nodes that get updates from this one
 
 private:
     struct Follower
     {
-        NodeAddress     node;          //!< Who it is
-        std::uint64_t   sentAt{0};     //!< Revision sent
+        NodeAddress     node;           //!< Who it is
+        std::uint64_t   sentAt{0};      //!< Revision sent
         bool            wantsAll{true}; //!< Needs the whole picture
-        core::Timestamp nextBeat{};    //!< Next update without news
-        core::Timestamp fedAt{};       //!< Last update
-        core::Timestamp nextNodes{};   //!< Next telling of the nodes
-        core::Timestamp newNodesAt{};  //!< Not before, when there are many new ones
-        std::size_t     nodesTold{0};  //!< Nodes at the last telling
+        core::Timestamp nextBeat{};     //!< Next update without news
+        core::Timestamp fedAt{};        //!< Last update
+        core::Timestamp nextNodes{};    //!< Next telling of the nodes
+        core::Timestamp newNodesAt{};   //!< Not before, when there are many new ones
+        std::size_t     nodesTold{0};   //!< Nodes at the last telling
     };
 
     struct Upstream
     {
-        std::string     address;      //!< Of the relay
-        bool            open{false};  //!< The link is up
-        core::Timestamp since{};      //!< Start
-        core::Timestamp heard{};      //!< Last update
-        bool            fed{false};   //!< Has sent an update
+        std::string     address;     //!< Of the relay
+        bool            open{false}; //!< The link is up
+        core::Timestamp since{};     //!< Start
+        core::Timestamp heard{};     //!< Last update
+        bool            fed{false};  //!< Has sent an update
     };
 
     struct Known
     {
-        std::string     dataCentre;       //!< Where it runs
-        std::uint32_t   capacity{0};      //!< How well it can serve others
-        core::Timestamp heard{};          //!< At first hand, by anybody
-        core::Timestamp avoidUntil{};     //!< Not to be used as a relay
-        unsigned        failures{0};      //!< In a row
+        std::string     dataCentre;   //!< Where it runs
+        std::uint32_t   capacity{0};  //!< How well it can serve others
+        core::Timestamp heard{};      //!< At first hand, by anybody
+        core::Timestamp avoidUntil{}; //!< Not to be used as a relay
+        unsigned        failures{0};  //!< In a row
     };
 
-    void hear(const NodeAddress& node, core::Timestamp now);
-    void avoid(const std::string& address, core::Timestamp now, std::string_view why);
-    void manageUpstreams(core::Timestamp now);
-    void manageStore(core::Timestamp now);
-    void feedFollowers(core::Timestamp now);
-    void feed(LinkId link, Follower& follower, core::Timestamp now);
-    void startWatch(core::Timestamp now);
-    void noteFresh(core::Timestamp asOf, core::Timestamp now);
+    void                                   hear(const NodeAddress& node, core::Timestamp now);
+    void                                   avoid(const std::string& address, core::Timestamp now, std::string_view why);
+    void                                   manageUpstreams(core::Timestamp now);
+    void                                   manageStore(core::Timestamp now);
+    void                                   feedFollowers(core::Timestamp now);
+    void                                   feed(LinkId link, Follower& follower, core::Timestamp now);
+    void                                   startWatch(core::Timestamp now);
+    void                                   noteFresh(core::Timestamp asOf, core::Timestamp now);
     [[nodiscard]] std::vector<std::string> rankRelays(core::Timestamp now) const;
     [[nodiscard]] std::vector<std::string> chooseUpstreams(const std::vector<std::string>& relays) const;
     [[nodiscard]] std::vector<NodeAddress> nodeList(core::Timestamp now) const;
@@ -158,32 +159,32 @@
 
     enum class StoreState
     {
-        Idle,     //!< No call under way
-        Reading,  //!< `ReadStore` is under way
-        Watching  //!< `WatchStore` is under way
+        Idle,    //!< No call under way
+        Reading, //!< `ReadStore` is under way
+        Watching //!< `WatchStore` is under way
     };
 
-    ReplicaSettings                 m_settings;                     //!< Constants
-    core::Random                    m_random;                       //!< For jitter
-    core::Timestamp                 m_born;                         //!< Start
-    ItemTable                       m_table;                        //!< The copy
-    std::vector<Item>               m_changes;                      //!< Not taken yet
-    std::vector<ReplicaAction>      m_actions;                      //!< Not taken yet
-    std::map<std::string, Known>    m_known;                        //!< Other nodes by address
-    std::map<LinkId, Follower>      m_followers;                    //!< Links that want updates
-    std::map<LinkId, Upstream>      m_upstreams;                    //!< Links to relays
-    LinkId                          m_nextLink{1};                  //!< Odd numbers are this side's
-    StoreState                      m_store{StoreState::Idle};      //!< Call under way
-    bool                            m_needRead{true};               //!< The history is not usable
-    bool                            m_booted{false};                //!< The store was asked since the start
-    bool                            m_relayRole{false};             //!< Ranks among the relays
-    bool                            m_proving{false};               //!< The watch under way returns at once
-    core::Timestamp                 m_nextStore{};                  //!< Next call, after failures
-    unsigned                        m_storeFailures{0};             //!< In a row
-    core::Timestamp                 m_asOf{core::Timestamp::min()}; //!< The copy was the store's then
-    core::Timestamp                 m_relayFresh{core::Timestamp::min()}; //!< A relay last sent a fresh picture
-    core::Timestamp                 m_ill{core::Timestamp::min()};  //!< The store last failed somebody
-    core::Timestamp                 m_now{};                        //!< Last time given
+    ReplicaSettings              m_settings;                           //!< Constants
+    core::Random                 m_random;                             //!< For jitter
+    core::Timestamp              m_born;                               //!< Start
+    ItemTable                    m_table;                              //!< The copy
+    std::vector<Item>            m_changes;                            //!< Not taken yet
+    std::vector<ReplicaAction>   m_actions;                            //!< Not taken yet
+    std::map<std::string, Known> m_known;                              //!< Other nodes by address
+    std::map<LinkId, Follower>   m_followers;                          //!< Links that want updates
+    std::map<LinkId, Upstream>   m_upstreams;                          //!< Links to relays
+    LinkId                       m_nextLink{1};                        //!< Odd numbers are this side's
+    StoreState                   m_store{StoreState::Idle};            //!< Call under way
+    bool                         m_needRead{true};                     //!< The history is not usable
+    bool                         m_booted{false};                      //!< The store was asked since the start
+    bool                         m_relayRole{false};                   //!< Ranks among the relays
+    bool                         m_proving{false};                     //!< The watch under way returns at once
+    core::Timestamp              m_nextStore{};                        //!< Next call, after failures
+    unsigned                     m_storeFailures{0};                   //!< In a row
+    core::Timestamp              m_asOf{core::Timestamp::min()};       //!< The copy was the store's then
+    core::Timestamp              m_relayFresh{core::Timestamp::min()}; //!< A relay last sent a fresh picture
+    core::Timestamp              m_ill{core::Timestamp::min()};        //!< The store last failed somebody
+    core::Timestamp              m_now{};                              //!< Last time given
 };
 
 } // namespace sailpath::replication
--- a/src/programs/Entry.cpp
+++ b/src/programs/Entry.cpp
@@ -149,7 +149,7 @@
     decisions.seed = std::random_device{}();
     entry::DispatcherDoor          door(decisions);
     adapters::http::BackendClient  client(settings.milliseconds("connect-timeout-ms"), bodyIdle);
-    entry::TrafficMetrics          metrics;
+    metrics::TrafficMetrics        metrics;
     adapters::store::EtcdStore     store(settings.endpoint("platform"), storeTimeout);
     adapters::store::EtcdStore     watcher(settings.endpoint("platform"), storeTimeout);
     adapters::platform::HttpVmList vms(settings.endpoint("platform"), storeTimeout);
--- a/src/programs/EntryStatus.hpp
+++ b/src/programs/EntryStatus.hpp
@@ -4,7 +4,7 @@
 #include <sailpath/adapters/settings/Endpoint.hpp>
 #include <sailpath/control/ControlThread.hpp>
 #include <sailpath/entry/DispatcherDoor.hpp>
-#include <sailpath/entry/TrafficMetrics.hpp>
+#include <sailpath/metrics/TrafficMetrics.hpp>
 
 #include <atomic>
 #include <memory>
@@ -20,7 +20,7 @@
     std::string                    node;    //!< Name of this VM
     control::ControlThread&        control; //!< Control state
     entry::DispatcherDoor&         door;    //!< Decisions
-    entry::TrafficMetrics&         metrics; //!< Counts
+    metrics::TrafficMetrics&       metrics; //!< Counts
     const adapters::http::Ingress& ingress; //!< Connections
     const std::atomic<bool>&       leaving; //!< A planned stop has begun
 };
--- a/src/programs/GatewayProgram.cpp
+++ b/src/programs/GatewayProgram.cpp
@@ -1,5 +1,6 @@
 #include "GatewayProgram.hpp"
 
+#include <sailpath/adapters/logging/BoundedEventLog.hpp>
 #include <sailpath/adapters/logging/Log4cplusEventLog.hpp>
 #include <sailpath/adapters/settings/SettingsReader.hpp>
 #include <sailpath/core/Hash.hpp>
@@ -28,7 +29,8 @@
     Option{"data-centre", OptionKind::Name, adapters::settings::required, "data centre where this VM runs"},
     Option{"listen", OptionKind::Endpoint, "0.0.0.0:8080", "where callers connect"},
     Option{"readiness-listen", OptionKind::Endpoint, "0.0.0.0:8081", "where readiness is asked for"},
-    Option{"peer-listen", OptionKind::Endpoint, adapters::settings::required, "where peers connect; they are told this address"},
+    Option{"peer-listen", OptionKind::Endpoint, adapters::settings::required,
+           "where peers connect; they are told this address"},
     Option{"seeds", OptionKind::Endpoints, "", "peers to begin with"},
     Option{"store", OptionKind::Endpoint, adapters::settings::required, "store of what operators and servers declare"},
     Option{"drain-s", OptionKind::Number, "2", "longest time from a server's leaving to its last new request, seconds"},
@@ -41,7 +43,9 @@
     Option{"cpu-share", OptionKind::Number, "1", "cores that this VM may use"},
     Option{"memory-mb", OptionKind::Number, "256", "memory that the process may use"},
     Option{"descriptors", OptionKind::Whole, "4096", "file descriptors that the process may use"},
-    Option{"log-file", OptionKind::Text, "", "event log; standard error when empty"},
+    Option{"metrics-listen", OptionKind::Endpoints, "", "where /metrics is served; nowhere when empty"},
+    Option{"log-lines", OptionKind::Whole, "40", "lines of one kind of event in a second, at most"},
+    Option{"log-file", OptionKind::Text, "", "event log; standard output when empty"},
     Option{"log-level", OptionKind::Text, "info", "debug, info, warning or error"},
 };
 
@@ -50,10 +54,10 @@
 constexpr auto                        noticeTime = std::chrono::milliseconds{2300}; // For the balancer in front
 constexpr auto                        stopCheck = std::chrono::milliseconds{50};
 constexpr auto                        lingerTime = std::chrono::seconds{1}; // For callers' connections to end
-constexpr double                      graceShare = 0.9;     // Of the grace; the process has ended by then
-constexpr double                      bufferShare = 0.25;    // Of the memory, for request bodies
+constexpr double                      graceShare = 0.9;   // Of the grace; the process has ended by then
+constexpr double                      bufferShare = 0.25; // Of the memory, for request bodies
 constexpr double                      bytesPerMegabyte = 1e6;
-constexpr std::size_t                 callersShare = 2;      // One in two descriptors may be a caller's
+constexpr std::size_t                 callersShare = 2; // One in two descriptors may be a caller's
 
 ////////////////////////////////////////////////////////////
 core::Duration seconds(const Settings& settings, std::string_view name)
@@ -67,6 +71,8 @@
     gateway::GatewaySettings gateway;
     gateway.listen = settings.endpoint("listen");
     gateway.readinessListen = settings.endpoint("readiness-listen");
+    if (const auto metrics = settings.endpoints("metrics-listen"); !metrics.empty())
+        gateway.metricsListen = metrics.front();
     gateway.bufferedBytes = static_cast<std::uint64_t>(bufferShare * settings.number("memory-mb") * bytesPerMegabyte);
     gateway.callers = settings.whole("descriptors") / callersShare;
     gateway.balance.dataCentre = settings.text("data-centre");
@@ -83,9 +89,10 @@
 ////////////////////////////////////////////////////////////
 std::uint32_t capacity(const Settings& settings)
 {
-    constexpr double smallestLink = 5;   // Mbit/s
+    constexpr double smallestLink = 5;     // Mbit/s
     constexpr double smallestShare = 0.05; // Cores
-    const double     scarcer = std::min(settings.number("link-mbps") / smallestLink, settings.number("cpu-share") / smallestShare);
+    const double     scarcer =
+        std::min(settings.number("link-mbps") / smallestLink, settings.number("cpu-share") / smallestShare);
     return static_cast<std::uint32_t>(std::max(0.0, std::log2(std::max(1.0, scarcer))));
 }
 
@@ -106,6 +113,32 @@
     return fleet;
 }
 
+////////////////////////////////////////////////////////////
+core::Timestamp steadyNow()
+{
+    const auto since = std::chrono::steady_clock::now().time_since_epoch();
+    return core::Timestamp(std::chrono::duration_cast<core::Duration>(since));
+}
+
+////////////////////////////////////////////////////////////
+std::string controlMetrics(const fleet::FleetStatus& status, std::uint64_t linesLeftOut)
+{
+    std::string text;
+    const auto  add = [&text](std::string_view name, std::string_view type, auto value)
+    {
+        text.append("# TYPE sailpath_").append(name).append(" ").append(type).append("\nsailpath_").append(name);
+        text.append(" ").append(std::to_string(value)).append("\n");
+    };
+    add("copy_age_seconds", "gauge", status.ageMs / 1000);
+    add("copy_revision", "gauge", status.revision);
+    add("nodes_known", "gauge", status.nodes);
+    add("followers", "gauge", status.followers);
+    add("store_calls_total", "counter", status.storeCalls);
+    add("store_watched", "gauge", status.watching ? 1 : 0);
+    add("log_lines_left_out_total", "counter", linesLeftOut);
+    return text;
+}
+
 ////////////////////////////////////////////////////////////
 /// \brief Stops the gateway in order: not ready, then no new connections, then the end
 ////////////////////////////////////////////////////////////
@@ -194,11 +227,14 @@
         return exitCode;
     const Settings& settings = started->settings;
     std::signal(SIGPIPE, SIG_IGN);
-    adapters::logging::Log4cplusEventLog log(settings.text("name"), settings.text("log-file"),
-                                             settings.text("log-level"));
-    asio::io_context                     context(1);
-    gateway::Gateway                     gateway(context, gatewaySettings(settings), surroundings.dialect, log);
-    PlannedStop      stop(context, gateway, core::fromMilliseconds(settings.number("grace-s") * 1000 * graceShare), log);
+    adapters::logging::Log4cplusEventLog lines(settings.text("name"), settings.text("log-file"),
+                                               settings.text("log-level"));
+    if (settings.text("log-file").empty())
+        lines.useStandardOutput();
+    adapters::logging::BoundedEventLog log(lines, static_cast<unsigned>(settings.whole("log-lines")), steadyNow);
+    asio::io_context                   context(1);
+    gateway::Gateway                   gateway(context, gatewaySettings(settings), surroundings.dialect, log);
+    PlannedStop stop(context, gateway, core::fromMilliseconds(settings.number("grace-s") * 1000 * graceShare), log);
     asio::signal_set signals(context, SIGTERM, SIGINT, SIGHUP);
     watchSignals(signals, stop, log);
     const fleet::FleetThread fleet(
@@ -208,6 +244,7 @@
         [&](deployment::Declared declared)
         { asio::post(context, [&gateway, declared = std::move(declared)] { gateway.configure(declared); }); },
         log);
+    gateway.addMetrics([&] { return controlMetrics(fleet.status(), log.leftOut()); });
     log.write(ports::Level::Info, "started", {{"dataCentre", settings.text("data-centre")}, {"port", gateway.port()}});
     context.run();
     return adapters::settings::ExitOk;
--- a/src/programs/Timeline.cpp
+++ b/src/programs/Timeline.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::array options{
     Option{"format", OptionKind::Name, "text", "text, jsonl, html or trace"},
+    Option{"request", OptionKind::Text, "",
+           "only events that name this request, and those that explain what a process believed"},
     Option{"corrections", OptionKind::Switch, "false", "print the clock corrections to standard error"}};
 
 constexpr adapters::settings::Program program{"sailpath-timeline", "Merges event logs into one time line.", "LOG...",
@@ -39,6 +41,14 @@
     return true;
 }
 
+////////////////////////////////////////////////////////////
+/// \brief Whether an event names a request or tells of a change of what a process believed
+////////////////////////////////////////////////////////////
+bool concerns(const timeline::Event& event, std::string_view request)
+{
+    return event.field("request") == request || event.field("request").empty();
+}
+
 ////////////////////////////////////////////////////////////
 int run(const adapters::settings::ReadSettings& started)
 {
@@ -60,6 +70,9 @@
     }
     const timeline::ClockCorrections corrections = timeline::alignClocks(events);
     timeline::applyCorrections(events, corrections);
+    const std::string& request = started.settings.text("request");
+    if (!request.empty())
+        std::erase_if(events, [&request](const timeline::Event& event) { return !concerns(event, request); });
     std::cout << (*render)(events);
     if (skipped > 0)
         std::cerr << skipped << " lines are no events and were left out\n";
--- a/src/sailpath/adapters/links/Codec.cpp
+++ b/src/sailpath/adapters/links/Codec.cpp
@@ -50,10 +50,8 @@
 replication::Item get(wire::Item::Reader from)
 {
     const auto value = from.getValue();
-    return {from.getKey().cStr(),
-            std::string(reinterpret_cast<const char*>(value.begin()), value.size()),
-            from.getRevision(),
-            from.getGone()};
+    return {from.getKey().cStr(), std::string(reinterpret_cast<const char*>(value.begin()), value.size()),
+            from.getRevision(), from.getGone()};
 }
 
 ////////////////////////////////////////////////////////////
@@ -78,7 +76,8 @@
     in_addr                           ip{};
     std::memcpy(&ip, bytes.data(), sizeof(ip));
     inet_ntop(AF_INET, &ip, text.data(), text.size());
-    const auto byte = [bytes](std::size_t at) { return static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[at])); };
+    const auto byte = [bytes](std::size_t at)
+    { return static_cast<std::uint32_t>(static_cast<unsigned char>(bytes[at])); };
     const auto port = byte(4) << 8U | byte(5);
     return {std::string(text.data()) + ":" + std::to_string(port), std::move(dataCentre), byte(6) * 100, byte(7)};
 }
@@ -104,8 +103,8 @@
 {
     const auto packed = from.getPacked();
     for (std::size_t at = 0; at + packedBytes <= packed.size(); at += packedBytes)
-        nodes.push_back(unpack({reinterpret_cast<const char*>(packed.begin()) + at, packedBytes},
-                               from.getDataCentre().cStr()));
+        nodes.push_back(
+            unpack({reinterpret_cast<const char*>(packed.begin()) + at, packedBytes}, from.getDataCentre().cStr()));
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/adapters/links/LinkHub.cpp
+++ b/src/sailpath/adapters/links/LinkHub.cpp
@@ -1,8 +1,8 @@
 #include <sailpath/adapters/links/LinkHub.hpp>
 
 #include <asio/io_context.hpp>
-#include <asio/post.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 
 #include <array>
@@ -30,13 +30,13 @@
         {
         }
 
-        asio::ip::tcp::socket   socket;         //!< Connection
-        std::string             unread;         //!< Bytes not taken yet
-        std::string             writing;        //!< Bytes on their way
-        std::string             waiting;        //!< Bytes behind them
-        std::array<char, 8192>  buffer{};       //!< Bytes as they come
-        bool                    up{false};      //!< Connected
-        bool                    dropped{false}; //!< Closed by this side
+        asio::ip::tcp::socket  socket;         //!< Connection
+        std::string            unread;         //!< Bytes not taken yet
+        std::string            writing;        //!< Bytes on their way
+        std::string            waiting;        //!< Bytes behind them
+        std::array<char, 8192> buffer{};       //!< Bytes as they come
+        bool                   up{false};      //!< Connected
+        bool                   dropped{false}; //!< Closed by this side
     };
 
     using LinkPtr = std::shared_ptr<Link>;
@@ -79,16 +79,17 @@
 
     void read(LinkId id, const LinkPtr& link)
     {
-        link->socket.async_read_some(asio::buffer(link->buffer),
-                                     [self = shared_from_this(), id, link](const asio::error_code& error, std::size_t bytes)
-                                     {
-                                         if (link->dropped)
-                                             return;
-                                         if (error || !self->take(id, link, bytes))
-                                             return self->end(id, link);
-                                         if (!link->dropped)
-                                             self->read(id, link);
-                                     });
+        link->socket.async_read_some(
+            asio::buffer(link->buffer),
+            [self = shared_from_this(), id, link](const asio::error_code& error, std::size_t bytes)
+            {
+                if (link->dropped)
+                    return;
+                if (error || !self->take(id, link, bytes))
+                    return self->end(id, link);
+                if (!link->dropped)
+                    self->read(id, link);
+            });
     }
 
     bool take(LinkId id, const LinkPtr& link, std::size_t bytes)
--- a/src/sailpath/adapters/logging/Log4cplusEventLog.cpp
+++ b/src/sailpath/adapters/logging/Log4cplusEventLog.cpp
@@ -11,6 +11,9 @@
 #include <chrono>
 #include <cstdio>
 #include <ctime>
+#include <fcntl.h>
+#include <iostream>
+#include <unistd.h>
 
 namespace sailpath::adapters::logging
 {
@@ -82,9 +85,10 @@
 ////////////////////////////////////////////////////////////
 struct Log4cplusEventLog::Impl
 {
-    log4cplus::Initializer initializer; //!< Keeps the library running
-    std::string            node;        //!< Name in the time line
-    log4cplus::Logger      logger;      //!< Where events go
+    log4cplus::Initializer initializer;           //!< Keeps the library running
+    std::string            node;                  //!< Name in the time line
+    log4cplus::Logger      logger;                //!< Where events go
+    bool                   standardOutput{false}; //!< Lines go to standard output
 };
 
 ////////////////////////////////////////////////////////////
@@ -111,6 +115,19 @@
     m_impl->logger.removeAllAppenders();
 }
 
+////////////////////////////////////////////////////////////
+void Log4cplusEventLog::useStandardOutput()
+{
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0)
+        (void)::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    m_impl->standardOutput = true;
+    m_impl->logger.removeAllAppenders();
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+    m_impl->logger.addAppender(appender);
+}
+
 ////////////////////////////////////////////////////////////
 bool Log4cplusEventLog::writes(ports::Level level) const
 {
@@ -122,6 +139,9 @@
 {
     if (!writes(level))
         return;
+    // A reader that does not keep up makes the stream fail; later lines are tried again.
+    if (m_impl->standardOutput && !std::cout.good())
+        std::cout.clear();
     m_impl->logger.log(toLibrary(level), formatEvent(wallClock(), nameOf(level), m_impl->node, event, fields));
 }
 
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -7,7 +7,7 @@
 {
 namespace
 {
-constexpr auto     soon = std::chrono::milliseconds{200};        // When a lack of servers may be over
+constexpr auto     soon = std::chrono::milliseconds{200}; // When a lack of servers may be over
 constexpr auto     leastComeBack = std::chrono::milliseconds{50};
 constexpr auto     longestComeBack = std::chrono::seconds{2};
 constexpr auto     never = core::Timestamp::max();
@@ -128,7 +128,7 @@
 void Balancer::beginRound(Ticket ticket, Request& request, core::Timestamp now)
 {
     Search& search = request.search;
-    auto    servers = request.pool->worthProbing(wishOf(request), search.asked, m_settings.probesPerRound, now, m_random);
+    auto servers = request.pool->worthProbing(wishOf(request), search.asked, m_settings.probesPerRound, now, m_random);
     if (servers.empty())
     {
         search.asked.clear();
@@ -193,7 +193,7 @@
 {
     const Choice choice = request.pool->choose(wishOf(request), now, m_random);
     const double typical = request.pool->workMs(request.route.name);
-    const bool   hasTime = meetsTarget(request, searchRoom * typical + core::toMilliseconds(m_settings.roundPause), now);
+    const bool hasTime = meetsTarget(request, searchRoom * typical + core::toMilliseconds(m_settings.roundPause), now);
     if (!choice.server || !hasTime)
         return settle(ticket, request, choice, now);
     // What looks better than those that were asked may only be less known.
@@ -408,16 +408,16 @@
         return;
     }
     const Attempt& last = request.attempts.back();
-    const bool mayHedge = m_settings.hedging && request.route.repeatable && !request.left &&
+    const bool     mayHedge = m_settings.hedging && request.route.repeatable && !request.left &&
                           request.sends < request.route.attempts && last.running;
     if (mayHedge)
     {
-        const double  typical = request.pool->workMs(request.route.name);
-        const auto    target = request.since + request.route.targetLatency;
-        const auto    latestUseful = target - milliseconds(hedgeRoom * typical) - m_settings.wayBack -
+        const double typical = request.pool->workMs(request.route.name);
+        const auto   target = request.since + request.route.targetLatency;
+        const auto   latestUseful = target - milliseconds(hedgeRoom * typical) - m_settings.wayBack -
                                   m_settings.probeWait - m_settings.connectCost;
-        const auto    patience = last.sentAt + milliseconds(leastHedgeWorks * typical);
-        const auto    stuck = last.sentAt + milliseconds(hopelessWorks * std::max(typical, last.expectedMs));
+        const auto      patience = last.sentAt + milliseconds(leastHedgeWorks * typical);
+        const auto      stuck = last.sentAt + milliseconds(hopelessWorks * std::max(typical, last.expectedMs));
         // Later than that a second send cannot meet the target; then it is only for what is stuck.
         core::Timestamp at = patience <= latestUseful ? latestUseful : stuck;
         if (at <= now)
@@ -619,6 +619,12 @@
     steps.swap(m_steps);
 }
 
+////////////////////////////////////////////////////////////
+bool Balancer::hasRoute(std::string_view host, std::string_view target) const
+{
+    return m_routes.find(host, target) != nullptr;
+}
+
 ////////////////////////////////////////////////////////////
 bool Balancer::configured() const
 {
--- a/src/sailpath/balance/ServerView.cpp
+++ b/src/sailpath/balance/ServerView.cpp
@@ -7,13 +7,13 @@
 {
 namespace
 {
-constexpr double   ratioGain = 0.2;         // Share of one answer in an instance's latency ratio
+constexpr double   ratioGain = 0.2;          // Share of one answer in an instance's latency ratio
 constexpr double   leastRatio = 0.5;         // Bound of the ratio
-constexpr double   largestRatio = 20;       // Bound of one observation
-constexpr double   coldPace = 1.6;          // Assumed of an instance that is still warming up
-constexpr double   failureGain = 0.3;       // Share of one attempt in the failure share
+constexpr double   largestRatio = 20;        // Bound of one observation
+constexpr double   coldPace = 1.6;           // Assumed of an instance that is still warming up
+constexpr double   failureGain = 0.3;        // Share of one attempt in the failure share
 constexpr double   failureHalfLifeMs = 3000; // How fast a failure is forgotten without further attempts
-constexpr unsigned failuresToEject = 2;     // In a row
+constexpr unsigned failuresToEject = 2;      // In a row
 constexpr auto     firstEjection = std::chrono::milliseconds{800};
 constexpr auto     longestEjection = std::chrono::seconds{6};
 constexpr auto     firstShed = std::chrono::milliseconds{60};
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -61,7 +61,7 @@
                                                                    std::size_t most, core::Timestamp now,
                                                                    core::Random& random) const
 {
-    const double                                                 work = workMs(wish.route);
+    const double                                                work = workMs(wish.route);
     std::vector<std::pair<double, std::shared_ptr<ServerView>>> ranked;
     for (const auto& server : m_servers)
     {
@@ -69,7 +69,8 @@
             continue;
         ranked.emplace_back(cost(*server, wish, work, now) * (1 + probeSpread * random.unit()), server);
     }
-    std::sort(ranked.begin(), ranked.end(), [](const auto& left, const auto& right) { return left.first < right.first; });
+    std::sort(ranked.begin(), ranked.end(),
+              [](const auto& left, const auto& right) { return left.first < right.first; });
     std::vector<std::shared_ptr<ServerView>> chosen;
     for (std::size_t i = 0; i < std::min(most, ranked.size()); ++i)
         chosen.push_back(std::move(ranked[i].second));
--- a/src/sailpath/deployment/InstanceBook.cpp
+++ b/src/sailpath/deployment/InstanceBook.cpp
@@ -72,8 +72,8 @@
             item = m_entries.erase(item);
             continue;
         }
-        const bool believed = entry.believeUntil && !entry.drained && spared[entry.last.instance.service] &&
-                              now < *entry.believeUntil;
+        const bool believed =
+            entry.believeUntil && !entry.drained && spared[entry.last.instance.service] && now < *entry.believeUntil;
         if (entry.believeUntil && !believed)
         {
             entry.believeUntil.reset();
--- a/src/sailpath/deployment/RouteTable.cpp
+++ b/src/sailpath/deployment/RouteTable.cpp
@@ -25,7 +25,8 @@
     for (const HostRoute& route : m_deployment->routes)
         m_byHost[normalHost(route.host)].push_back(&route);
     for (auto& [host, routes] : m_byHost)
-        std::stable_sort(routes.begin(), routes.end(), [](const HostRoute* left, const HostRoute* right)
+        std::stable_sort(routes.begin(), routes.end(),
+                         [](const HostRoute* left, const HostRoute* right)
                          { return left->pathPrefix.size() > right->pathPrefix.size(); });
 }
 
--- a/src/sailpath/entry/Proxy.cpp
+++ b/src/sailpath/entry/Proxy.cpp
@@ -170,7 +170,7 @@
 
 ////////////////////////////////////////////////////////////
 Proxy::Proxy(std::string node, DispatcherDoor& door, adapters::http::BackendClient& client, ClaimDoor& claims,
-             TrafficMetrics& metrics, ports::EventLog& log) :
+             metrics::TrafficMetrics& metrics, ports::EventLog& log) :
 m_node(std::move(node)),
 m_door(door),
 m_client(client),
--- a/src/sailpath/fleet/FleetThread.cpp
+++ b/src/sailpath/fleet/FleetThread.cpp
@@ -19,7 +19,8 @@
 using replication::SourceAnswer;
 using replication::SourceStatus;
 
-constexpr auto illWithin = std::chrono::milliseconds{1500}; // A failure of the store this recent explains vanished entries
+constexpr auto illWithin =
+    std::chrono::milliseconds{1500}; // A failure of the store this recent explains vanished entries
 
 ////////////////////////////////////////////////////////////
 core::Timestamp now()
@@ -33,7 +34,8 @@
 ////////////////////////////////////////////////////////////
 struct FleetThread::Impl
 {
-    Impl(FleetSettings given, const MakeSource& makeSource, const Translator& reads, Published told, ports::EventLog& events) :
+    Impl(FleetSettings given, const MakeSource& makeSource, const Translator& reads, Published told,
+         ports::EventLog& events) :
     settings(std::move(given)),
     translator(reads),
     published(std::move(told)),
@@ -242,7 +244,7 @@
             log.write(ports::Level::Error, "instance-rejected", {{"key", item.key}, {"findings", findings.text()}});
             return false;
         }
-        log.write(ports::Level::Debug, "instance-announced",
+        log.write(ports::Level::Info, "instance-announced",
                   {{"instance", read->instance.id},
                    {"service", read->instance.service},
                    {"draining", read->instance.draining ? 1 : 0},
@@ -276,8 +278,13 @@
             log.write(ports::Level::Info, "picture-regained", {{"ageMs", age}});
         }
         const std::lock_guard<std::mutex> lock(mutex);
-        shown = {replica.table().at(), deployment ? deployment->version : 0, age, toldNodes, replica.followers(),
-                 source->calls(), replica.watching()};
+        shown = {replica.table().at(),
+                 deployment ? deployment->version : 0,
+                 age,
+                 toldNodes,
+                 replica.followers(),
+                 source->calls(),
+                 replica.watching()};
     }
 
     FleetSettings                                 settings;
--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -109,7 +109,8 @@
     if (!m_reader)
     {
         const deployment::CallerLimits& limits = m_events.limits();
-        m_reader = std::make_unique<http::MessageReader>(http::MessageKind::Request, limits.headBytes, limits.bodyBytes);
+        m_reader =
+            std::make_unique<http::MessageReader>(http::MessageKind::Request, limits.headBytes, limits.bodyBytes);
         m_since = m_activity;
         m_headSeen = false;
     }
@@ -183,7 +184,7 @@
 }
 
 ////////////////////////////////////////////////////////////
-void CallerConnection::answer(const http::Head& head, std::string body)
+void CallerConnection::answer(const http::Head& head, const std::string& body)
 {
     if (m_state != State::Waiting)
         return;
@@ -216,7 +217,11 @@
     if (m_state != State::Waiting)
         return;
     m_out.clear();
-    m_out.append("HTTP/1.1 ").append(std::to_string(own.status)).append(" ").append(reasonOf(own.status)).append("\r\n");
+    m_out.append("HTTP/1.1 ")
+        .append(std::to_string(own.status))
+        .append(" ")
+        .append(reasonOf(own.status))
+        .append("\r\n");
     if (own.comeBack.count() > 0)
     {
         char text[32];
--- a/src/sailpath/gateway/CallerConnection.hpp
+++ b/src/sailpath/gateway/CallerConnection.hpp
@@ -23,10 +23,11 @@
 public:
     virtual ~CallerEvents() = default;
 
-    virtual void requestRead(CallerConnection& caller, const http::Head& head, std::string body) = 0; //!< A whole request
-    virtual void callerLeft(CallerConnection& caller) = 0;  //!< It ended while a request was under way
-    virtual void callerGone(CallerConnection& caller) = 0;  //!< The connection is closed
-    virtual bool reserve(std::int64_t bytes) = 0;           //!< Memory for bodies; false when there is none
+    virtual void requestRead(CallerConnection& caller, const http::Head& head,
+                             std::string body) = 0;        //!< A whole request
+    virtual void callerLeft(CallerConnection& caller) = 0; //!< It ended while a request was under way
+    virtual void callerGone(CallerConnection& caller) = 0; //!< The connection is closed
+    virtual bool reserve(std::int64_t bytes) = 0;          //!< Memory for bodies; false when there is none
 
     [[nodiscard]] virtual const deployment::CallerLimits& limits() const = 0;  //!< In force
     [[nodiscard]] virtual bool                            leaving() const = 0; //!< Connections end at the next answer
@@ -51,15 +52,15 @@
 public:
     CallerConnection(asio::ip::tcp::socket socket, CallerEvents& events);
 
-    void start();                                                   //!< Begin to read
-    void answer(const http::Head& head, std::string body);          //!< Pass a server's answer on
-    void answer(const OwnAnswer& answer);                           //!< Answer in the node's own name
-    void cut();                                                     //!< Close without an answer
-    void sweep(core::Timestamp now);                                //!< Give up what takes too long
-    void closeIfIdle();                                             //!< Close if no request was begun
+    void start();                                                 //!< Begin to read
+    void answer(const http::Head& head, const std::string& body); //!< Pass a server's answer on
+    void answer(const OwnAnswer& answer);                         //!< Answer in the node's own name
+    void cut();                                                   //!< Close without an answer
+    void sweep(core::Timestamp now);                              //!< Give up what takes too long
+    void closeIfIdle();                                           //!< Close if no request was begun
 
-    [[nodiscard]] core::Timestamp since() const; //!< First byte of the request
-    [[nodiscard]] std::uint64_t   ticket() const; //!< Of the request under way; 0 for none
+    [[nodiscard]] core::Timestamp since() const;                   //!< First byte of the request
+    [[nodiscard]] std::uint64_t   ticket() const;                  //!< Of the request under way; 0 for none
     void                          setTicket(std::uint64_t ticket); //!< Note the request under way
 
 private:
@@ -71,16 +72,16 @@
         Closed   //!< Of no more use
     };
 
-    void read();
-    void received(std::size_t bytes);
-    void parse();
-    void headRead();
+    void               read();
+    void               received(std::size_t bytes);
+    void               parse();
+    void               headRead();
     [[nodiscard]] bool reserveBody();
-    void refuse(unsigned status, std::string_view reason);
-    void write(bool keep);
-    void written(bool good);
-    void close();
-    void release();
+    void               refuse(unsigned status, std::string_view reason);
+    void               write(bool keep);
+    void               written(bool good);
+    void               close();
+    void               release();
 
     asio::ip::tcp::socket                m_socket;                //!< Connection
     CallerEvents&                        m_events;                //!< Gateway
--- a/src/sailpath/gateway/Exchange.cpp
+++ b/src/sailpath/gateway/Exchange.cpp
@@ -71,17 +71,17 @@
     if (!trail.empty())
         trail += ',';
     trail += std::to_string(step.attempt) + ":" + step.instance->id + "@" +
-             std::to_string(static_cast<int>(core::toMilliseconds(now - since))) + "ms/expected=" +
-             std::to_string(static_cast<int>(step.expectedMs)) + "ms/report=" +
-             std::to_string(static_cast<int>(step.reportAgeMs)) + "ms";
+             std::to_string(static_cast<int>(core::toMilliseconds(now - since))) +
+             "ms/expected=" + std::to_string(static_cast<int>(step.expectedMs)) +
+             "ms/report=" + std::to_string(static_cast<int>(step.reportAgeMs)) + "ms";
 }
 
 ////////////////////////////////////////////////////////////
 void Exchange::ended(unsigned attempt, const balance::Outcome& outcome, core::Timestamp now)
 {
     trail += ",end" + std::to_string(attempt) + "=" + std::string(nameOf(outcome.end)) + "/" +
-             std::to_string(outcome.status) + "@" + std::to_string(static_cast<int>(core::toMilliseconds(now - since))) +
-             "ms";
+             std::to_string(outcome.status) + "@" +
+             std::to_string(static_cast<int>(core::toMilliseconds(now - since))) + "ms";
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -2,8 +2,10 @@
 
 #include "CallerConnection.hpp"
 #include "Exchange.hpp"
-#include "ReadinessServer.hpp"
 #include "ServerConnections.hpp"
+#include "StatusServer.hpp"
+
+#include <sailpath/metrics/TrafficMetrics.hpp>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -65,46 +67,50 @@
 {
     Impl(asio::io_context& loop, GatewaySettings given, const Dialect& names, ports::EventLog& events);
 
-    void accept();
-    void scheduleSweep();
-    void arm();
-    void carryOut();
-    void perform(const balance::Step& step);
-    void forward(const balance::Step& step);
-    void probe(const balance::Step& step);
-    void attemptEnded(balance::Ticket ticket, unsigned attempt, const balance::Outcome& outcome,
-                      priv::ServerAnswer answer);
-    void finish(balance::Ticket ticket, const balance::Step& step);
-    void log(const Exchange& exchange, unsigned status, std::string_view reason);
-
-    void                                          requestRead(CallerConnection& caller, const http::Head& head,
-                                                              std::string body) override;
-    void                                          callerLeft(CallerConnection& caller) override;
-    void                                          callerGone(CallerConnection& caller) override;
-    bool                                          reserve(std::int64_t bytes) override;
+    void                      accept();
+    void                      scheduleSweep();
+    void                      arm();
+    void                      carryOut();
+    void                      perform(const balance::Step& step);
+    void                      forward(const balance::Step& step);
+    void                      probe(const balance::Step& step);
+    void                      attemptEnded(balance::Ticket ticket, unsigned attempt, const balance::Outcome& outcome,
+                                           priv::ServerAnswer answer);
+    void                      finish(balance::Ticket ticket, const balance::Step& step);
+    void                      log(const Exchange& exchange, unsigned status, std::string_view reason);
+    [[nodiscard]] std::string metrics() const;
+
+    void requestRead(CallerConnection& caller, const http::Head& head, std::string body) override;
+    void callerLeft(CallerConnection& caller) override;
+    void callerGone(CallerConnection& caller) override;
+    bool reserve(std::int64_t bytes) override;
     [[nodiscard]] const deployment::CallerLimits& limits() const override;
     [[nodiscard]] bool                            leaving() const override;
 
-    asio::io_context&                               context;
-    GatewaySettings                                 settings;
-    const Dialect&                                  dialect;
-    ports::EventLog&                                events;
-    balance::Balancer                               balancer;
-    priv::ServerConnections                         servers;
-    asio::ip::tcp::acceptor                         acceptor;
-    asio::steady_timer                              dueTimer;
-    asio::steady_timer                              sweepTimer;
-    std::optional<core::Timestamp>                  armed;
-    std::set<std::shared_ptr<CallerConnection>>     callers;
-    std::unordered_map<balance::Ticket, Exchange>   exchanges;
-    deployment::CallerLimits                        callerLimits;
-    Counters                                        counters;
-    balance::Ticket                                 nextTicket{1};
-    std::int64_t                                    buffered{0};
-    bool                                            ready{false};
-    bool                                            isLeaving{false};
-    bool                                            carrying{false};
-    priv::ReadinessServer                           readiness;
+    asio::io_context&                             context;
+    GatewaySettings                               settings;
+    const Dialect&                                dialect;
+    ports::EventLog&                              events;
+    balance::Balancer                             balancer;
+    priv::ServerConnections                       servers;
+    asio::ip::tcp::acceptor                       acceptor;
+    asio::steady_timer                            dueTimer;
+    asio::steady_timer                            sweepTimer;
+    std::optional<core::Timestamp>                armed;
+    std::set<std::shared_ptr<CallerConnection>>   callers;
+    std::unordered_map<balance::Ticket, Exchange> exchanges;
+    deployment::CallerLimits                      callerLimits;
+    Counters                                      counters;
+    balance::Ticket                               nextTicket{1};
+    std::int64_t                                  buffered{0};
+    std::uint64_t                                 version{0};
+    bool                                          ready{false};
+    bool                                          isLeaving{false};
+    bool                                          carrying{false};
+    metrics::TrafficMetrics                       latencies;
+    std::function<std::string()>                  furtherMetrics;
+    priv::StatusServer                            readiness;
+    std::optional<priv::StatusServer>             metricsPage;
 };
 
 ////////////////////////////////////////////////////////////
@@ -114,13 +120,21 @@
 dialect(names),
 events(log),
 balancer(settings.balance, priv::now()),
-servers(loop, settings, names, [this](const deployment::Instance& instance, unsigned idle, unsigned open)
+servers(loop, settings, names,
+        [this](const deployment::Instance& instance, unsigned idle, unsigned open)
         { balancer.connections(instance, idle, open); }),
 acceptor(listenOn(loop, settings.listen)),
 dueTimer(loop),
 sweepTimer(loop),
-readiness(loop, settings.readinessListen, names.readinessPath, [this] { return ready && !isLeaving; })
-{
+readiness(loop, settings.readinessListen, {{names.readinessPath, [this] {
+                                                return priv::StatusAnswer{ready && !isLeaving ? 200U : 503U, {}};
+                                            }}})
+{
+    if (settings.metricsListen)
+        metricsPage.emplace(loop, *settings.metricsListen,
+                            priv::StatusServer::Pages{{"/metrics", [this] {
+                                                           return priv::StatusAnswer{200, metrics()};
+                                                       }}});
     accept();
     scheduleSweep();
 }
@@ -154,7 +168,7 @@
         {
             if (error)
                 return;
-            const auto at = priv::now();
+            const auto                                           at = priv::now();
             const std::vector<std::shared_ptr<CallerConnection>> all(callers.begin(), callers.end());
             for (const auto& caller : all)
                 caller->sweep(at);
@@ -179,6 +193,8 @@
     arrival.target = head.target;
     arrival.since = caller.since();
     arrival.timeLeft = timeLeft(head.field(dialect.deadlineMs));
+    if (balancer.hasRoute(arrival.host, arrival.target))
+        exchange.host = arrival.host;
     balancer.admit(ticket, arrival, priv::now());
     carryOut();
 }
@@ -343,16 +359,16 @@
     const auto found = exchanges.find(ticket);
     if (found == exchanges.end())
         return;
-    Exchange   exchange = std::move(found->second);
+    Exchange exchange = std::move(found->second);
     exchanges.erase(found);
     const auto caller = exchange.caller.lock();
     if (step.kind == balance::StepKind::Answer)
     {
-        priv::ServerAnswer& answer = exchange.answers[step.attempt];
+        const priv::ServerAnswer& answer = exchange.answers[step.attempt];
         ++counters.answered;
         log(exchange, answer.head.status, "answered");
         if (caller && caller->ticket() == ticket)
-            caller->answer(answer.head, std::move(answer.body));
+            caller->answer(answer.head, answer.body);
         return;
     }
     OwnAnswer own;
@@ -369,19 +385,41 @@
 void Gateway::Impl::log(const Exchange& exchange, unsigned status, std::string_view reason)
 {
     const bool usual = status < 400 && exchange.attempts == 1;
-    const auto level = usual ? ports::Level::Debug : ports::Level::Info;
-    if (!events.writes(level))
-        return;
-    const auto took = core::toMilliseconds(priv::now() - exchange.since);
-    events.write(level, "request-ended",
+    const auto took = priv::now() - exchange.since;
+    latencies.record(exchange.host, usual ? "answered" : reason, took);
+    events.write(ports::Level::Info, usual ? "request-answered" : "request-ended",
                  {{"request", exchange.id},
                   {"status", status},
                   {"reason", reason},
-                  {"ms", took},
+                  {"ms", core::toMilliseconds(took)},
+                  {"version", version},
                   {"attempts", exchange.attempts},
                   {"sends", exchange.trail}});
 }
 
+////////////////////////////////////////////////////////////
+std::string Gateway::Impl::metrics() const
+{
+    std::string text = latencies.text();
+    const auto  add = [&text](std::string_view name, std::string_view type, auto value)
+    {
+        text.append("# TYPE sailpath_").append(name).append(" ").append(type).append("\nsailpath_").append(name);
+        text.append(" ").append(std::to_string(value)).append("\n");
+    };
+    add("attempts_total", "counter", counters.attempts);
+    add("further_attempts_total", "counter", counters.secondSends);
+    add("probes_total", "counter", counters.probes);
+    add("callers_left_total", "counter", counters.callersLeft);
+    add("server_connections_opened_total", "counter", servers.opened());
+    add("callers", "gauge", callers.size());
+    add("requests_unfinished", "gauge", exchanges.size());
+    add("body_bytes_held", "gauge", buffered);
+    add("configuration_version", "gauge", version);
+    if (furtherMetrics)
+        text += furtherMetrics();
+    return text;
+}
+
 ////////////////////////////////////////////////////////////
 Gateway::Gateway(asio::io_context& context, GatewaySettings settings, const Dialect& dialect, ports::EventLog& log) :
 m_impl(std::make_unique<Impl>(context, std::move(settings), dialect, log))
@@ -396,7 +434,10 @@
 {
     m_impl->balancer.configure(declared, priv::now());
     if (declared.deployment)
+    {
         m_impl->callerLimits = declared.deployment->limits;
+        m_impl->version = declared.deployment->version;
+    }
     const bool ready = declared.deployment && !declared.instances.empty();
     if (ready && !m_impl->ready)
         m_impl->events.write(ports::Level::Info, "ready",
@@ -405,6 +446,18 @@
     m_impl->carryOut();
 }
 
+////////////////////////////////////////////////////////////
+void Gateway::addMetrics(std::function<std::string()> further)
+{
+    m_impl->furtherMetrics = std::move(further);
+}
+
+////////////////////////////////////////////////////////////
+std::uint16_t Gateway::metricsPort() const
+{
+    return m_impl->metricsPage ? m_impl->metricsPage->port() : std::uint16_t{0};
+}
+
 ////////////////////////////////////////////////////////////
 void Gateway::leave()
 {
--- a/src/sailpath/gateway/ServerConnection.hpp
+++ b/src/sailpath/gateway/ServerConnection.hpp
@@ -52,11 +52,11 @@
     void abandon();                     //!< Break off without a report
     void close();                       //!< Close; a request under way is reported as lost
 
-    [[nodiscard]] const deployment::Instance& instance() const;              //!< Where it leads
-    [[nodiscard]] bool                        idle() const;                  //!< Open and at rest
-    [[nodiscard]] bool                        closed() const;                //!< Of no more use
-    [[nodiscard]] core::Duration              rest() const;                  //!< Time at rest
-    [[nodiscard]] core::Duration              restLimit() const;             //!< Rest that the server allows
+    [[nodiscard]] const deployment::Instance& instance() const;  //!< Where it leads
+    [[nodiscard]] bool                        idle() const;      //!< Open and at rest
+    [[nodiscard]] bool                        closed() const;    //!< Of no more use
+    [[nodiscard]] core::Duration              rest() const;      //!< Time at rest
+    [[nodiscard]] core::Duration              restLimit() const; //!< Rest that the server allows
 
 private:
     enum class State
@@ -68,34 +68,34 @@
         Closed      //!< Of no more use
     };
 
-    void connect();
-    void write();
-    void read();
-    void received(std::size_t bytes);
-    void ended(bool inOrder);
-    void answered();
-    void judge(balance::Outcome& outcome, const http::Head& head) const;
-    void judgeProbe(balance::Outcome& outcome, const http::Head& head) const;
-    void finish(const balance::Outcome& outcome, ServerAnswer answer, bool keep);
-    void startReader();
+    void               connect();
+    void               write();
+    void               read();
+    void               received(std::size_t bytes);
+    void               ended(bool inOrder);
+    void               answered();
+    void               judge(balance::Outcome& outcome, const http::Head& head) const;
+    void               judgeProbe(balance::Outcome& outcome, const http::Head& head) const;
+    void               finish(const balance::Outcome& outcome, ServerAnswer answer, bool keep);
+    void               startReader();
     [[nodiscard]] bool belongs(const http::Head& head) const;
 
-    asio::ip::tcp::socket                       m_socket;               //!< Connection
-    asio::steady_timer                          m_timer;                //!< For connecting
-    std::shared_ptr<const deployment::Instance> m_instance;             //!< Where it leads
-    const GatewaySettings&                      m_settings;             //!< Constants
-    const Dialect&                              m_dialect;              //!< Names
-    Changed                                     m_changed;              //!< Told when it comes to rest or closes
-    Done                                        m_done;                 //!< Told of the end of the request
-    Send                                        m_request;              //!< Under way
-    std::unique_ptr<http::MessageReader>        m_reader;               //!< Of the answer
-    std::string                                 m_unread;               //!< Bytes not taken yet
-    std::array<char, 8192>                      m_buffer{};             //!< Bytes as they come
-    std::chrono::steady_clock::time_point       m_since{};              //!< Start of the rest
-    core::Duration                              m_restLimit{};          //!< As the server said; 0 when it did not
-    State                                       m_state{State::New};    //!< What it does
-    bool                                        m_written{false};       //!< The request is out
-    bool                                        m_poisoned{false};      //!< Must not be used again
+    asio::ip::tcp::socket                       m_socket;            //!< Connection
+    asio::steady_timer                          m_timer;             //!< For connecting
+    std::shared_ptr<const deployment::Instance> m_instance;          //!< Where it leads
+    const GatewaySettings&                      m_settings;          //!< Constants
+    const Dialect&                              m_dialect;           //!< Names
+    Changed                                     m_changed;           //!< Told when it comes to rest or closes
+    Done                                        m_done;              //!< Told of the end of the request
+    Send                                        m_request;           //!< Under way
+    std::unique_ptr<http::MessageReader>        m_reader;            //!< Of the answer
+    std::string                                 m_unread;            //!< Bytes not taken yet
+    std::array<char, 8192>                      m_buffer{};          //!< Bytes as they come
+    std::chrono::steady_clock::time_point       m_since{};           //!< Start of the rest
+    core::Duration                              m_restLimit{};       //!< As the server said; 0 when it did not
+    State                                       m_state{State::New}; //!< What it does
+    bool                                        m_written{false};    //!< The request is out
+    bool                                        m_poisoned{false};   //!< Must not be used again
 };
 
 } // namespace sailpath::gateway::priv
--- a/src/sailpath/gateway/ServerConnections.cpp
+++ b/src/sailpath/gateway/ServerConnections.cpp
@@ -15,19 +15,22 @@
 }
 
 ////////////////////////////////////////////////////////////
-std::shared_ptr<ServerConnection>
-ServerConnections::take(const std::shared_ptr<const deployment::Instance>& instance, bool proven)
+std::shared_ptr<ServerConnection> ServerConnections::take(const std::shared_ptr<const deployment::Instance>& instance,
+                                                          bool                                               proven)
 {
-    List& list = m_byInstance[instance->id];
+    List&                             list = m_byInstance[instance->id];
     // The one that came to rest last is the likeliest to be open still.
-    for (auto item = list.rbegin(); item != list.rend(); ++item)
+    std::shared_ptr<ServerConnection> best;
+    for (const auto& connection : list)
     {
-        if (!(*item)->idle())
-            continue;
-        const core::Duration limit = proven ? std::min(m_settings.provenFor, restLimit(**item)) : restLimit(**item);
-        if ((*item)->rest() < limit)
-            return *item;
+        const core::Duration limit =
+            proven ? std::min(m_settings.provenFor, restLimit(*connection)) : restLimit(*connection);
+        const bool usable = connection->idle() && connection->rest() < limit;
+        if (usable && (!best || connection->rest() < best->rest()))
+            best = connection;
     }
+    if (best)
+        return best;
     ++m_opened;
     auto added = std::make_shared<ServerConnection>(m_context, instance, m_settings, m_dialect,
                                                     [this](ServerConnection& connection) { changed(connection); });
@@ -86,7 +89,8 @@
     const auto found = m_byInstance.find(instance.id);
     if (found == m_byInstance.end())
         return m_counted(instance, 0, 0);
-    const auto idle = std::count_if(found->second.begin(), found->second.end(), [](const auto& item) { return item->idle(); });
+    const auto idle =
+        std::count_if(found->second.begin(), found->second.end(), [](const auto& item) { return item->idle(); });
     m_counted(instance, static_cast<unsigned>(idle), static_cast<unsigned>(found->second.size()));
 }
 
--- a/src/sailpath/gateway/ServerConnections.hpp
+++ b/src/sailpath/gateway/ServerConnections.hpp
@@ -27,7 +27,7 @@
     /// \param proven Only one that rested for a short time
     ////////////////////////////////////////////////////////////
     [[nodiscard]] std::shared_ptr<ServerConnection> take(const std::shared_ptr<const deployment::Instance>& instance,
-                                                         bool proven);
+                                                         bool                                               proven);
 
     void sweep();    //!< Close what rested for long
     void closeAll(); //!< Close all that rest
@@ -35,18 +35,18 @@
     [[nodiscard]] std::uint64_t opened() const; //!< Connections opened since the start
 
 private:
-    void changed(ServerConnection& connection);
-    void count(const deployment::Instance& instance);
+    void                         changed(ServerConnection& connection);
+    void                         count(const deployment::Instance& instance);
     [[nodiscard]] core::Duration restLimit(const ServerConnection& connection) const;
 
     using List = std::vector<std::shared_ptr<ServerConnection>>;
 
-    asio::io_context&                     m_context;   //!< Loop
-    const GatewaySettings&                m_settings;  //!< Constants
-    const Dialect&                        m_dialect;   //!< Names
-    Counted                               m_counted;   //!< Told the counts
+    asio::io_context&                     m_context;    //!< Loop
+    const GatewaySettings&                m_settings;   //!< Constants
+    const Dialect&                        m_dialect;    //!< Names
+    Counted                               m_counted;    //!< Told the counts
     std::unordered_map<std::string, List> m_byInstance; //!< Open ones
-    std::uint64_t                         m_opened{0}; //!< Since the start
+    std::uint64_t                         m_opened{0};  //!< Since the start
 };
 
 } // namespace sailpath::gateway::priv
--- a/src/sailpath/gateway/ReadinessServer.cpp
+++ b/src/sailpath/gateway/StatusServer.cpp
@@ -1,4 +1,4 @@
-#include "ReadinessServer.hpp"
+#include "StatusServer.hpp"
 
 #include <sailpath/http/MessageReader.hpp>
 
@@ -19,10 +19,9 @@
 class Asker : public std::enable_shared_from_this<Asker>
 {
 public:
-    Asker(asio::ip::tcp::socket socket, const std::string& path, const std::function<bool()>& ready) :
+    Asker(asio::ip::tcp::socket socket, const StatusServer::Pages& pages) :
     m_socket(std::move(socket)),
-    m_path(path),
-    m_ready(ready),
+    m_pages(pages),
     m_reader(std::make_unique<http::MessageReader>(http::MessageKind::Request, headLimit, headLimit))
     {
     }
@@ -39,6 +38,20 @@
     }
 
 private:
+    void answer(const std::string& target)
+    {
+        const auto page = m_pages.find(target);
+        if (page == m_pages.end())
+        {
+            m_out = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+            return;
+        }
+        const StatusAnswer answer = page->second();
+        m_out = answer.status == 200 ? "HTTP/1.1 200 OK\r\n" : "HTTP/1.1 503 Service Unavailable\r\n";
+        m_out += "Content-Type: text/plain; version=0.0.4\r\nContent-Length: " + std::to_string(answer.body.size()) +
+                 "\r\n\r\n" + answer.body;
+    }
+
     void received(std::size_t bytes)
     {
         m_unread.append(m_buffer.data(), bytes);
@@ -48,11 +61,8 @@
             return read();
         if (state != http::ReadState::Done)
             return;
-        const bool known = m_reader->head().target == m_path;
         m_keep = m_reader->head().keepAlive;
-        m_out = !known      ? "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
-                : m_ready() ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-                            : "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+        answer(m_reader->head().target);
         m_reader = std::make_unique<http::MessageReader>(http::MessageKind::Request, headLimit, headLimit);
         auto self = shared_from_this();
         asio::async_write(m_socket, asio::buffer(m_out),
@@ -63,30 +73,27 @@
                           });
     }
 
-    asio::ip::tcp::socket                m_socket;   //!< Connection
-    const std::string&                   m_path;     //!< What is asked for
-    const std::function<bool()>&         m_ready;    //!< The answer
-    std::unique_ptr<http::MessageReader> m_reader;   //!< Of the question
-    std::array<char, 1024>               m_buffer{}; //!< Bytes as they come
-    std::string                          m_unread;   //!< Bytes not taken yet
-    std::string                          m_out;      //!< Answer
+    asio::ip::tcp::socket                m_socket;      //!< Connection
+    const StatusServer::Pages&           m_pages;       //!< What may be asked for
+    std::unique_ptr<http::MessageReader> m_reader;      //!< Of the question
+    std::array<char, 1024>               m_buffer{};    //!< Bytes as they come
+    std::string                          m_unread;      //!< Bytes not taken yet
+    std::string                          m_out;         //!< Answer
     bool                                 m_keep{false}; //!< Another question may follow
 };
 
 } // namespace
 
 ////////////////////////////////////////////////////////////
-ReadinessServer::ReadinessServer(asio::io_context& context, const adapters::settings::Endpoint& listen,
-                                 std::string path, std::function<bool()> ready) :
+StatusServer::StatusServer(asio::io_context& context, const adapters::settings::Endpoint& listen, Pages pages) :
 m_acceptor(context, asio::ip::tcp::endpoint(asio::ip::make_address(listen.address), listen.port), true),
-m_path(std::move(path)),
-m_ready(std::move(ready))
+m_pages(std::move(pages))
 {
     accept();
 }
 
 ////////////////////////////////////////////////////////////
-void ReadinessServer::accept()
+void StatusServer::accept()
 {
     m_acceptor.async_accept(
         [this](const asio::error_code& error, asio::ip::tcp::socket socket)
@@ -94,13 +101,13 @@
             if (error == asio::error::operation_aborted)
                 return;
             if (!error)
-                std::make_shared<Asker>(std::move(socket), m_path, m_ready)->read();
+                std::make_shared<Asker>(std::move(socket), m_pages)->read();
             accept();
         });
 }
 
 ////////////////////////////////////////////////////////////
-std::uint16_t ReadinessServer::port() const
+std::uint16_t StatusServer::port() const
 {
     return m_acceptor.local_endpoint().port();
 }
--- a/src/sailpath/http/Head.cpp
+++ b/src/sailpath/http/Head.cpp
@@ -17,8 +17,8 @@
 ////////////////////////////////////////////////////////////
 std::string_view Head::field(std::string_view name) const
 {
-    const auto found =
-        std::find_if(fields.begin(), fields.end(), [name](const HeaderField& item) { return sameName(item.name, name); });
+    const auto found = std::find_if(fields.begin(), fields.end(),
+                                    [name](const HeaderField& item) { return sameName(item.name, name); });
     return found == fields.end() ? std::string_view() : std::string_view(found->value);
 }
 
@@ -33,7 +33,8 @@
 bool concernsConnection(std::string_view name, std::string_view connection)
 {
     static constexpr std::array<std::string_view, 8> always{
-        "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE", "Trailer", "Upgrade", "Content-Length"};
+        "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+        "TE",         "Trailer",    "Upgrade",          "Content-Length"};
     if (std::any_of(always.begin(), always.end(), [name](std::string_view known) { return sameName(name, known); }))
         return true;
     while (!connection.empty())
--- a/src/sailpath/http/MessageReader.cpp
+++ b/src/sailpath/http/MessageReader.cpp
@@ -98,9 +98,9 @@
 ////////////////////////////////////////////////////////////
 struct MessageReader::Impl
 {
-    Collected                                                      collected;
-    std::variant<std::monostate, Parser<true>, Parser<false>>      parser;
-    ReadState                                                      state{ReadState::Head};
+    Collected                                                 collected;
+    std::variant<std::monostate, Parser<true>, Parser<false>> parser;
+    ReadState                                                 state{ReadState::Head};
 
     template <typename Work>
     auto visit(Work work)
@@ -154,7 +154,8 @@
     {
         ErrorCode         error;
         const std::size_t used = m_impl->visit(
-            [&](auto& parser) { return parser.put(boost::asio::buffer(bytes.data() + taken, bytes.size() - taken), error); });
+            [&](auto& parser)
+            { return parser.put(boost::asio::buffer(bytes.data() + taken, bytes.size() - taken), error); });
         taken += used;
         if (m_impl->state == ReadState::Head && m_impl->collected.headDone)
         {
--- a/src/sailpath/entry/TrafficMetrics.cpp
+++ b/src/sailpath/metrics/TrafficMetrics.cpp
@@ -1,4 +1,4 @@
-#include <sailpath/entry/TrafficMetrics.hpp>
+#include <sailpath/metrics/TrafficMetrics.hpp>
 
 #include <sailpath/core/StringMap.hpp>
 
@@ -12,7 +12,7 @@
 #include <map>
 #include <mutex>
 
-namespace sailpath::entry
+namespace sailpath::metrics
 {
 namespace
 {
@@ -106,4 +106,4 @@
     return text;
 }
 
-} // namespace sailpath::entry
+} // namespace sailpath::metrics
--- a/src/sailpath/replication/Replica.cpp
+++ b/src/sailpath/replication/Replica.cpp
@@ -10,18 +10,18 @@
 {
 namespace
 {
-constexpr auto          longestRest = std::chrono::milliseconds{500};
-constexpr auto          leastRest = std::chrono::milliseconds{5};
-constexpr auto          bootWait = std::chrono::milliseconds{600}; // For seeds to answer before a node calls the store itself
-constexpr auto          firstBackoff = std::chrono::milliseconds{250};
-constexpr auto          longestBackoff = std::chrono::milliseconds{1500};
-constexpr auto          proofWait = std::chrono::milliseconds{1};
-constexpr auto          nodesEvery = std::chrono::milliseconds{50}; // For each node known, between tellings of them
-constexpr auto          newNodesAfter = std::chrono::milliseconds{300};
-constexpr double        newNodesShare = 0.1; // More nodes than were told, so that they are told at once
-constexpr auto          watchPause = std::chrono::milliseconds{80};  // After news, so that more comes with the next call
-constexpr auto          relaySteady = std::chrono::milliseconds{1200}; // A relay is fresh this long before the own watch ends
-constexpr auto          connectPatience = std::chrono::milliseconds{700};
+constexpr auto   longestRest = std::chrono::milliseconds{500};
+constexpr auto   leastRest = std::chrono::milliseconds{5};
+constexpr auto   bootWait = std::chrono::milliseconds{600}; // For seeds to answer before a node calls the store itself
+constexpr auto   firstBackoff = std::chrono::milliseconds{250};
+constexpr auto   longestBackoff = std::chrono::milliseconds{1500};
+constexpr auto   proofWait = std::chrono::milliseconds{1};
+constexpr auto   nodesEvery = std::chrono::milliseconds{50}; // For each node known, between tellings of them
+constexpr auto   newNodesAfter = std::chrono::milliseconds{300};
+constexpr double newNodesShare = 0.1;                        // More nodes than were told, so that they are told at once
+constexpr auto   watchPause = std::chrono::milliseconds{80}; // After news, so that more comes with the next call
+constexpr auto   relaySteady = std::chrono::milliseconds{1200}; // A relay is fresh this long before the own watch ends
+constexpr auto   connectPatience = std::chrono::milliseconds{700};
 constexpr std::uint32_t longestAge = std::numeric_limits<std::uint32_t>::max();
 
 ////////////////////////////////////////////////////////////
@@ -85,7 +85,7 @@
     std::sort(ranked.begin(), ranked.end(),
               [](const Ranked& left, const Ranked& right)
               { return left.capacity != right.capacity ? left.capacity > right.capacity : left.rank < right.rank; });
-    const std::size_t        wanted = std::max<std::size_t>(m_settings.relays, nodes(now) / m_settings.nodesPerRelay + 1);
+    const std::size_t wanted = std::max<std::size_t>(m_settings.relays, nodes(now) / m_settings.nodesPerRelay + 1);
     // The first, then the first in other data centres, then whoever follows.
     std::vector<std::string> chosen;
     std::vector<std::string> places;
@@ -482,7 +482,8 @@
 ////////////////////////////////////////////////////////////
 unsigned Replica::nodes(core::Timestamp now) const
 {
-    return 1 + static_cast<unsigned>(std::count_if(m_known.begin(), m_known.end(), [&](const auto& item)
+    return 1 + static_cast<unsigned>(std::count_if(m_known.begin(), m_known.end(),
+                                                   [&](const auto& item)
                                                    { return now - item.second.heard < m_settings.countLife; }));
 }
 
--- /dev/null
+++ b/test/adapters/Links.test.cpp
@@ -0,0 +1,67 @@
+#include <sailpath/adapters/links/Codec.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+namespace
+{
+using namespace sailpath;
+using adapters::links::decode;
+using adapters::links::encode;
+using adapters::links::LinkMessage;
+
+////////////////////////////////////////////////////////////
+replication::Update updateOf()
+{
+    replication::Update update;
+    update.at = 12;
+    update.ageMs = 34;
+    update.illAgeMs = 56;
+    update.full = true;
+    update.items = {{"k", std::string("a\0b", 3), 7, false}, {"gone", "", 8, true}};
+    update.nodes = {
+        {"10.0.0.1:7000", "dc1", 700, 3}, {"10.0.0.2:7001", "dc2", 0, 0}, {"10.0.0.3:7002", "dc1", 99900, 9}};
+    return update;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LinksTest)
+
+BOOST_AUTO_TEST_CASE(AnUpdateComesBackAsItWas)
+{
+    const auto bytes = encode(LinkMessage(updateOf()));
+    const auto decoded = decode(bytes);
+    BOOST_REQUIRE(decoded.message);
+    BOOST_TEST(decoded.taken == bytes.size());
+    const auto& update = std::get<replication::Update>(*decoded.message);
+    BOOST_TEST(update.at == 12U);
+    BOOST_TEST(update.full);
+    BOOST_TEST((update.items == updateOf().items));
+    BOOST_REQUIRE_EQUAL(update.nodes.size(), 3U);
+    BOOST_TEST((update.nodes[0] == updateOf().nodes[0]));
+    BOOST_TEST(update.nodes[1].ageMs == 25500U); // The longest age that is told
+    BOOST_TEST((update.nodes[2] == updateOf().nodes[1]));
+}
+
+BOOST_AUTO_TEST_CASE(AHelloComesBackAsItWas)
+{
+    const auto  decoded = decode(encode(LinkMessage(replication::Hello{{"10.0.0.1:7000", "dc1", 0, 3}, 99})));
+    const auto& hello = std::get<replication::Hello>(*decoded.message);
+    BOOST_TEST((hello.self == replication::NodeAddress{"10.0.0.1:7000", "dc1", 0, 3}));
+    BOOST_TEST(hello.at == 99U);
+}
+
+BOOST_AUTO_TEST_CASE(APartIsWaitedForAndNonsenseIsMalformed)
+{
+    const auto bytes = encode(LinkMessage(updateOf()));
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+    {
+        const auto decoded = decode(std::string_view(bytes).substr(0, size));
+        BOOST_TEST(!decoded.message);
+        BOOST_TEST(!decoded.malformed);
+    }
+    BOOST_TEST(decode(std::string("\xff\xff\xff\xff rubbish")).malformed);
+    BOOST_TEST(decode(std::string("\x08\0\0\0\xff\xff\xff\xff\xff\xff\xff\xff", 12)).malformed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/balance/Balancer.test.cpp
+++ b/test/balance/Balancer.test.cpp
@@ -199,8 +199,8 @@
 
 BOOST_AUTO_TEST_CASE(WhatMayNotBeRepeatedIsSentOnceWhenItsOutcomeIsNotKnown)
 {
-    const auto sent = admit(1, "/pay/1");
-    const auto after = end(sent[0], AttemptEnd::Lost);
+    const auto  sent = admit(1, "/pay/1");
+    const auto  after = end(sent[0], AttemptEnd::Lost);
     const Step& refused = only(after, StepKind::Refuse);
     BOOST_TEST((refused.refusal.reason == RefusalReason::Unknown));
     BOOST_TEST(refused.refusal.mayHaveRun);
@@ -212,7 +212,7 @@
     const auto sent = admit(1, "/pay/1");
     const auto again = end(sent[0], AttemptEnd::NotRun, 503);
     BOOST_TEST(only(again, StepKind::Forward).instance->id != sent[0].instance->id);
-    const auto ended = end(only(again, StepKind::Forward), AttemptEnd::NotRun, 503);
+    const auto  ended = end(only(again, StepKind::Forward), AttemptEnd::NotRun, 503);
     const Step& refused = only(ended, StepKind::Refuse);
     BOOST_TEST((refused.refusal.reason == RefusalReason::NotRun));
     BOOST_TEST(!refused.refusal.mayHaveRun);
@@ -278,8 +278,8 @@
         now += 20ms;
         (void)end(only(next, StepKind::Forward), AttemptEnd::Answered);
     }
-    const auto slow = admit(100);
-    const auto later = pass(199ms);
+    const auto  slow = admit(100);
+    const auto  later = pass(199ms);
     const Step& hedge = only(later, StepKind::Forward);
     BOOST_TEST(hedge.instance->id != slow[0].instance->id);
     const auto won = end(hedge, AttemptEnd::Answered);
@@ -290,7 +290,7 @@
 
 BOOST_AUTO_TEST_CASE(AtTheRoutesTimeTheFinalAnswerIsGiven)
 {
-    const auto        begun = now;
+    const auto begun = now;
     (void)admit(1, "/read/1", 60s);
     const auto  all = pass(1s);
     const Step& refused = only(all, StepKind::Refuse);
--- a/test/balance/RetryWindow.test.cpp
+++ b/test/balance/RetryWindow.test.cpp
@@ -20,8 +20,8 @@
 ////////////////////////////////////////////////////////////
 std::size_t within(const std::vector<core::Timestamp>& times, core::Timestamp from, core::Timestamp to)
 {
-    return static_cast<std::size_t>(std::count_if(times.begin(), times.end(),
-                                                  [&](core::Timestamp time) { return time >= from && time < to; }));
+    return static_cast<std::size_t>(
+        std::count_if(times.begin(), times.end(), [&](core::Timestamp time) { return time >= from && time < to; }));
 }
 
 } // namespace
@@ -52,11 +52,11 @@
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed)
     {
-        constexpr std::size_t        nodes = 13;
-        core::Random                 random(seed);
-        core::Timestamp              now{1h};
-        std::vector<core::Timestamp> requests;
-        std::vector<core::Timestamp> further;
+        constexpr std::size_t                     nodes = 13;
+        core::Random                              random(seed);
+        core::Timestamp                           now{1h};
+        std::vector<core::Timestamp>              requests;
+        std::vector<core::Timestamp>              further;
         std::vector<std::unique_ptr<RetryWindow>> budgets(nodes);
         for (auto& budget : budgets)
             budget = std::make_unique<RetryWindow>(window, ratio, now);
@@ -80,9 +80,9 @@
         }
         for (core::Timestamp from{1h}; from < now; from += 250ms)
         {
-            const std::size_t counted = std::max({within(requests, from, from + window),
-                                                  within(requests, from - window, from),
-                                                  within(requests, from - window / 2, from + window / 2)});
+            const std::size_t counted =
+                std::max({within(requests, from, from + window), within(requests, from - window, from),
+                          within(requests, from - window / 2, from + window / 2)});
             const auto allowed = ratio * static_cast<double>(counted) + extra;
             BOOST_TEST(static_cast<double>(within(further, from, from + window)) <= allowed);
         }
--- a/test/entry/Proxy.test.cpp
+++ b/test/entry/Proxy.test.cpp
@@ -111,7 +111,7 @@
     SilentLog                              log;
     entry::DispatcherDoor                  door{{}};
     adapters::http::BackendClient          backend{200ms, 5s};
-    entry::TrafficMetrics                  metrics;
+    metrics::TrafficMetrics                metrics;
     support::FakeStore                     store;
     entry::ClaimDoor                       claims{store, [] { return core::Duration{0}; }};
     entry::Proxy                           proxy{"vm-1", door, backend, claims, metrics, log};
--- a/test/gateway/Gateway.test.cpp
+++ b/test/gateway/Gateway.test.cpp
@@ -123,7 +123,8 @@
     static std::string request(const std::string& path, const std::string& id, const std::string& more = {},
                                const std::string& method = "GET")
     {
-        return method + " " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Id: " + id + "\r\nX-Left: 5000\r\n" + more + "\r\n";
+        return method + " " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Id: " + id + "\r\nX-Left: 5000\r\n" + more +
+               "\r\n";
     }
 
     static std::string whole(const std::string& id, const std::string& body, const std::string& more = {})
@@ -183,7 +184,7 @@
     BOOST_TEST(statusOf(caller.readAnswer()) == 500);
     BOOST_TEST(fieldOf(setup.server.requests().at(0), "X-Id") == "trace-me");
     const std::lock_guard<std::mutex> lock(setup.log.mutex);
-    const auto at = setup.log.text.find("request=trace-me");
+    const auto                        at = setup.log.text.find("request=trace-me");
     BOOST_REQUIRE(at != std::string::npos);
     BOOST_TEST(setup.log.text.find("i-1", at) != std::string::npos);
 }
@@ -200,8 +201,9 @@
 
 BOOST_AUTO_TEST_CASE(AnAnswerOfAnotherRequestIsDroppedAndTheDueOneTaken)
 {
-    Fixture    setup([](const std::string& request)
-                  { return Script{Fixture::whole("other", "wrong") + Fixture::whole(fieldOf(request, "X-Id"), "right")}; });
+    Fixture setup(
+        [](const std::string& request)
+        { return Script{Fixture::whole("other", "wrong") + Fixture::whole(fieldOf(request, "X-Id"), "right")}; });
     TestCaller caller(setup.gateway->port());
     caller.write(Fixture::request("/pay/x", "a1"));
     BOOST_TEST(caller.readAnswer().ends_with("right"));
@@ -221,8 +223,9 @@
 
 BOOST_AUTO_TEST_CASE(SuccessWithoutTheServersMarkIsNotPassedOn)
 {
-    Fixture    setup([](const std::string& request)
-                  { return Script{"HTTP/1.1 200 OK\r\nX-Id: " + fieldOf(request, "X-Id") + "\r\nContent-Length: 2\r\n\r\nno"}; });
+    Fixture setup(
+        [](const std::string& request)
+        { return Script{"HTTP/1.1 200 OK\r\nX-Id: " + fieldOf(request, "X-Id") + "\r\nContent-Length: 2\r\n\r\nno"}; });
     TestCaller caller(setup.gateway->port());
     caller.write(Fixture::request("/pay/x", "a1"));
     BOOST_TEST(statusOf(caller.readAnswer()) == 502);
@@ -230,13 +233,14 @@
 
 BOOST_AUTO_TEST_CASE(AnAnswerCutShortIsNotPassedOnAsWhole)
 {
-    Fixture    setup([](const std::string& request)
-                  {
-                      Script script{"HTTP/1.1 200 OK\r\nX-Mark: m\r\nX-Id: " + fieldOf(request, "X-Id") +
-                                    "\r\nContent-Length: 20\r\n\r\npart"};
-                      script.close = true;
-                      return script;
-                  });
+    Fixture setup(
+        [](const std::string& request)
+        {
+            Script script{"HTTP/1.1 200 OK\r\nX-Mark: m\r\nX-Id: " + fieldOf(request, "X-Id") +
+                          "\r\nContent-Length: 20\r\n\r\npart"};
+            script.close = true;
+            return script;
+        });
     TestCaller caller(setup.gateway->port());
     caller.write(Fixture::request("/pay/x", "a1"));
     BOOST_TEST(statusOf(caller.readAnswer()) == 502);
@@ -246,13 +250,14 @@
 {
     for (const bool reset : {false, true})
     {
-        Fixture    setup([reset](const std::string& request)
-                      {
-                          Script script{"HTTP/1.1 200 OK\r\nX-Mark: m\r\nX-Id: " + fieldOf(request, "X-Id") + "\r\n\r\nbody"};
-                          script.close = true;
-                          script.reset = reset;
-                          return script;
-                      });
+        Fixture setup(
+            [reset](const std::string& request)
+            {
+                Script script{"HTTP/1.1 200 OK\r\nX-Mark: m\r\nX-Id: " + fieldOf(request, "X-Id") + "\r\n\r\nbody"};
+                script.close = true;
+                script.reset = reset;
+                return script;
+            });
         TestCaller caller(setup.gateway->port());
         caller.write(Fixture::request("/pay/x", "a1"));
         BOOST_TEST(statusOf(caller.readAnswer()) == (reset ? 502 : 200));
@@ -261,10 +266,9 @@
 
 BOOST_AUTO_TEST_CASE(ARefusalWithoutTheServersMarkIsNoPromise)
 {
-    Fixture    setup([](const std::string& request)
-                  {
-                      return Script{"HTTP/1.1 503 No\r\nX-Id: " + fieldOf(request, "X-Id") + "\r\nContent-Length: 0\r\n\r\n"};
-                  });
+    Fixture setup(
+        [](const std::string& request)
+        { return Script{"HTTP/1.1 503 No\r\nX-Id: " + fieldOf(request, "X-Id") + "\r\nContent-Length: 0\r\n\r\n"}; });
     TestCaller caller(setup.gateway->port());
     caller.write(Fixture::request("/pay/x", "a1"));
     BOOST_TEST(statusOf(caller.readAnswer()) == 502);
@@ -272,11 +276,12 @@
 
 BOOST_AUTO_TEST_CASE(ARefusalWithTheServersMarkIsOneAndSaysWhenToComeBack)
 {
-    Fixture    setup([](const std::string& request)
-                  {
-                      return Script{"HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nX-Id: " + fieldOf(request, "X-Id") +
-                                    "\r\nContent-Length: 0\r\n\r\n"};
-                  });
+    Fixture setup(
+        [](const std::string& request)
+        {
+            return Script{"HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nX-Id: " + fieldOf(request, "X-Id") +
+                          "\r\nContent-Length: 0\r\n\r\n"};
+        });
     TestCaller caller(setup.gateway->port());
     caller.write(Fixture::request("/pay/x", "a1"));
     const std::string answer = caller.readAnswer();
@@ -286,12 +291,13 @@
 
 BOOST_AUTO_TEST_CASE(ACallerThatHangsUpIsCancelledAtTheServer)
 {
-    Fixture    setup([](const std::string&)
-                  {
-                      Script script;
-                      script.silent = true;
-                      return script;
-                  });
+    Fixture setup(
+        [](const std::string&)
+        {
+            Script script;
+            script.silent = true;
+            return script;
+        });
     TestCaller caller(setup.gateway->port());
     caller.write(Fixture::request("/read/x", "a1"));
     while (setup.server.requests().empty())
@@ -304,12 +310,13 @@
 
 BOOST_AUTO_TEST_CASE(AtTheRoutesTimeTheFinalAnswerComes)
 {
-    Fixture    setup([](const std::string&)
-                  {
-                      Script script;
-                      script.silent = true;
-                      return script;
-                  });
+    Fixture setup(
+        [](const std::string&)
+        {
+            Script script;
+            script.silent = true;
+            return script;
+        });
     TestCaller caller(setup.gateway->port());
     caller.write(Fixture::request("/pay/x", "a1"));
     BOOST_TEST(statusOf(caller.readAnswer()) == 504);
@@ -322,7 +329,8 @@
     for (int i = 0; i < 300; ++i)
     {
         slow.push_back(std::make_unique<TestCaller>(setup.gateway->port()));
-        slow.back()->write(Fixture::request("/pay/x", "s" + std::to_string(i), "Content-Length: 100\r\n", "POST") + "a");
+        slow.back()->write(Fixture::request("/pay/x", "s" + std::to_string(i), "Content-Length: 100\r\n", "POST") +
+                           "a");
     }
     TestCaller other(setup.gateway->port());
     other.write(Fixture::request("/read/x", "quick"));
@@ -352,7 +360,8 @@
     for (int i = 0; i < 3; ++i)
     {
         callers.push_back(std::make_unique<TestCaller>(setup.gateway->port()));
-        callers.back()->write(Fixture::request("/pay/x", "b", "Content-Length: 49000\r\n", "POST") + std::string(45000, 'x'));
+        callers.back()->write(Fixture::request("/pay/x", "b", "Content-Length: 49000\r\n", "POST") +
+                              std::string(45000, 'x'));
     }
     int refused = 0;
     for (const auto& caller : callers)
@@ -365,12 +374,13 @@
 
 BOOST_AUTO_TEST_CASE(APlannedStopAnswersWhatIsUnderWayAndIsNotReady)
 {
-    Fixture    setup([](const std::string& request)
-                  {
-                      Script script = Fixture::echo(request);
-                      script.delay = 300ms;
-                      return script;
-                  });
+    Fixture setup(
+        [](const std::string& request)
+        {
+            Script script = Fixture::echo(request);
+            script.delay = 300ms;
+            return script;
+        });
     TestCaller before(setup.gateway->readinessPort());
     before.write("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
     BOOST_TEST(statusOf(before.readAnswer()) == 200);
--- a/test/http/MessageReader.test.cpp
+++ b/test/http/MessageReader.test.cpp
@@ -49,7 +49,8 @@
 BOOST_AUTO_TEST_CASE(ChunkedBodyIsJoined)
 {
     MessageReader reader(MessageKind::Request, headLimit, bodyLimit);
-    BOOST_TEST(feed(reader, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", 1).empty());
+    BOOST_TEST(feed(reader, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", 1)
+                   .empty());
     BOOST_TEST((reader.state() == ReadState::Done));
     BOOST_TEST(reader.takeBody() == "abcde");
 }
@@ -92,7 +93,7 @@
 BOOST_AUTO_TEST_CASE(LimitsAreKept)
 {
     MessageReader head(MessageKind::Request, headLimit, bodyLimit);
-    (void)feed(head, "GET / HTTP/1.1\r\nX: " + std::string(2 * headLimit, 'x'), 100);
+    (void)feed(head, "GET / HTTP/1.1\r\nX: " + std::string(2UL * headLimit, 'x'), 100);
     BOOST_TEST((head.state() == ReadState::HeadTooLarge));
     MessageReader body(MessageKind::Request, headLimit, bodyLimit);
     (void)feed(body, "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n", 100);
--- /dev/null
+++ b/test/platform/Platform.test.cpp
@@ -0,0 +1,251 @@
+#include "StoreStandIn.hpp"
+
+#include <platform/JsonTranslator.hpp>
+#include <platform/KvSource.hpp>
+#include <platform/Names.hpp>
+
+#include <sailpath/fleet/FleetThread.hpp>
+
+#include <asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <optional>
+
+namespace
+{
+using namespace sailpath;
+using namespace std::chrono_literals;
+using replication::SourceAnswer;
+using replication::SourceStatus;
+using standins::StoreFault;
+using standins::StoreStandIn;
+
+constexpr std::string_view configuration = R"({"Version":7,"Other":{"x":1},
+ "Routes":[{"Name":"r1","Host":"a.example","PathPrefix":"/x/","RouteType":"safe","TimeoutS":0.8,"TargetLatencyS":0.2,
+            "Priority":2,"Split":[{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}],"MaxAttempts":2,"New":[]},
+           {"Name":"r2","Host":"b.example","PathPrefix":"/y/","RouteType":"unsafe","TimeoutS":1,"Service":"s1","MaxAttempts":1}],
+ "Services":[{"Name":"s1","HealthPath":"/health","MaxConns":220,"Protocol":"h1"},{"Name":"s2"}],
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,"HeaderTimeoutS":3,"IdleTimeoutS":15}})";
+
+////////////////////////////////////////////////////////////
+class QuietLog : public ports::EventLog
+{
+public:
+    [[nodiscard]] bool writes(ports::Level) const override
+    {
+        return false;
+    }
+
+    void write(ports::Level, std::string_view, std::initializer_list<ports::Field>) override
+    {
+    }
+};
+
+////////////////////////////////////////////////////////////
+/// \brief Make one call and run the loop until its answer
+////////////////////////////////////////////////////////////
+struct Caller
+{
+    SourceAnswer read()
+    {
+        return run([this](auto answered) { source.read(answered); });
+    }
+
+    SourceAnswer watch(std::uint64_t after, core::Duration wait)
+    {
+        return run([&](auto answered) { source.watch(after, wait, answered); });
+    }
+
+    template <typename Call>
+    SourceAnswer run(Call call)
+    {
+        std::optional<SourceAnswer> got;
+        call([&](SourceAnswer answer) { got = std::move(answer); });
+        context.restart();
+        while (!got && context.run_one() > 0)
+        {
+        }
+        BOOST_REQUIRE(got);
+        return *got;
+    }
+
+    StoreStandIn       store{3};
+    asio::io_context   context;
+    platform::KvSource source{context, {"127.0.0.1", store.port()}};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(JsonTranslatorTest)
+
+BOOST_AUTO_TEST_CASE(AConfigurationIsReadAndUnknownFieldsAreSkipped)
+{
+    core::Findings findings;
+    const auto     read = platform::JsonTranslator().deployment(configuration, findings);
+    BOOST_REQUIRE_MESSAGE(read, findings.text());
+    BOOST_TEST(read->version == 7U);
+    BOOST_REQUIRE_EQUAL(read->routes.size(), 2U);
+    BOOST_TEST(read->routes[0].repeatable);
+    BOOST_TEST((read->routes[0].timeout == 800ms));
+    BOOST_TEST((read->routes[0].targetLatency == 200ms));
+    BOOST_TEST(read->routes[0].parts.size() == 2U);
+    BOOST_TEST(!read->routes[1].repeatable);
+    BOOST_TEST((read->routes[1].targetLatency == 1s));
+    BOOST_TEST(read->services[0].connections == 220U);
+    BOOST_TEST((read->limits.idleTime == 15s));
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsWrongIsFoundTogetherWithItsPlace)
+{
+    std::string bad(configuration);
+    bad.replace(bad.find("\"safe\""), 6, "\"some\"");
+    bad.replace(bad.find("\"/y/\""), 5, "\"/y\"");
+    bad.replace(bad.find("\"MaxAttempts\":1"), 15, "\"MaxAttempts\":0");
+    bad.replace(bad.find("{\"Name\":\"s2\"}"), 13, "{\"Name\":\"s3\"}");
+    core::Findings findings;
+    BOOST_TEST(!platform::JsonTranslator().deployment(bad, findings));
+    const std::string text = findings.text();
+    for (const char* place :
+         {"Routes[0].RouteType", "Routes[1].PathPrefix", "Routes[1].MaxAttempts", "unknown service s2"})
+        BOOST_TEST(text.find(place) != std::string::npos, place);
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsCutShortIsNoConfiguration)
+{
+    for (std::size_t size = 0; size < configuration.size() - 1; size += 7)
+    {
+        core::Findings findings;
+        BOOST_TEST(!platform::JsonTranslator().deployment(configuration.substr(0, size), findings));
+        BOOST_TEST(!findings.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AnAnnouncementIsRead)
+{
+    constexpr std::string_view value =
+        R"({"Service":"s1","Address":"10.1.2.3:80","Zone":"z","Version":"v1","Slots":3,"State":"draining","WarmupLeftS":1.5,"Seq":4})";
+    core::Findings findings;
+    const auto     read = platform::JsonTranslator().announcement("servers/i-1", value, findings);
+    BOOST_REQUIRE(read);
+    BOOST_TEST(read->instance.id == "i-1");
+    BOOST_TEST(read->instance.port == 80);
+    BOOST_TEST(read->instance.draining);
+    BOOST_TEST((read->instance.warmUp == 1500ms));
+    BOOST_TEST(read->sequence == 4U);
+    BOOST_TEST(
+        !platform::JsonTranslator().announcement("servers/i-1", R"({"Service":"s1","Address":"nowhere"})", findings));
+    BOOST_TEST(!findings.empty());
+}
+
+BOOST_AUTO_TEST_CASE(LoadReportsOfThreeOrFourFigures)
+{
+    const auto parse = platform::dialect().parseLoad;
+    BOOST_TEST(parse("3,1,8")->waiting == 1U);
+    BOOST_TEST(parse("3,1,8")->pace == 1.0);
+    BOOST_TEST(parse("3,0,8,450")->pace == 4.5);
+    for (const char* bad : {"", "3", "3,1", "a,b,c", "3,1,0", "3;1;8"})
+        BOOST_TEST(!parse(bad), bad);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(KvSourceTest, Caller)
+
+BOOST_AUTO_TEST_CASE(AllPagesAreReadAndTheRevisionIsTheFirstPages)
+{
+    for (int i = 0; i < 8; ++i)
+        store.put("servers/i " + std::to_string(i), "value " + std::to_string(i));
+    const SourceAnswer answer = read();
+    BOOST_TEST((answer.status == SourceStatus::Ok));
+    BOOST_REQUIRE_EQUAL(answer.items.size(), 8U);
+    BOOST_TEST(answer.items[7].value == "value 7");
+    BOOST_TEST(answer.at == 9U);
+    BOOST_TEST(store.calls() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(AWatchTellsWritesAndRemovals)
+{
+    store.put("a", "1");
+    store.remove("b");
+    const SourceAnswer answer = watch(1, 5s);
+    BOOST_TEST((answer.status == SourceStatus::Ok));
+    BOOST_REQUIRE_EQUAL(answer.items.size(), 2U);
+    BOOST_TEST(!answer.items[0].gone);
+    BOOST_TEST(answer.items[1].gone);
+    BOOST_TEST(answer.at == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(AWatchWithoutChangesEndsInItsTime)
+{
+    const SourceAnswer answer = watch(1, 5ms);
+    BOOST_TEST((answer.status == SourceStatus::Ok));
+    BOOST_TEST(answer.items.empty());
+    BOOST_TEST(answer.at == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(LostHistoryIsTold)
+{
+    store.put("a", "1");
+    store.forgetHistory();
+    BOOST_TEST((watch(1, 1s).status == SourceStatus::HistoryLost));
+}
+
+BOOST_AUTO_TEST_CASE(EveryFaultIsAFailureAndTheNextCallWorks)
+{
+    store.put("a", "1");
+    for (const StoreFault fault :
+         {StoreFault::Refuse, StoreFault::TooMany, StoreFault::Silent, StoreFault::LostAnswer, StoreFault::Garbled})
+    {
+        store.setFault(fault);
+        BOOST_TEST((read().status == SourceStatus::Failed));
+        BOOST_TEST((watch(0, 1ms).status == SourceStatus::Failed));
+        store.setFault(StoreFault::None);
+        BOOST_TEST((read().status == SourceStatus::Ok));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(FleetThreadTest)
+
+BOOST_AUTO_TEST_CASE(WhatIsDeclaredReachesTheDataPathAndABadConfigurationDoesNot)
+{
+    StoreStandIn                   store;
+    const platform::JsonTranslator translator;
+    QuietLog                       log;
+    std::mutex                     mutex;
+    deployment::Declared           last;
+    std::condition_variable        changed;
+    fleet::FleetSettings           settings;
+    settings.listen = {"127.0.0.1", 0};
+    settings.replica.self = {"127.0.0.1:1", "dc", 0, 0};
+    const fleet::FleetThread fleet(
+        settings,
+        [&](asio::io_context& loop) {
+            return std::make_unique<platform::KvSource>(loop, adapters::settings::Endpoint{"127.0.0.1", store.port()});
+        },
+        translator,
+        [&](deployment::Declared declared)
+        {
+            const std::lock_guard<std::mutex> lock(mutex);
+            last = std::move(declared);
+            changed.notify_all();
+        },
+        log);
+    const auto reaches = [&](const std::function<bool()>& condition)
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        return changed.wait_for(lock, 10s, condition);
+    };
+    store.put("op/config", std::string(configuration));
+    store.put("servers/i-1", R"({"Service":"s1","Address":"10.1.2.3:80","State":"ready","Seq":1})");
+    BOOST_TEST(reaches([&] { return last.deployment && last.instances.size() == 1; }));
+    store.put("op/config", "{\"Version\":8}");
+    store.put("servers/i-1", R"({"Service":"s1","Address":"10.1.2.3:80","State":"draining","Seq":2})");
+    BOOST_TEST(reaches([&] { return !last.instances.empty() && last.instances[0].draining; }));
+    const std::lock_guard<std::mutex> lock(mutex);
+    BOOST_TEST(last.deployment->version == 7U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/support/ReplicaGroup.cpp
+++ b/test/support/ReplicaGroup.cpp
@@ -179,7 +179,7 @@
 }
 
 ////////////////////////////////////////////////////////////
-void ReplicaGroup::toNode(std::size_t index, std::uint64_t life, std::function<void()> work)
+void ReplicaGroup::toNode(std::size_t index, std::uint64_t life, const std::function<void()>& work)
 {
     Node& node = m_nodes[index];
     if (!node.replica || node.life != life)
@@ -205,8 +205,7 @@
            Node&      node = m_nodes[index];
            const auto mode = m_mode == StoreMode::Well ? node.store : m_mode;
            if (node.cutStore || mode == StoreMode::Silent)
-               return at(m_now + callPatience,
-                         [this, index, life]
+               return at(m_now + callPatience, [this, index, life]
                          { toNode(index, life, [&] { m_nodes[index].replica->storeFailed(m_now); }); });
            if (mode == StoreMode::Refuse)
                return at(m_now + storeWay, [this, index, life]
@@ -256,8 +255,7 @@
             left.push_back(watch);
             continue;
         }
-        at(m_now + storeWay,
-           [this, index, life, items = std::move(items), revision = m_revision]
+        at(m_now + storeWay, [this, index, life, items = std::move(items), revision = m_revision]
            { toNode(index, life, [&] { m_nodes[index].replica->storeChanged(items, revision, m_now); }); });
     }
     for (Watch& watch : left)
@@ -281,18 +279,15 @@
     if (std::get_if<replication::ReadStore>(&action) != nullptr)
     {
         const auto asked = m_now;
-        storeCall(index,
-                  [this, index, life, asked]
-                  {
-                      auto items = since(0);
-                      std::erase_if(items, [](const Item& item) { return item.gone; });
-                      at(m_now + storeWay,
-                         [this, index, life, asked, items, revision = m_revision]
-                         {
-                             toNode(index, life,
-                                    [&] { m_nodes[index].replica->storeRead(items, revision, asked, m_now); });
-                         });
-                  });
+        storeCall(
+            index,
+            [this, index, life, asked]
+            {
+                auto items = since(0);
+                std::erase_if(items, [](const Item& item) { return item.gone; });
+                at(m_now + storeWay, [this, index, life, asked, items, revision = m_revision]
+                   { toNode(index, life, [&] { m_nodes[index].replica->storeRead(items, revision, asked, m_now); }); });
+            });
     }
     else if (const auto* watch = std::get_if<replication::WatchStore>(&action))
     {
@@ -355,7 +350,8 @@
                           if (const auto* said = std::get_if<replication::SendHello>(&message))
                               replica.helloReceived(far.second, said->hello, m_now);
                           else
-                              replica.updateReceived(far.second, std::get<replication::SendUpdate>(message).update, m_now);
+                              replica.updateReceived(far.second, std::get<replication::SendUpdate>(message).update,
+                                                     m_now);
                       });
            });
     }
@@ -400,8 +396,8 @@
 ////////////////////////////////////////////////////////////
 std::size_t ReplicaGroup::watchers() const
 {
-    return static_cast<std::size_t>(std::count_if(m_nodes.begin(), m_nodes.end(), [](const Node& node)
-                                                  { return node.replica && node.replica->watching(); }));
+    return static_cast<std::size_t>(std::count_if(
+        m_nodes.begin(), m_nodes.end(), [](const Node& node) { return node.replica && node.replica->watching(); }));
 }
 
 ////////////////////////////////////////////////////////////
--- a/test/support/ReplicaGroup.hpp
+++ b/test/support/ReplicaGroup.hpp
@@ -28,8 +28,8 @@
 
     ReplicaGroup(std::size_t nodes, std::uint64_t seed);
 
-    void start(std::size_t node); //!< Start or restart a node; its copy is gone
-    void kill(std::size_t node);  //!< End a node, its links reset
+    void start(std::size_t node);                               //!< Start or restart a node; its copy is gone
+    void kill(std::size_t node);                                //!< End a node, its links reset
     void cut(std::size_t node, bool fromStore, bool fromPeers); //!< Silence towards the store, the other nodes
     void heal(std::size_t node);                                //!< End its cuts
 
@@ -42,23 +42,23 @@
 
     [[nodiscard]] bool                        running(std::size_t node) const;
     [[nodiscard]] const replication::Replica& replica(std::size_t node) const;
-    [[nodiscard]] std::string                 valueAt(std::size_t node, const std::string& key) const; //!< Empty when there is none
-    [[nodiscard]] std::string                 value(const std::string& key) const;                    //!< In the store
-    [[nodiscard]] std::uint64_t               calls() const;         //!< Of the store, by all
-    [[nodiscard]] std::size_t                 watchers() const;      //!< Nodes that call the store
-    [[nodiscard]] bool                        wentBack() const;      //!< Some node took a lower revision of a key in one life
-    [[nodiscard]] core::Timestamp             now() const;
+    [[nodiscard]] std::string     valueAt(std::size_t node, const std::string& key) const; //!< Empty when there is none
+    [[nodiscard]] std::string     value(const std::string& key) const;                     //!< In the store
+    [[nodiscard]] std::uint64_t   calls() const;                                           //!< Of the store, by all
+    [[nodiscard]] std::size_t     watchers() const; //!< Nodes that call the store
+    [[nodiscard]] bool            wentBack() const; //!< Some node took a lower revision of a key in one life
+    [[nodiscard]] core::Timestamp now() const;
 
 private:
     struct Node
     {
-        std::unique_ptr<replication::Replica>  replica;            //!< Null when it does not run
-        std::uint64_t                          life{0};            //!< Counts starts
-        StoreMode                              store{StoreMode::Well}; //!< How the store treats it
-        bool                                   cutStore{false};    //!< No path to the store
-        bool                                   cutPeers{false};    //!< No path to other nodes
-        std::map<std::string, std::uint64_t>   seen;               //!< Revision by key in this life
-        core::Timestamp                        tickAt{};           //!< Next tick
+        std::unique_ptr<replication::Replica> replica;                //!< Null when it does not run
+        std::uint64_t                         life{0};                //!< Counts starts
+        StoreMode                             store{StoreMode::Well}; //!< How the store treats it
+        bool                                  cutStore{false};        //!< No path to the store
+        bool                                  cutPeers{false};        //!< No path to other nodes
+        std::map<std::string, std::uint64_t>  seen;                   //!< Revision by key in this life
+        core::Timestamp                       tickAt{};               //!< Next tick
         std::map<replication::LinkId, std::pair<std::size_t, replication::LinkId>> ends; //!< Far end of each link
     };
 
@@ -70,30 +70,30 @@
         core::Timestamp until;
     };
 
-    void act(std::size_t node);
-    void perform(std::size_t node, const replication::ReplicaAction& action);
-    void at(core::Timestamp time, std::function<void()> work);
-    void storeCall(std::size_t node, std::function<void()> work);
-    void answerWatches();
-    void breakLink(std::size_t node, replication::LinkId link);
-    void toNode(std::size_t node, std::uint64_t life, std::function<void()> work);
+    void               act(std::size_t node);
+    void               perform(std::size_t node, const replication::ReplicaAction& action);
+    void               at(core::Timestamp time, std::function<void()> work);
+    void               storeCall(std::size_t node, std::function<void()> work);
+    void               answerWatches();
+    void               breakLink(std::size_t node, replication::LinkId link);
+    void               toNode(std::size_t node, std::uint64_t life, std::function<void()> work);
     [[nodiscard]] bool reach(std::size_t from, std::size_t to) const;
     [[nodiscard]] std::vector<replication::Item> since(std::uint64_t revision) const;
     static std::string                           addressOf(std::size_t node);
 
-    core::Timestamp                                            m_now{std::chrono::hours{1}};
-    core::Random                                               m_random;
-    std::uint64_t                                              m_seed;
-    std::vector<Node>                                          m_nodes;
-    std::multimap<core::Timestamp, std::function<void()>>      m_queue;
-    std::map<std::string, replication::Item>                   m_store;
-    std::uint64_t                                              m_revision{1};
-    std::uint64_t                                              m_compacted{0};
-    StoreMode                                                  m_mode{StoreMode::Well};
-    std::vector<Watch>                                         m_watches;
-    std::uint64_t                                              m_calls{0};
-    replication::LinkId                                        m_nextAccepted{2};
-    bool                                                       m_wentBack{false};
+    core::Timestamp                                       m_now{std::chrono::hours{1}};
+    core::Random                                          m_random;
+    std::uint64_t                                         m_seed;
+    std::vector<Node>                                     m_nodes;
+    std::multimap<core::Timestamp, std::function<void()>> m_queue;
+    std::map<std::string, replication::Item>              m_store;
+    std::uint64_t                                         m_revision{1};
+    std::uint64_t                                         m_compacted{0};
+    StoreMode                                             m_mode{StoreMode::Well};
+    std::vector<Watch>                                    m_watches;
+    std::uint64_t                                         m_calls{0};
+    replication::LinkId                                   m_nextAccepted{2};
+    bool                                                  m_wentBack{false};
 };
 
 } // namespace sailpath::support
--- a/test/support/ScriptedServer.cpp
+++ b/test/support/ScriptedServer.cpp
@@ -176,8 +176,8 @@
         const auto end = m_unread.find("\r\n\r\n");
         if (end != std::string::npos && m_unread.size() >= end + 4 + lengthOf(m_unread.substr(0, end + 2)))
         {
-            const auto        size = end + 4 + lengthOf(m_unread.substr(0, end + 2));
-            const std::string answer = m_unread.substr(0, size);
+            const auto  size = end + 4 + lengthOf(m_unread.substr(0, end + 2));
+            std::string answer = m_unread.substr(0, size);
             m_unread.erase(0, size);
             return answer;
         }
--- a/test/support/ScriptedServer.hpp
+++ b/test/support/ScriptedServer.hpp
@@ -46,16 +46,16 @@
     void serve(asio::ip::tcp::socket& socket);
     bool readRequest(asio::ip::tcp::socket& socket, std::string& unread, std::string& request);
 
-    Answer                             m_answer;       //!< Script
-    asio::io_context                   m_context;      //!< For the sockets
-    asio::ip::tcp::acceptor            m_acceptor;     //!< Listens
-    std::atomic<bool>                  m_ending{false}; //!< The server ends
-    std::atomic<std::size_t>           m_hangUps{0};   //!< Count
-    mutable std::mutex                 m_mutex;        //!< Guards what follows
-    std::vector<std::string>           m_requests;     //!< As they came
-    std::vector<std::shared_ptr<asio::ip::tcp::socket>> m_sockets; //!< Of the connections
-    std::vector<std::thread>           m_threads;      //!< Of the connections
-    std::thread                        m_thread;       //!< Accepts
+    Answer                                              m_answer;        //!< Script
+    asio::io_context                                    m_context;       //!< For the sockets
+    asio::ip::tcp::acceptor                             m_acceptor;      //!< Listens
+    std::atomic<bool>                                   m_ending{false}; //!< The server ends
+    std::atomic<std::size_t>                            m_hangUps{0};    //!< Count
+    mutable std::mutex                                  m_mutex;         //!< Guards what follows
+    std::vector<std::string>                            m_requests;      //!< As they came
+    std::vector<std::shared_ptr<asio::ip::tcp::socket>> m_sockets;       //!< Of the connections
+    std::vector<std::thread>                            m_threads;       //!< Of the connections
+    std::thread                                         m_thread;        //!< Accepts
 };
 
 ////////////////////////////////////////////////////////////
