--- a/test/support/ReplicaGroup.hpp
+++ b/test/support/ReplicaGroup.hpp
@@ -76,7 +76,7 @@
     void               storeCall(std::size_t node, std::function<void()> work);
     void               answerWatches();
     void               breakLink(std::size_t node, replication::LinkId link);
-    void               toNode(std::size_t node, std::uint64_t life, std::function<void()> work);
+    void               toNode(std::size_t node, std::uint64_t life, const std::function<void()>& work);
     [[nodiscard]] bool reach(std::size_t from, std::size_t to) const;
     [[nodiscard]] std::vector<replication::Item> since(std::uint64_t revision) const;
     static std::string                           addressOf(std::size_t node);
