What would be late is not let in; distance counts the less the busier all servers are

Bytes between zones were half probes and answers of far servers that were no better than near ones. Ruled out: a shorter list of what counts as good (1.2 for 1.4), two probes a round, updates every 700 ms: no gain.

--- a/include/sailpath/balance/Settings.hpp
+++ b/include/sailpath/balance/Settings.hpp
@@ -17,7 +17,7 @@
     double         retryExtra{0};                         //!< Further sends beyond the share, over the fleet
     core::Duration retryWindow{std::chrono::seconds{10}}; //!< Span that the retry budget is counted over
     core::Duration otherDataCentre{std::chrono::milliseconds{4}}; //!< Assumed round trip to another data centre
-    double         otherDataCentreCost{0.5}; //!< Usual works that a far server may be behind a near one
+    double         otherDataCentreCost{1.2}; //!< Usual works that a far server may be behind a near one
     core::Duration connectCost{std::chrono::milliseconds{8}};  //!< What a new connection is weighed as
     core::Duration reportLife{std::chrono::milliseconds{150}}; //!< How fast a load report loses its worth
     core::Duration wayBack{std::chrono::milliseconds{8}};      //!< Kept back of the time for the answer's way
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -18,7 +18,7 @@
 constexpr double   hopelessWorks = 3.0;   // Expected times after which a send is taken for stuck
 constexpr double   goodFactor = 1.4;      // Usual work that a server may take and be chosen at once
 constexpr double   searchRoom = 1.2;      // Usual works that have to be left to look on
-constexpr double   lateFactor = 1.6;      // Targets that a request may be expected to take and still be let in
+constexpr double   lateFactor = 1.05;     // Targets that a request may be expected to take and still be let in
 constexpr unsigned statusServerFailed = 500;
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -12,6 +12,7 @@
 constexpr double   failurePenalty = 2;  // Usual works that a failed attempt costs when it can be mended
 constexpr double   lossPenalty = 12;    // Usual works that a failed attempt costs when it cannot
 constexpr double   ejectedPenalty = 40; // Usual works; an ejected server is taken only when all are
+constexpr double   leastIdle = 0.25;    // Of the cost of distance, when all servers are busy
 constexpr double   spread = 0.08;       // Random part of a cost, so that nodes with equal views part
 constexpr double   probeSpread = 0.25;  // Random part when servers to be probed are ranked
 constexpr double   probeShare = 0.8;    // Of the budget for probes that is used
@@ -145,8 +146,10 @@
 {
     const double risk = server.failureShare(now) * (wish.repeatable ? failurePenalty : lossPenalty);
     const double absence = server.ejected(now) ? ejectedPenalty : 0;
-    // Bytes between data centres are dear, so a near server may be somewhat slower.
-    const double distance = server.instance()->dataCentre == m_settings.dataCentre ? 0 : m_settings.otherDataCentreCost;
+    // Bytes between data centres are dear, so a near server may be slower; the less so the busier all are.
+    const double idle = std::clamp(1 - m_others / std::max(1U, server.instance()->slots), leastIdle, 1.0);
+    const bool   near = server.instance()->dataCentre == m_settings.dataCentre;
+    const double distance = near ? 0 : idle * m_settings.otherDataCentreCost;
     return server.finishMs(work, m_work, m_others, m_pace, now) + distance * work + (risk + absence) * work * m_pace;
 }
 
