--- a/include/sailpath/balance/Step.hpp
+++ b/include/sailpath/balance/Step.hpp
@@ -42,6 +42,8 @@
     RefusalReason  reason{RefusalReason::NoServer}; //!< Why
     bool           mayHaveRun{false};               //!< Whether some server may have run it
     core::Duration comeBack{};                      //!< When to come back; 0 says nothing
+    double         expectedMs{0};                   //!< Best estimate of its time at the servers, for the log
+    double         reportAgeMs{-1};                 //!< Age of the load report behind the estimate; negative without
 };
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -249,7 +249,8 @@
     }
     if (tooLate(request, choice, now))
     {
-        refuse(ticket, {RefusalReason::Overloaded, false, comeBack(*request.pool, choice.finishMs)});
+        refuse(ticket, {RefusalReason::Overloaded, false, comeBack(*request.pool, choice.finishMs), choice.finishMs,
+                        choice.server->reportAgeMs(now)});
         return close(ticket);
     }
     forward(ticket, request, choice, now);
--- a/src/sailpath/gateway/Exchange.cpp
+++ b/src/sailpath/gateway/Exchange.cpp
@@ -84,6 +84,13 @@
              std::to_string(static_cast<int>(core::toMilliseconds(now - since))) + "ms";
 }
 
+////////////////////////////////////////////////////////////
+void Exchange::noteEstimate(const balance::Refusal& refusal)
+{
+    trail += "best-expected=" + std::to_string(static_cast<int>(refusal.expectedMs)) +
+             "ms/report=" + std::to_string(static_cast<int>(refusal.reportAgeMs)) + "ms";
+}
+
 ////////////////////////////////////////////////////////////
 std::shared_ptr<ServerConnection> Exchange::releaseSend(unsigned attempt)
 {
--- a/src/sailpath/gateway/Exchange.hpp
+++ b/src/sailpath/gateway/Exchange.hpp
@@ -27,6 +27,7 @@
     core::Timestamp                                       since{};         //!< First byte
     core::Timestamp                                       lastSent{};      //!< Latest send
     unsigned                                              attempts{0};     //!< Sends
+    unsigned                                              probes{0};       //!< Servers asked for their load
     std::string                                           trail;           //!< Sends and their ends, for the log
     std::map<unsigned, std::shared_ptr<ServerConnection>> sends;           //!< Under way
     std::map<unsigned, ServerAnswer>                      answers;         //!< By attempt
@@ -45,6 +46,7 @@
 
     void note(const balance::Step& step, core::Timestamp now);                          //!< A send, for the log
     void ended(unsigned attempt, const balance::Outcome& outcome, core::Timestamp now); //!< Its end, for the log
+    void noteEstimate(const balance::Refusal& refusal); //!< What a refusal was decided by, for the log
     [[nodiscard]] std::shared_ptr<ServerConnection> releaseSend(unsigned attempt); //!< Forget a send; null if it ended
 };
 
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -323,6 +323,8 @@
 void Gateway::Impl::probe(const balance::Step& step)
 {
     ++counters.probes;
+    if (const auto found = exchanges.find(step.ticket); found != exchanges.end())
+        ++found->second.probes;
     priv::Send send;
     send.probe = true;
     send.bytes.append("GET ").append(step.path).append(" HTTP/1.1\r\nHost: ").append(step.instance->address);
@@ -376,6 +378,8 @@
     own.reason = balance::toString(step.refusal.reason);
     own.comeBack = step.refusal.comeBack;
     ++(step.refusal.mayHaveRun ? counters.failed : counters.refused);
+    if (step.refusal.expectedMs > 0)
+        exchange.noteEstimate(step.refusal);
     log(exchange, own.status, own.reason);
     if (caller && caller->ticket() == ticket)
         caller->answer(own);
@@ -394,6 +398,7 @@
                   {"ms", core::toMilliseconds(took)},
                   {"version", version},
                   {"attempts", exchange.attempts},
+                  {"probes", exchange.probes},
                   {"sends", exchange.trail}});
 }
 
