--- a/src/sailpath/adapters/settings/SettingsReader.cpp
+++ b/src/sailpath/adapters/settings/SettingsReader.cpp
@@ -240,6 +240,9 @@
     ////////////////////////////////////////////////////////////
     void accept(const Option& option, const std::string& place, const std::string& value)
     {
+        // Templates leave a gap empty where nothing is told; then the default holds.
+        if (value.empty() && option.fallback != required)
+            return;
         m_given[std::string(option.name)] = true;
         const std::string_view expected = expectation(option.kind, value);
         if (!expected.empty())
--- /dev/null
+++ b/src/sailpath/balance/BalancerSearch.cpp
@@ -0,0 +1,167 @@
+// How the balancer looks for a server: rounds of probes until one looks good.
+
+#include <sailpath/balance/Balancer.hpp>
+
+#include <algorithm>
+
+namespace sailpath::balance
+{
+namespace
+{
+constexpr double goodFactor = 1.4;                      // Usual work that a server may take and be chosen at once
+constexpr double searchRoom = 1.2;                      // Usual works that have to be left to look on
+constexpr auto   soon = std::chrono::milliseconds{200}; // When a lack of servers may be over
+
+////////////////////////////////////////////////////////////
+core::Duration milliseconds(double value)
+{
+    return core::fromMilliseconds(value);
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+void Balancer::seek(Ticket ticket, Request& request, core::Timestamp now)
+{
+    request.search = Search{};
+    const Choice choice = request.pool->choose(wishOf(request), now, m_random);
+    if (!choice.server || !request.pool->mayProbe() || good(request, choice, now))
+        return settle(ticket, request, choice, now);
+    request.search.active = true;
+    beginRound(ticket, request, now);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::beginRound(Ticket ticket, Request& request, core::Timestamp now)
+{
+    Search& search = request.search;
+    auto servers = request.pool->worthProbing(wishOf(request), search.asked, m_settings.probesPerRound, now, m_random);
+    if (servers.empty())
+    {
+        search.asked.clear();
+        servers = request.pool->worthProbing(wishOf(request), search.asked, m_settings.probesPerRound, now, m_random);
+    }
+    search.pausing = false;
+    search.waiting = 0;
+    search.roundStart = search.probes.size();
+    search.next = now + m_settings.probeWait;
+    for (const auto& server : servers)
+    {
+        if (!request.pool->takeProbe(now))
+            break;
+        ++search.waiting;
+        search.asked.push_back(server.get());
+        search.probes.push_back(server);
+        Step step;
+        step.kind = StepKind::Probe;
+        step.ticket = ticket;
+        step.attempt = static_cast<unsigned>(search.probes.size());
+        step.instance = server->instance();
+        step.path = request.pool->healthPath();
+        m_steps.push_back(std::move(step));
+    }
+    if (search.waiting == 0)
+        return settle(ticket, request, request.pool->choose(wishOf(request), now, m_random), now);
+    plan(ticket, request, now);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::probed(Ticket ticket, unsigned probe, const Outcome& outcome, core::Timestamp now)
+{
+    const auto found = m_requests.find(ticket);
+    if (found == m_requests.end())
+        return;
+    Request& request = found->second;
+    Search&  search = request.search;
+    if (probe == 0 || probe > search.probes.size())
+        return;
+    ServerView& server = *search.probes[probe - 1];
+    if (outcome.load)
+    {
+        server.reported(*outcome.load, now);
+        request.pool->learnPace(outcome.load->pace);
+        if (const auto others = server.reportedOthers())
+            request.pool->learnOthers(*others);
+    }
+    else if (outcome.end == AttemptEnd::Lost || outcome.end == AttemptEnd::NotSent)
+        server.failed(now);
+    if (!search.active || search.pausing || probe <= search.roundStart)
+        return;
+    --search.waiting;
+    const Choice choice = request.pool->choose(wishOf(request), now, m_random);
+    if (choice.server && good(request, choice, now))
+        return settle(ticket, request, choice, now);
+    if (search.waiting == 0)
+        endRound(ticket, request, now);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::endRound(Ticket ticket, Request& request, core::Timestamp now)
+{
+    const Choice choice = request.pool->choose(wishOf(request), now, m_random);
+    const double typical = request.pool->workMs(request.route.name);
+    const bool hasTime = meetsTarget(request, searchRoom * typical + core::toMilliseconds(m_settings.roundPause), now);
+    if (!choice.server || !hasTime)
+        return settle(ticket, request, choice, now);
+    // What looks better than those that were asked may only be less known.
+    if (!fresh(choice, now) && request.search.asked.size() < request.pool->size())
+        return beginRound(ticket, request, now);
+    if (meetsTarget(request, choice.finishMs, now))
+        return settle(ticket, request, choice, now);
+    request.search.pausing = true;
+    request.search.next = now + m_settings.roundPause;
+    plan(ticket, request, now);
+}
+
+////////////////////////////////////////////////////////////
+bool Balancer::good(const Request& request, const Choice& choice, core::Timestamp now) const
+{
+    const double typical = request.pool->workMs(request.route.name);
+    return fresh(choice, now) && choice.finishMs <= goodFactor * typical + core::toMilliseconds(m_settings.connectCost);
+}
+
+////////////////////////////////////////////////////////////
+bool Balancer::fresh(const Choice& choice, core::Timestamp now) const
+{
+    const double age = choice.server->reportAgeMs(now);
+    return age >= 0 && age <= core::toMilliseconds(m_settings.reportFresh);
+}
+
+////////////////////////////////////////////////////////////
+bool Balancer::meetsTarget(const Request& request, double finishMs, core::Timestamp now) const
+{
+    const auto done = now + milliseconds(finishMs) + m_settings.wayBack;
+    return done <= request.since + request.route.targetLatency;
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::settle(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now)
+{
+    request.search.active = false;
+    if (!request.attempts.empty())
+    {
+        const bool running = request.attempts.back().running;
+        const bool useful = choice.server && (!running || meetsTarget(request, choice.finishMs, now) ||
+                                              now - request.attempts.back().sentAt > request.route.targetLatency);
+        if (useful && sendAgain(ticket, request, choice, now))
+            return plan(ticket, request, now);
+        if (running)
+            return plan(ticket, request, now);
+        return conclude(ticket, request, now);
+    }
+    if (!choice.server)
+    {
+        refuse(ticket, {RefusalReason::NoServer, false, soon});
+        return close(ticket);
+    }
+    if (tooLate(request, choice, now))
+    {
+        refuse(ticket, {RefusalReason::Overloaded, false, comeBack(*request.pool, choice.finishMs), choice.finishMs,
+                        choice.server->reportAgeMs(now)});
+        return close(ticket);
+    }
+    forward(ticket, request, choice, now);
+    plan(ticket, request, now);
+}
+
+} // namespace sailpath::balance
--- a/test/adapters/Settings.test.cpp
+++ b/test/adapters/Settings.test.cpp
@@ -52,6 +52,16 @@
     BOOST_TEST(read({"--name=a", "--dry-run"}).settings.isOn("dry-run"));
 }
 
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(anEmptyValueMeansTheDefaultUnlessThereIsNone)
+{
+    const auto empty = read({"--name=a", "--workers=", "--listen="}, {"SAILPATH_ENTRY_PEERS="});
+    BOOST_TEST(empty.findings.empty());
+    BOOST_TEST(empty.settings.whole("workers") == 8U);
+    BOOST_TEST(empty.settings.endpoint("listen").port == 80);
+    BOOST_TEST(finds(read({"--name="}), "--name"));
+}
+
 ////////////////////////////////////////////////////////////
 BOOST_AUTO_TEST_CASE(everythingWrongIsReportedAtOnce)
 {
