What waits for slow peers is bounded, for each and for all

Change: 2 MB for one peer, 24 MB for all; whoever falls behind is dropped and goes to another relay or the store.

--- a/src/sailpath/adapters/links/LinkHub.cpp
+++ b/src/sailpath/adapters/links/LinkHub.cpp
@@ -15,8 +15,11 @@
 {
 using replication::LinkId;
 
-constexpr std::size_t mostUnsent = 8UL << 20U; // Bytes that wait for a peer that does not read
-constexpr int         silenceMs = 1500;        // Unacknowledged bytes until a link is given up
+constexpr std::size_t mostUnsent =
+    2UL << 20U; // Bytes that wait for one peer; it is dropped then, and reads the store itself
+constexpr std::size_t mostUnsentAll = 24UL
+                                      << 20U; // Bytes that wait for all peers; whoever would add to them is dropped
+constexpr int silenceMs = 1500;               // Unacknowledged bytes until a link is given up
 
 } // namespace
 
@@ -114,7 +117,9 @@
         asio::async_write(link->socket, asio::buffer(link->writing),
                           [self = shared_from_this(), id, link](const asio::error_code& error, std::size_t)
                           {
+                              self->unsent -= link->writing.size();
                               link->writing.clear();
+                              link->writing.shrink_to_fit();
                               if (link->dropped)
                                   return;
                               if (error)
@@ -138,6 +143,8 @@
         if (found == links.end())
             return;
         found->second->dropped = true;
+        unsent -= found->second->waiting.size();
+        found->second->waiting.clear();
         asio::error_code ignored;
         found->second->socket.close(ignored);
         links.erase(found);
@@ -147,6 +154,7 @@
     asio::ip::tcp::acceptor   acceptor;        //!< For peers
     LinkEvents                events;          //!< Told what happens
     std::map<LinkId, LinkPtr> links;           //!< Open or opening
+    std::size_t               unsent{0};       //!< Bytes that wait or are on their way
     LinkId                    nextAccepted{2}; //!< Even numbers are those of links that peers opened
 };
 
@@ -203,9 +211,16 @@
     const auto found = m_impl->links.find(id);
     if (found == m_impl->links.end() || !found->second->up)
         return;
-    const auto link = found->second;
-    link->waiting += encode(message);
-    if (link->waiting.size() > mostUnsent)
+    const auto        link = found->second;
+    const std::string bytes = encode(message);
+    link->waiting += bytes;
+    m_impl->unsent += bytes.size();
+    // One message alone is always sent, however large.
+    const bool behind = link->waiting.size() > bytes.size();
+    const bool others = m_impl->unsent > link->waiting.size() + link->writing.size();
+    const bool tooMuch =
+        (behind && link->waiting.size() > mostUnsent) || ((behind || others) && m_impl->unsent > mostUnsentAll);
+    if (tooMuch)
     {
         asio::post(m_impl->context, [self = m_impl, id, link] { self->end(id, link); });
         return;
