A route that a service has not answered yet is not refused for the work of others

Change: no refusal for load before three answers of the route at the service; the first answers count for more. Ruled out: letting the first answer count in full (a test of the search failed: one odd answer made the estimate five times too small).

--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -78,16 +78,23 @@
     void learnPace(double pace);                                              //!< A report told a pace
     void learnWork(std::string_view route, double latencyMs, double plainMs); //!< A good answer arrived
 
-    [[nodiscard]] double                      workMs(std::string_view route) const; //!< Usual work of a route's request
-    [[nodiscard]] double                      workMs() const;                       //!< Usual work over all routes
-    [[nodiscard]] double                      usualPace() const;                    //!< Mean pace of late
-    [[nodiscard]] RetryWindow&                retries();                            //!< Budget
-    [[nodiscard]] const std::string&          name() const;                         //!< Of the service
-    [[nodiscard]] const std::string&          healthPath() const;                   //!< What a probe asks for
-    [[nodiscard]] std::size_t                 size() const;                         //!< Instances that take requests
+    [[nodiscard]] double             workMs(std::string_view route) const;    //!< Usual work of a route's request
+    [[nodiscard]] bool               knowsWork(std::string_view route) const; //!< Enough answers of the route were seen
+    [[nodiscard]] double             workMs() const;                          //!< Usual work over all routes
+    [[nodiscard]] double             usualPace() const;                       //!< Mean pace of late
+    [[nodiscard]] RetryWindow&       retries();                               //!< Budget
+    [[nodiscard]] const std::string& name() const;                            //!< Of the service
+    [[nodiscard]] const std::string& healthPath() const;                      //!< What a probe asks for
+    [[nodiscard]] std::size_t        size() const;                            //!< Instances that take requests
     [[nodiscard]] std::shared_ptr<ServerView> find(std::string_view instance) const; //!< Null when there is none
 
 private:
+    struct RouteWork
+    {
+        double   ms{0};      //!< Usual work
+        unsigned answers{0}; //!< It was learned from
+    };
+
     [[nodiscard]] bool   mayBeGiven(const ServerView& server, const Wish& wish) const;
     [[nodiscard]] double cost(const ServerView& server, const Wish& wish, double work, core::Timestamp now) const;
 
@@ -97,15 +104,15 @@
     std::vector<std::shared_ptr<ServerView>>                     m_servers;    //!< Those that take requests
     RetryWindow                                                  m_retries;    //!< Budget
     std::string                                                  m_healthPath; //!< What a probe asks for
-    bool                                    m_tellsLoad{false};                //!< Some answer carried a load report
-    unsigned                                m_nodes{1};                        //!< That share the budget for probes
-    double                                  m_probes{0};                       //!< Probes that may be sent now
-    core::Timestamp                         m_probesAt{};                      //!< Time of that figure
-    unsigned                                m_connections{0};                  //!< Most own connections to one instance
-    double                                  m_others{0}; //!< Others' requests at an instance, of late
-    double                                  m_pace{1};   //!< Pace of late
-    double                                  m_work;      //!< Usual work, milliseconds
-    std::unordered_map<std::string, double> m_routeWork; //!< Usual work by route, milliseconds
+    bool                                       m_tellsLoad{false};             //!< Some answer carried a load report
+    unsigned                                   m_nodes{1};                     //!< That share the budget for probes
+    double                                     m_probes{0};                    //!< Probes that may be sent now
+    core::Timestamp                            m_probesAt{};                   //!< Time of that figure
+    unsigned                                   m_connections{0};               //!< Most own connections to one instance
+    double                                     m_others{0}; //!< Others' requests at an instance, of late
+    double                                     m_pace{1};   //!< Pace of late
+    double                                     m_work;      //!< Usual work, milliseconds
+    std::unordered_map<std::string, RouteWork> m_routeWork; //!< Usual work by route
 };
 
 } // namespace sailpath::balance
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -114,7 +114,8 @@
 ////////////////////////////////////////////////////////////
 bool Balancer::tooLate(const Request& request, const Choice& choice, core::Timestamp now) const
 {
-    if (!m_settings.gating)
+    // What other routes take says nothing of a route that the service has not answered yet.
+    if (!m_settings.gating || !request.pool->knowsWork(request.route.name))
         return false;
     const double target = core::toMilliseconds(request.route.targetLatency);
     const double passed = core::toMilliseconds(now - request.since);
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -18,6 +18,7 @@
 constexpr double   probeShare = 0.8;    // Of the budget for probes that is used
 constexpr double   probeBurstSeconds = 2;
 constexpr unsigned leastConnections = 2;
+constexpr unsigned answersToKnow = 3; // Of a route, before its usual work is relied on
 
 } // namespace
 
@@ -170,16 +171,25 @@
 void ServicePool::learnWork(std::string_view route, double latencyMs, double plainMs)
 {
     const double seen = std::clamp(latencyMs / std::max(1.0, plainMs), 0.1, 5.0);
-    const auto   known = m_routeWork.try_emplace(std::string(route), m_work).first;
-    known->second *= 1 + workGain * (seen - 1);
-    m_work += workGain * (known->second - m_work);
+    RouteWork&   work = m_routeWork.try_emplace(std::string(route), RouteWork{m_work, 0}).first->second;
+    // The first answers count for more: the start is only what other routes take.
+    ++work.answers;
+    work.ms *= 1 + std::max(workGain, 1.0 / (work.answers + 1)) * (seen - 1);
+    m_work += workGain * (work.ms - m_work);
 }
 
 ////////////////////////////////////////////////////////////
 double ServicePool::workMs(std::string_view route) const
 {
     const auto known = m_routeWork.find(std::string(route));
-    return known == m_routeWork.end() ? m_work : known->second;
+    return known == m_routeWork.end() ? m_work : known->second.ms;
+}
+
+////////////////////////////////////////////////////////////
+bool ServicePool::knowsWork(std::string_view route) const
+{
+    const auto known = m_routeWork.find(std::string(route));
+    return known != m_routeWork.end() && known->second.answers >= answersToKnow;
 }
 
 ////////////////////////////////////////////////////////////
--- a/test/balance/Balancer.test.cpp
+++ b/test/balance/Balancer.test.cpp
@@ -381,6 +381,26 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(ARouteThatIsNewToAServiceIsNotRefusedForTheWorkOfOthers)
+{
+    auto slow = deploymentOf();
+    slow->routes[0].targetLatency = 900ms;
+    declared.deployment = slow;
+    configure();
+    for (Ticket ticket = 1; ticket <= 60; ++ticket)
+    {
+        const auto sent = admit(ticket);
+        now += 500ms;
+        (void)end(only(sent, StepKind::Forward), AttemptEnd::Answered);
+    }
+    for (Ticket ticket = 100; ticket < 110; ++ticket)
+    {
+        const auto sent = admit(ticket, "/pay/1");
+        now += 20ms;
+        (void)end(only(sent, StepKind::Forward), AttemptEnd::Answered);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(ProbesKeepTheirBudget)
 {
     learnLoad(1);
