--- a/include/sailpath/deployment/InstanceBook.hpp
+++ b/include/sailpath/deployment/InstanceBook.hpp
@@ -11,6 +11,17 @@
 
 namespace sailpath::deployment
 {
+////////////////////////////////////////////////////////////
+/// \brief How long instances are believed in whose entries vanished
+////////////////////////////////////////////////////////////
+struct BeliefSettings
+{
+    core::Duration belief{std::chrono::milliseconds{1100}}; //!< With most of their service, or beside failures of the
+                                                            //!< store; shorter than the time servers take to leave
+    core::Duration outage{std::chrono::seconds{2}};         //!< A copy not renewed for longer missed an outage
+    core::Duration reannounce{std::chrono::milliseconds{1800}}; //!< Live servers are back this soon after an outage
+};
+
 ////////////////////////////////////////////////////////////
 /// \brief Which instances may be given requests, by what they announce and when they vanish
 ///
@@ -18,6 +29,8 @@
 /// vanishes is taken for leaving, unless the store failed callers shortly
 /// before or most of its service vanished with it: then it is believed in
 /// a little longer, as the store may have lost entries of live instances.
+/// When many entries are missing after an outage, live servers get the time
+/// to announce themselves again; what is missing after it is gone.
 ////////////////////////////////////////////////////////////
 class InstanceBook
 {
@@ -25,10 +38,17 @@
     ////////////////////////////////////////////////////////////
     /// \brief Start empty
     ///
-    /// \param belief Time that instances are believed in that vanish with most of their service
-    ///               or beside failures of the store; shorter than the time that servers take to leave
+    /// \param settings Times
+    ////////////////////////////////////////////////////////////
+    explicit InstanceBook(BeliefSettings settings);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Note that the copy of the store was renewed; called before what the renewal removed
+    ///
+    /// \param before Age of the copy until then
+    /// \param now    Time
     ////////////////////////////////////////////////////////////
-    explicit InstanceBook(core::Duration belief);
+    void renewed(core::Duration before, core::Timestamp now);
 
     void announced(const Announcement& announcement);             //!< An entry was written
     void vanished(std::string_view id, core::Timestamp earliest); //!< An entry was removed, at that time or later
@@ -43,13 +63,16 @@
         Announcement                   last;           //!< As it last said
         bool                           drained{false}; //!< It said that it drains
         std::optional<core::Timestamp> believeUntil;   //!< Its entry vanished; null while it stands
+        bool                           lapsed{false};  //!< It vanished with an outage of the store
         std::optional<core::Timestamp> forgetAt;       //!< Not in force; kept to know late writes by
     };
 
     [[nodiscard]] bool mostVanished(const std::string& service) const;
+    [[nodiscard]] bool manyLapsed() const;
 
-    core::Duration                            m_belief;  //!< Time
-    std::map<std::string, Entry, std::less<>> m_entries; //!< By id
+    BeliefSettings                            m_settings; //!< Times
+    std::map<std::string, Entry, std::less<>> m_entries;  //!< By id
+    std::optional<core::Timestamp> m_lapseUntil;          //!< After an outage: until then lapsed entries may come back
 };
 
 } // namespace sailpath::deployment
--- a/include/sailpath/fleet/FleetThread.hpp
+++ b/include/sailpath/fleet/FleetThread.hpp
@@ -2,6 +2,7 @@
 
 #include <sailpath/adapters/settings/Endpoint.hpp>
 #include <sailpath/deployment/Declared.hpp>
+#include <sailpath/deployment/InstanceBook.hpp>
 #include <sailpath/fleet/Translator.hpp>
 #include <sailpath/ports/EventLog.hpp>
 #include <sailpath/replication/ItemSource.hpp>
@@ -22,9 +23,9 @@
 ////////////////////////////////////////////////////////////
 struct FleetSettings
 {
-    replication::ReplicaSettings replica;                                 //!< Copy of the store
-    adapters::settings::Endpoint listen;                                  //!< Where peers connect
-    core::Duration               belief{std::chrono::milliseconds{1100}}; //!< See `deployment::InstanceBook`
+    replication::ReplicaSettings replica; //!< Copy of the store
+    adapters::settings::Endpoint listen;  //!< Where peers connect
+    deployment::BeliefSettings   belief;  //!< In instances whose entries vanished
 };
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/deployment/InstanceBook.cpp
+++ b/src/sailpath/deployment/InstanceBook.cpp
@@ -8,15 +8,23 @@
 {
 constexpr auto   remembrance = std::chrono::seconds{60}; // Of instances that left, to know late writes by
 constexpr double most = 0.5;                             // Share of a service
+constexpr double many = 0.25;                            // Share of all instances
 
 } // namespace
 
 ////////////////////////////////////////////////////////////
-InstanceBook::InstanceBook(core::Duration belief) :
-m_belief(belief)
+InstanceBook::InstanceBook(BeliefSettings settings) :
+m_settings(settings)
 {
 }
 
+////////////////////////////////////////////////////////////
+void InstanceBook::renewed(core::Duration before, core::Timestamp now)
+{
+    if (before > m_settings.outage && !m_entries.empty())
+        m_lapseUntil = now + m_settings.reannounce;
+}
+
 ////////////////////////////////////////////////////////////
 void InstanceBook::announced(const Announcement& announcement)
 {
@@ -28,6 +36,7 @@
     entry.last.instance.draining = entry.drained;
     entry.believeUntil.reset();
     entry.forgetAt.reset();
+    entry.lapsed = false;
 }
 
 ////////////////////////////////////////////////////////////
@@ -51,12 +60,31 @@
     const auto found = m_entries.find(id);
     if (found == m_entries.end() || found->second.believeUntil || found->second.forgetAt)
         return;
-    found->second.believeUntil = earliest + m_belief;
+    found->second.lapsed = m_lapseUntil && !found->second.drained;
+    found->second.believeUntil = found->second.lapsed ? *m_lapseUntil : earliest + m_settings.belief;
+}
+
+////////////////////////////////////////////////////////////
+bool InstanceBook::manyLapsed() const
+{
+    std::size_t all = 0;
+    std::size_t lapsed = 0;
+    for (const auto& [id, entry] : m_entries)
+    {
+        if (entry.drained || entry.forgetAt)
+            continue;
+        ++all;
+        lapsed += entry.lapsed ? 1 : 0;
+    }
+    return static_cast<double>(lapsed) > many * static_cast<double>(all);
 }
 
 ////////////////////////////////////////////////////////////
 void InstanceBook::settle(bool storeIll, core::Timestamp now)
 {
+    if (m_lapseUntil && now >= *m_lapseUntil)
+        m_lapseUntil.reset();
+    const bool                  sparesLapsed = manyLapsed();
     std::map<std::string, bool> spared;
     for (const auto& [id, entry] : m_entries)
     {
@@ -72,11 +100,12 @@
             item = m_entries.erase(item);
             continue;
         }
-        const bool believed =
-            entry.believeUntil && !entry.drained && spared[entry.last.instance.service] && now < *entry.believeUntil;
+        const bool reason = entry.lapsed ? sparesLapsed : spared[entry.last.instance.service];
+        const bool believed = entry.believeUntil && !entry.drained && reason && now < *entry.believeUntil;
         if (entry.believeUntil && !believed)
         {
             entry.believeUntil.reset();
+            entry.lapsed = false;
             entry.forgetAt = now + remembrance;
         }
         ++item;
--- a/src/sailpath/fleet/FleetThread.cpp
+++ b/src/sailpath/fleet/FleetThread.cpp
@@ -183,7 +183,9 @@
     {
         const auto at = now();
         const bool ill = replica.storeIll(at, illWithin);
-        bool       changed = false;
+        if (replica.known() && replica.age(at) < oldAge)
+            book.renewed(oldAge, at);
+        bool changed = false;
         for (const replication::Item& item : changes)
         {
             if (translator.isDeployment(item.key))
--- a/test/deployment/InstanceBook.test.cpp
+++ b/test/deployment/InstanceBook.test.cpp
@@ -13,6 +13,8 @@
 
 constexpr core::Timestamp start{1h};
 constexpr core::Duration  belief = 1100ms;
+constexpr core::Duration  outage = 2s;
+constexpr core::Duration  reannounce = 1800ms;
 
 ////////////////////////////////////////////////////////////
 Announcement announcementOf(const std::string& id, std::uint64_t sequence = 1, bool draining = false)
@@ -42,7 +44,7 @@
             book.announced(announcementOf(id));
     }
 
-    InstanceBook book{belief};
+    InstanceBook book{{belief, outage, reannounce}};
 };
 
 } // namespace
@@ -86,6 +88,53 @@
     BOOST_TEST(!takesRequests(book, "a"));
 }
 
+BOOST_AUTO_TEST_CASE(AfterAnOutageLapsedEntriesMayComeBack)
+{
+    // The entries lapsed while the store was away for 4.5 s: all their servers were left alone until they were back.
+    book.renewed(4500ms, start);
+    for (const char* id : {"a", "b"})
+        book.vanished(id, start - 4500ms);
+    book.settle(true, start);
+    BOOST_TEST(takesRequests(book, "a"));
+    book.vanished("c", start + 100ms);
+    book.settle(false, start + 1700ms);
+    BOOST_TEST(takesRequests(book, "b"));
+    BOOST_TEST(takesRequests(book, "c"));
+    book.announced(announcementOf("a", 2));
+    book.settle(false, start + reannounce);
+    BOOST_TEST(takesRequests(book, "a"));
+    BOOST_TEST(!takesRequests(book, "b"));
+    BOOST_TEST(!takesRequests(book, "c"));
+}
+
+BOOST_AUTO_TEST_CASE(AfterAnOutageOneMissingEntryIsALeavingServer)
+{
+    book.renewed(4500ms, start);
+    book.vanished("a", start - 4500ms);
+    book.settle(true, start);
+    BOOST_TEST(!takesRequests(book, "a"));
+}
+
+BOOST_AUTO_TEST_CASE(ADrainingServerDoesNotComeBackAfterAnOutage)
+{
+    book.announced(announcementOf("a", 5, true));
+    book.renewed(4500ms, start);
+    for (const char* id : {"a", "b", "c"})
+        book.vanished(id, start - 4500ms);
+    book.settle(true, start);
+    BOOST_TEST(!takesRequests(book, "a"));
+    BOOST_TEST(takesRequests(book, "b"));
+}
+
+BOOST_AUTO_TEST_CASE(AShortSilenceIsNoOutage)
+{
+    book.renewed(1900ms, start);
+    for (const char* id : {"a", "b", "c"})
+        book.vanished(id, start - 1900ms);
+    book.settle(true, start);
+    BOOST_TEST(!takesRequests(book, "a"));
+}
+
 BOOST_AUTO_TEST_CASE(OneThatComesBackIsBelievedInAgain)
 {
     book.vanished("a", start);
