Near servers are asked first, services not known yet at once, a fresh good one is taken at once

Causes: (1) the first three servers asked were mostly far ones once all were busy, so probes and requests crossed data centres; (2) a node asked nobody for its load until an answer had carried a load report, so a new life sent its first requests blindly; (3) when a probe told of a free and fast server, an unknown one of equal cost could keep the search waiting. Tests: AServiceThatIsNotKnownYetIsAskedAtOnce failed before (3), the others before (1) and (2).

--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -22,6 +22,8 @@
     std::string_view             route;             //!< Name of the route, for its usual work
     bool                         repeatable{false}; //!< A failure may be mended by another send
     std::span<ServerView* const> tried;             //!< Servers that had it already
+    bool                         nearFirst{false};  //!< Ask servers of the own data centre before all others
+    core::Duration               freshest{core::Duration::max()}; //!< Only servers that told their load this lately
 };
 
 ////////////////////////////////////////////////////////////
@@ -76,6 +78,7 @@
 
     void learnOthers(double others);                                          //!< A report told of others' requests
     void learnPace(double pace);                                              //!< A report told a pace
+    void learnNoLoad();                                                       //!< An answer carried no load report
     void learnWork(std::string_view route, double latencyMs, double plainMs); //!< A good answer arrived
 
     [[nodiscard]] double             workMs(std::string_view route) const;    //!< Usual work of a route's request
@@ -95,8 +98,10 @@
         unsigned answers{0}; //!< It was learned from
     };
 
-    [[nodiscard]] bool   mayBeGiven(const ServerView& server, const Wish& wish) const;
-    [[nodiscard]] double cost(const ServerView& server, const Wish& wish, double work, core::Timestamp now) const;
+    [[nodiscard]] bool        mayBeGiven(const ServerView& server, const Wish& wish) const;
+    [[nodiscard]] static bool toldWithin(const ServerView& server, core::Duration age, core::Timestamp now);
+    [[nodiscard]] bool        near(const ServerView& server) const;
+    [[nodiscard]] double      cost(const ServerView& server, const Wish& wish, double work, core::Timestamp now) const;
 
     std::string                                                  m_name;       //!< Of the service
     const Settings&                                              m_settings;   //!< Constants
@@ -105,6 +110,7 @@
     RetryWindow                                                  m_retries;    //!< Budget
     std::string                                                  m_healthPath; //!< What a probe asks for
     bool                                       m_tellsLoad{false};             //!< Some answer carried a load report
+    unsigned                                   m_answersWithoutLoad{0};        //!< Before the first one that did
     unsigned                                   m_nodes{1};                     //!< That share the budget for probes
     double                                     m_probes{0};                    //!< Probes that may be sent now
     core::Timestamp                            m_probesAt{};                   //!< Time of that figure
--- a/include/sailpath/balance/Settings.hpp
+++ b/include/sailpath/balance/Settings.hpp
@@ -28,6 +28,8 @@
     core::Duration roundPause{std::chrono::milliseconds{10}};  //!< Between rounds of probes that found nothing good
     unsigned       probesPerRound{3};                          //!< Servers asked at once
     bool           probing{true};                              //!< Ask servers for their load before a send
+    unsigned       firstProbes{6};       //!< Answers without a load report after which a service is not asked
+    bool           nearFirst{true};      //!< Ask servers of the own data centre first
     double         connectionShare{0.8}; //!< Of an instance's connections, used by all nodes together
     std::uint64_t  seed{1};              //!< Of the random choices
     bool           hedging{true};        //!< Send again before an answer is late
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -171,16 +171,24 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Balancer::learn(Request& request, Attempt& attempt, const Outcome& outcome, core::Timestamp now)
+void Balancer::learnLoad(ServicePool& pool, ServerView& server, const Outcome& outcome, core::Timestamp now)
 {
-    ServerView& server = *attempt.server;
     if (outcome.load)
     {
         server.reported(*outcome.load, now);
-        request.pool->learnPace(outcome.load->pace);
+        pool.learnPace(outcome.load->pace);
         if (const auto others = server.reportedOthers())
-            request.pool->learnOthers(*others);
+            pool.learnOthers(*others);
     }
+    else if (outcome.end == AttemptEnd::Answered)
+        pool.learnNoLoad();
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::learn(Request& request, Attempt& attempt, const Outcome& outcome, core::Timestamp now)
+{
+    ServerView& server = *attempt.server;
+    learnLoad(*request.pool, server, outcome, now);
     const double latency = core::toMilliseconds(now - attempt.sentAt);
     switch (outcome.end)
     {
--- a/src/sailpath/balance/BalancerSearch.cpp
+++ b/src/sailpath/balance/BalancerSearch.cpp
@@ -35,11 +35,13 @@
 void Balancer::beginRound(Ticket ticket, Request& request, core::Timestamp now)
 {
     Search& search = request.search;
-    auto servers = request.pool->worthProbing(wishOf(request), search.asked, m_settings.probesPerRound, now, m_random);
+    Wish    wish = wishOf(request);
+    wish.nearFirst = m_settings.nearFirst && search.probes.empty();
+    auto servers = request.pool->worthProbing(wish, search.asked, m_settings.probesPerRound, now, m_random);
     if (servers.empty())
     {
         search.asked.clear();
-        servers = request.pool->worthProbing(wishOf(request), search.asked, m_settings.probesPerRound, now, m_random);
+        servers = request.pool->worthProbing(wish, search.asked, m_settings.probesPerRound, now, m_random);
     }
     search.pausing = false;
     search.waiting = 0;
@@ -76,19 +78,15 @@
     if (probe == 0 || probe > search.probes.size())
         return;
     ServerView& server = *search.probes[probe - 1];
-    if (outcome.load)
-    {
-        server.reported(*outcome.load, now);
-        request.pool->learnPace(outcome.load->pace);
-        if (const auto others = server.reportedOthers())
-            request.pool->learnOthers(*others);
-    }
-    else if (outcome.end == AttemptEnd::Lost || outcome.end == AttemptEnd::NotSent)
+    learnLoad(*request.pool, server, outcome, now);
+    if (!outcome.load && (outcome.end == AttemptEnd::Lost || outcome.end == AttemptEnd::NotSent))
         server.failed(now);
     if (!search.active || search.pausing || probe <= search.roundStart)
         return;
     --search.waiting;
-    const Choice choice = request.pool->choose(wishOf(request), now, m_random);
+    Wish wish = wishOf(request);
+    wish.freshest = m_settings.reportFresh;
+    const Choice choice = request.pool->choose(wish, now, m_random);
     if (choice.server && good(request, choice, now))
         return settle(ticket, request, choice, now);
     if (search.waiting == 0)
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -13,6 +13,7 @@
 constexpr double   lossPenalty = 12;    // Usual works that a failed attempt costs when it cannot
 constexpr double   ejectedPenalty = 40; // Usual works; an ejected server is taken only when all are
 constexpr double   leastIdle = 0.25;    // Of the cost of distance, when all servers are busy
+constexpr double   farPenalty = 20;     // Usual works; less than that of an ejected server
 constexpr double   spread = 0.08;       // Random part of a cost, so that nodes with equal views part
 constexpr double   probeSpread = 0.25;  // Random part when servers to be probed are ranked
 constexpr double   probeShare = 0.8;    // Of the budget for probes that is used
@@ -42,7 +43,8 @@
 ////////////////////////////////////////////////////////////
 bool ServicePool::mayProbe() const
 {
-    return m_settings.probing && m_tellsLoad && !m_healthPath.empty();
+    const bool mayTell = m_tellsLoad || m_answersWithoutLoad < m_settings.firstProbes;
+    return m_settings.probing && mayTell && !m_healthPath.empty();
 }
 
 ////////////////////////////////////////////////////////////
@@ -69,7 +71,8 @@
     {
         if (!mayBeGiven(*server, wish) || std::find(asked.begin(), asked.end(), server.get()) != asked.end())
             continue;
-        ranked.emplace_back(cost(*server, wish, work, now) * (1 + probeSpread * random.unit()), server);
+        const double far = wish.nearFirst && !near(*server) ? farPenalty * work : 0;
+        ranked.emplace_back(far + cost(*server, wish, work, now) * (1 + probeSpread * random.unit()), server);
     }
     std::sort(ranked.begin(), ranked.end(),
               [](const auto& left, const auto& right) { return left.first < right.first; });
@@ -121,7 +124,7 @@
     double       bestCost = 0;
     for (const auto& server : m_servers)
     {
-        if (!mayBeGiven(*server, wish))
+        if (!mayBeGiven(*server, wish) || !toldWithin(*server, wish.freshest, now))
             continue;
         const double value = cost(*server, wish, work, now) * (1 + spread * random.unit());
         if (best.server && value >= bestCost)
@@ -142,6 +145,19 @@
     return m_connections == 0 || server.inFlight() < m_connections;
 }
 
+////////////////////////////////////////////////////////////
+bool ServicePool::toldWithin(const ServerView& server, core::Duration age, core::Timestamp now)
+{
+    const double told = server.reportAgeMs(now);
+    return age == core::Duration::max() || (told >= 0 && told <= core::toMilliseconds(age));
+}
+
+////////////////////////////////////////////////////////////
+bool ServicePool::near(const ServerView& server) const
+{
+    return server.instance()->dataCentre == m_settings.dataCentre;
+}
+
 ////////////////////////////////////////////////////////////
 double ServicePool::cost(const ServerView& server, const Wish& wish, double work, core::Timestamp now) const
 {
@@ -149,8 +165,7 @@
     const double absence = server.ejected(now) ? ejectedPenalty : 0;
     // Bytes between data centres are dear, so a near server may be slower; the less so the busier all are.
     const double idle = std::clamp(1 - m_others / std::max(1U, server.instance()->slots), leastIdle, 1.0);
-    const bool   near = server.instance()->dataCentre == m_settings.dataCentre;
-    const double distance = near ? 0 : idle * m_settings.otherDataCentreCost;
+    const double distance = near(server) ? 0 : idle * m_settings.otherDataCentreCost;
     return server.finishMs(work, m_work, m_others, m_pace, now) + distance * work + (risk + absence) * work * m_pace;
 }
 
@@ -167,6 +182,12 @@
     m_pace += paceGain * (pace - m_pace);
 }
 
+////////////////////////////////////////////////////////////
+void ServicePool::learnNoLoad()
+{
+    ++m_answersWithoutLoad;
+}
+
 ////////////////////////////////////////////////////////////
 void ServicePool::learnWork(std::string_view route, double latencyMs, double plainMs)
 {
--- a/test/balance/Balancer.test.cpp
+++ b/test/balance/Balancer.test.cpp
@@ -67,6 +67,7 @@
         settings.dataCentre = "dc";
         settings.retryRatio = 0.2;
         settings.retryExtra = 50;
+        settings.firstProbes = 0; // Most tests are about what follows a choice, not about the search
         return settings;
     }
 
@@ -381,6 +382,84 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(AServiceThatIsNotKnownYetIsAskedAtOnce)
+{
+    auto settings = settingsOf();
+    settings.firstProbes = 6;
+    balancer = Balancer(settings, now);
+    configure();
+    now += 20s;
+    const auto asked = admit(1);
+    BOOST_REQUIRE_EQUAL(count(asked, StepKind::Probe), 3U);
+    BOOST_TEST(only(answerProbe(asked[1], Load{0, 0, 3, 1}), StepKind::Forward).instance->id == asked[1].instance->id);
+}
+
+BOOST_AUTO_TEST_CASE(AServiceIsNotAskedOnceItsAnswersToldNoLoad)
+{
+    auto settings = settingsOf();
+    settings.firstProbes = 6;
+    balancer = Balancer(settings, now);
+    configure();
+    now += 20s;
+    for (Ticket ticket = 1; ticket <= 2; ++ticket)
+    {
+        const auto asked = admit(ticket);
+        BOOST_REQUIRE_EQUAL(count(asked, StepKind::Probe), 3U);
+        for (const Step& probe : asked)
+            (void)answerProbe(probe, {});
+        (void)pass(20ms);
+    }
+    const auto sent = admit(3);
+    BOOST_TEST(count(sent, StepKind::Probe) == 0U);
+    BOOST_TEST(count(sent, StepKind::Forward) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ServersOfTheOwnDataCentreAreAskedFirst)
+{
+    for (int i = 5; i <= 20; ++i)
+    {
+        declared.instances.push_back(instanceOf("s" + std::to_string(i)));
+        declared.instances.back().dataCentre = "elsewhere";
+    }
+    configure();
+    learnLoad(1);
+    for (Ticket ticket = 2; ticket <= 30; ++ticket)
+    {
+        const auto asked = admit(ticket);
+        BOOST_REQUIRE_EQUAL(count(asked, StepKind::Probe), 3U);
+        for (const Step& probe : asked)
+            BOOST_TEST(probe.instance->dataCentre == "dc");
+        for (const Step& probe : asked)
+            (void)answerProbe(probe, Load{3, 3, 3, 5});
+        balancer.callerLeft(ticket, now);
+        (void)steps();
+        now += 400ms;
+    }
+}
+
+BOOST_AUTO_TEST_CASE(WhenNearServersAreBusyFarOnesAreAsked)
+{
+    declared.instances.push_back(instanceOf("far"));
+    declared.instances.back().dataCentre = "elsewhere";
+    configure();
+    learnLoad(1);
+    auto asked = admit(2);
+    bool far = false;
+    for (int round = 0; round < 3 && !far; ++round)
+    {
+        std::vector<Step> next;
+        for (const Step& probe : asked)
+        {
+            for (Step& step : answerProbe(probe, Load{3, 3, 3, 5}))
+                next.push_back(std::move(step));
+        }
+        asked = std::move(next);
+        far = std::any_of(asked.begin(), asked.end(),
+                          [](const Step& step) { return step.kind == StepKind::Probe && step.instance->id == "far"; });
+    }
+    BOOST_TEST(far);
+}
+
 BOOST_AUTO_TEST_CASE(ARouteThatIsNewToAServiceIsNotRefusedForTheWorkOfOthers)
 {
     auto slow = deploymentOf();
