Slowdown of crowded servers is learned, emptier servers are preferred

Each node learns from answers how much longer crowded servers take against those with room, expects that of them and counts what others there lose.

--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -115,6 +115,7 @@
         core::Timestamp             sentAt{};      //!< When
         double                      expectedMs{0}; //!< Estimated time to the answer
         double                      plainMs{0};    //!< The same without the instance's own ratio
+        double                      crowding{0};   //!< Of the instance, when it was sent
         bool                        running{true}; //!< No end was reported
     };
 
--- a/include/sailpath/balance/ServerView.hpp
+++ b/include/sailpath/balance/ServerView.hpp
@@ -2,6 +2,7 @@
 
 #include <sailpath/balance/Load.hpp>
 #include <sailpath/balance/Settings.hpp>
+#include <sailpath/balance/Usual.hpp>
 #include <sailpath/core/Time.hpp>
 #include <sailpath/deployment/Instance.hpp>
 
@@ -36,13 +37,15 @@
     ////////////////////////////////////////////////////////////
     /// \brief Estimated milliseconds until a request sent now is answered
     ///
-    /// \param workMs     Usual work of such a request, milliseconds
-    /// \param poolWorkMs Usual work of a request of the service, milliseconds
-    /// \param others     Requests of other nodes to assume when no fresh report says
-    /// \param pace       Pace to assume when no fresh report says
+    /// \param workMs Usual work of such a request, milliseconds
+    /// \param usual  Of the service; assumed where no fresh report says more
     ////////////////////////////////////////////////////////////
-    [[nodiscard]] double finishMs(double workMs, double poolWorkMs, double others, double pace,
-                                  core::Timestamp now) const;
+    [[nodiscard]] double finishMs(double workMs, const Usual& usual, core::Timestamp now) const;
+
+    ////////////////////////////////////////////////////////////
+    /// \brief How nearly all slots would be taken with one more request, 0 to 1
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] double crowding(double others, core::Timestamp now) const;
 
     [[nodiscard]] double occupancy(double others, core::Timestamp now) const; //!< Estimated requests of all nodes there
     [[nodiscard]] double failureShare(core::Timestamp now) const;             //!< Share of recent attempts that failed
--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -33,6 +33,7 @@
 {
     std::shared_ptr<ServerView> server;      //!< Null when none may be given anything
     double                      finishMs{0}; //!< Estimated time to the answer
+    double                      crowding{0}; //!< How nearly all its slots are taken with the request, 0 to 1
 };
 
 ////////////////////////////////////////////////////////////
@@ -76,10 +77,17 @@
     [[nodiscard]] bool takeProbe(core::Timestamp now); //!< Count a probe, if the budget allows one
     [[nodiscard]] bool mayProbe() const;               //!< Servers tell their load at a known path
 
-    void learnOthers(double others);                                          //!< A report told of others' requests
-    void learnPace(double pace);                                              //!< A report told a pace
-    void learnNoLoad();                                                       //!< An answer carried no load report
-    void learnWork(std::string_view route, double latencyMs, double plainMs); //!< A good answer arrived
+    void learnOthers(double others); //!< A report told of others' requests
+    void learnPace(double pace);     //!< A report told a pace
+    void learnNoLoad();              //!< An answer carried no load report
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Learn from a good answer
+    ///
+    /// \param plainMs  Time that was expected of an ordinary instance
+    /// \param crowding Of the instance, when the request was sent
+    ////////////////////////////////////////////////////////////
+    void learnWork(std::string_view route, double latencyMs, double plainMs, double crowding);
 
     [[nodiscard]] double             workMs(std::string_view route) const;    //!< Usual work of a route's request
     [[nodiscard]] bool               knowsWork(std::string_view route) const; //!< Enough answers of the route were seen
@@ -115,9 +123,8 @@
     double                                     m_probes{0};                    //!< Probes that may be sent now
     core::Timestamp                            m_probesAt{};                   //!< Time of that figure
     unsigned                                   m_connections{0};               //!< Most own connections to one instance
-    double                                     m_others{0}; //!< Others' requests at an instance, of late
-    double                                     m_pace{1};   //!< Pace of late
-    double                                     m_work;      //!< Usual work, milliseconds
+    Usual                                      m_usual;                        //!< Of late
+    double                                     m_roomy{1};  //!< Observed over expected time at instances with room
     std::unordered_map<std::string, RouteWork> m_routeWork; //!< Usual work by route
 };
 
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -199,7 +199,7 @@
             break;
         }
         server.answered(latency, attempt.plainMs);
-        request.pool->learnWork(request.route.name, latency, attempt.plainMs);
+        request.pool->learnWork(request.route.name, latency, attempt.plainMs, attempt.crowding);
         break;
     case AttemptEnd::NotRun:
         server.shed(now);
@@ -241,6 +241,7 @@
     attempt.sentAt = now;
     attempt.expectedMs = choice.finishMs;
     attempt.plainMs = choice.finishMs / choice.server->ratio();
+    attempt.crowding = choice.crowding;
     choice.server->sent(now);
     request.attempts.push_back(attempt);
     request.tried.push_back(choice.server.get());
--- a/src/sailpath/balance/ServerView.cpp
+++ b/src/sailpath/balance/ServerView.cpp
@@ -13,6 +13,7 @@
 constexpr double   coldPace = 1.6;           // Assumed of an instance that is still warming up
 constexpr double   failureGain = 0.3;        // Share of one attempt in the failure share
 constexpr double   failureHalfLifeMs = 3000; // How fast a failure is forgotten without further attempts
+constexpr double   crowdedFrom = 0.7;        // Share of the slots taken from which an instance may become slower
 constexpr unsigned failuresToEject = 2;      // In a row
 constexpr auto     firstEjection = std::chrono::milliseconds{800};
 constexpr auto     longestEjection = std::chrono::seconds{6};
@@ -108,20 +109,28 @@
 }
 
 ////////////////////////////////////////////////////////////
-double ServerView::finishMs(double workMs, double poolWorkMs, double others, double pace, core::Timestamp now) const
+double ServerView::crowding(double others, core::Timestamp now) const
+{
+    const double taken = (occupancy(others, now) + 1) / std::max(1U, m_instance->slots);
+    return std::clamp((taken - crowdedFrom) / (1 - crowdedFrom), 0.0, 1.0);
+}
+
+////////////////////////////////////////////////////////////
+double ServerView::finishMs(double workMs, const Usual& usual, core::Timestamp now) const
 {
     const double slots = std::max(1U, m_instance->slots);
-    const double ahead = std::max(0.0, occupancy(others, now) + 1 - slots);
-    double       speed = paceNow(pace, now) * ratio();
+    const double ahead = std::max(0.0, occupancy(usual.others, now) + 1 - slots);
+    double       speed = paceNow(usual.pace, now) * ratio();
+    speed *= 1 + (usual.fullSlowdown - 1) * crowding(usual.others, now);
     if (now < m_warmUntil)
         speed *= coldPace;
-    double time = speed * (workMs + ahead / slots * poolWorkMs);
+    double time = speed * (workMs + ahead / slots * usual.workMs);
     if (m_instance->dataCentre != m_settings.dataCentre)
         time += core::toMilliseconds(m_settings.otherDataCentre);
     if (m_idle == 0)
         time += core::toMilliseconds(m_settings.connectCost);
     if (now < m_shedUntil)
-        time += 4 * poolWorkMs;
+        time += 4 * usual.workMs;
     return time;
 }
 
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -14,9 +14,12 @@
 constexpr double   ejectedPenalty = 40; // Usual works; an ejected server is taken only when all are
 constexpr double   leastIdle = 0.25;    // Of the cost of distance, when all servers are busy
 constexpr double   farPenalty = 20;     // Usual works; less than that of an ejected server
-constexpr double   spread = 0.08;       // Random part of a cost, so that nodes with equal views part
-constexpr double   probeSpread = 0.25;  // Random part when servers to be probed are ranked
-constexpr double   probeShare = 0.8;    // Of the budget for probes that is used
+constexpr double   crowdedAbove = 0.5;  // Crowding from which an answer tells of the slowdown
+constexpr double   slowdownGain = 0.03; // Share of one answer in the slowdown of crowded instances
+constexpr double   mostSlowdown = 4;
+constexpr double   spread = 0.08;      // Random part of a cost, so that nodes with equal views part
+constexpr double   probeSpread = 0.25; // Random part when servers to be probed are ranked
+constexpr double   probeShare = 0.8;   // Of the budget for probes that is used
 constexpr double   probeBurstSeconds = 2;
 constexpr unsigned leastConnections = 2;
 constexpr unsigned answersToKnow = 3; // Of a route, before its usual work is relied on
@@ -28,7 +31,7 @@
 m_name(std::move(name)),
 m_settings(settings),
 m_retries(settings.retryWindow, settings.retryRatio, born),
-m_work(core::toMilliseconds(settings.firstWork))
+m_usual{core::toMilliseconds(settings.firstWork), 0, 1, 1}
 {
 }
 
@@ -133,7 +136,10 @@
         bestCost = value;
     }
     if (best.server)
-        best.finishMs = best.server->finishMs(work, m_work, m_others, m_pace, now);
+    {
+        best.finishMs = best.server->finishMs(work, m_usual, now);
+        best.crowding = best.server->crowding(m_usual.others, now);
+    }
     return best;
 }
 
@@ -164,22 +170,24 @@
     const double risk = server.failureShare(now) * (wish.repeatable ? failurePenalty : lossPenalty);
     const double absence = server.ejected(now) ? ejectedPenalty : 0;
     // Bytes between data centres are dear, so a near server may be slower; the less so the busier all are.
-    const double idle = std::clamp(1 - m_others / std::max(1U, server.instance()->slots), leastIdle, 1.0);
+    const double idle = std::clamp(1 - m_usual.others / std::max(1U, server.instance()->slots), leastIdle, 1.0);
     const double distance = near(server) ? 0 : idle * m_settings.otherDataCentreCost;
-    return server.finishMs(work, m_work, m_others, m_pace, now) + distance * work + (risk + absence) * work * m_pace;
+    // Filling an instance also slows down what it works on already.
+    const double crowd = server.crowding(m_usual.others, now) * (m_usual.fullSlowdown - 1);
+    return server.finishMs(work, m_usual, now) + (distance + crowd) * work + (risk + absence) * work * m_usual.pace;
 }
 
 ////////////////////////////////////////////////////////////
 void ServicePool::learnOthers(double others)
 {
-    m_others += othersGain * (others - m_others);
+    m_usual.others += othersGain * (others - m_usual.others);
 }
 
 ////////////////////////////////////////////////////////////
 void ServicePool::learnPace(double pace)
 {
     m_tellsLoad = true;
-    m_pace += paceGain * (pace - m_pace);
+    m_usual.pace += paceGain * (pace - m_usual.pace);
 }
 
 ////////////////////////////////////////////////////////////
@@ -189,21 +197,29 @@
 }
 
 ////////////////////////////////////////////////////////////
-void ServicePool::learnWork(std::string_view route, double latencyMs, double plainMs)
+void ServicePool::learnWork(std::string_view route, double latencyMs, double plainMs, double crowding)
 {
     const double seen = std::clamp(latencyMs / std::max(1.0, plainMs), 0.1, 5.0);
-    RouteWork&   work = m_routeWork.try_emplace(std::string(route), RouteWork{m_work, 0}).first->second;
+    RouteWork&   work = m_routeWork.try_emplace(std::string(route), RouteWork{m_usual.workMs, 0}).first->second;
     // The first answers count for more: the start is only what other routes take.
     ++work.answers;
-    work.ms *= 1 + std::max(workGain, 1.0 / (work.answers + 1)) * (seen - 1);
-    m_work += workGain * (work.ms - m_work);
+    const bool crowded = crowding > crowdedAbove && work.answers > answersToKnow;
+    if (crowded)
+        m_usual.fullSlowdown =
+            std::clamp(m_usual.fullSlowdown * (1 + slowdownGain * (seen / m_roomy - 1)), 1.0, mostSlowdown);
+    else
+        m_roomy += slowdownGain * (seen - m_roomy);
+    // What a crowded instance takes longer is mostly the crowding's doing.
+    const double gain = crowded ? workGain / 5 : std::max(workGain, 1.0 / (work.answers + 1));
+    work.ms *= 1 + gain * (seen - 1);
+    m_usual.workMs += workGain * (work.ms - m_usual.workMs);
 }
 
 ////////////////////////////////////////////////////////////
 double ServicePool::workMs(std::string_view route) const
 {
     const auto known = m_routeWork.find(std::string(route));
-    return known == m_routeWork.end() ? m_work : known->second.ms;
+    return known == m_routeWork.end() ? m_usual.workMs : known->second.ms;
 }
 
 ////////////////////////////////////////////////////////////
@@ -216,13 +232,13 @@
 ////////////////////////////////////////////////////////////
 double ServicePool::workMs() const
 {
-    return m_work;
+    return m_usual.workMs;
 }
 
 ////////////////////////////////////////////////////////////
 double ServicePool::usualPace() const
 {
-    return m_pace;
+    return m_usual.pace;
 }
 
 ////////////////////////////////////////////////////////////
--- /dev/null
+++ b/test/balance/ServicePool.test.cpp
@@ -0,0 +1,99 @@
+#include <sailpath/balance/ServicePool.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+namespace
+{
+using namespace sailpath;
+using namespace std::chrono_literals;
+using balance::Load;
+using balance::ServicePool;
+using balance::Wish;
+
+constexpr core::Timestamp start{1h};
+constexpr double          workMs = 100;
+constexpr unsigned        slots = 3;
+
+struct Fixture
+{
+    Fixture()
+    {
+        settings.dataCentre = "dc";
+        pool.setInstances({{"full", "portal", "10.0.0.1", 80, "dc", slots, false, {}},
+                           {"empty", "portal", "10.0.0.2", 80, "dc", slots, false, {}}},
+                          start);
+        for (const char* id : {"full", "empty"})
+            pool.find(id)->setIdleConnections(1);
+    }
+
+    /// \brief Tell the load of both and choose
+    [[nodiscard]] balance::Choice chooseWith(unsigned onFull, unsigned onEmpty, double paceOfEmpty = 1)
+    {
+        pool.find("full")->reported(Load{onFull, 0, slots, 1}, start);
+        pool.find("empty")->reported(Load{onEmpty, 0, slots, paceOfEmpty}, start);
+        return pool.choose(Wish{"read", false, {}}, start, random);
+    }
+
+    /// \brief Learn from answers of servers with and without room
+    void learn(double slowdown, int answers)
+    {
+        for (int i = 0; i < answers; ++i)
+        {
+            pool.learnWork("read", workMs, workMs, 0);
+            pool.learnWork("read", slowdown * workMs, pool.find("full")->finishMs(workMs, usualOf(), start), 1);
+        }
+    }
+
+    /// \brief The slowdown that the pool works with, read off its estimate for a full server
+    [[nodiscard]] double slowdown()
+    {
+        pool.find("full")->reported(Load{slots - 1, 0, slots, 1}, start);
+        pool.find("empty")->reported(Load{slots + 9, 0, slots, 9}, start);
+        return pool.choose(Wish{"read", false, {}}, start, random).finishMs / pool.workMs("read");
+    }
+
+    [[nodiscard]] balance::Usual usualOf()
+    {
+        return {workMs, 0, 1, slowdown()};
+    }
+
+    balance::Settings settings;
+    ServicePool       pool{"portal", settings, start};
+    core::Random      random{1};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ServicePoolTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(TheSlowdownOfFullServersIsLearned)
+{
+    BOOST_TEST(slowdown() < 1.05);
+    learn(1.7, 400);
+    BOOST_TEST(slowdown() > 1.5);
+    BOOST_TEST(slowdown() < 1.9);
+}
+
+BOOST_AUTO_TEST_CASE(WithoutASlowdownNoneIsAssumed)
+{
+    learn(1.0, 400);
+    BOOST_TEST(slowdown() < 1.05);
+}
+
+BOOST_AUTO_TEST_CASE(AnEmptierServerIsPreferredWhenFullOnesAreSlower)
+{
+    learn(1.7, 400);
+    for (int i = 0; i < 50; ++i)
+        BOOST_TEST(chooseWith(slots - 1, 0, 1.4).server->instance()->id == "empty");
+}
+
+BOOST_AUTO_TEST_CASE(AFreeServerIsExpectedToTakeItsUsualWork)
+{
+    learn(1.7, 400);
+    const auto choice = chooseWith(slots, 0);
+    BOOST_TEST(choice.server->instance()->id == "empty");
+    BOOST_TEST(choice.crowding == 0.0);
+    BOOST_TEST(choice.finishMs < 1.1 * pool.workMs("read"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
