Large fleets: relays in each data centre hear from two watchers of the store

From 30 nodes on each data centre has two relays of its own, which hear from the two watchers; the others hear from those beside them. Tests: ALargeFleetHearsWithinItsDataCentresAndTwoWatch (failed first: 2,400 items crossed for 20 changes, 240 allowed), ALargeFleetHearsWithinTheBoundWithoutItsWatchersOrRelays.

--- a/include/sailpath/replication/Replica.hpp
+++ b/include/sailpath/replication/Replica.hpp
@@ -29,9 +29,11 @@
     core::Duration           avoidance{std::chrono::seconds{3}};           //!< A relay that failed is left alone
     core::Duration           nodeLife{std::chrono::seconds{20}};           //!< A node not heard of is forgotten
     core::Duration           countLife{std::chrono::seconds{25}};          //!< A node counts for shared budgets
-    unsigned                 relays{2};                             //!< Nodes that watch the store for all, at least
-    unsigned                 nodesPerRelay{75};                     //!< One more relay for each so many nodes
-    unsigned                 upstreams{2};                          //!< Relays that a node follows
+    unsigned                 watchers{2};                                  //!< Relays that watch the store for all
+    unsigned                 nodesPerRelay{75};                            //!< One more relay for each so many nodes
+    unsigned                 largeFleet{30};         //!< From so many nodes on, data centres have relays of their own
+    unsigned                 relaysPerDataCentre{2}; //!< Of a large fleet
+    unsigned                 upstreams{2};           //!< Relays that a node follows
     core::Duration           gather{std::chrono::milliseconds{25}}; //!< Changes this close together are told at once
     std::uint64_t            seed{1};                               //!< Of the random choices
 };
@@ -78,8 +80,10 @@
 /// \brief One node's copy of the store, kept by few calls for the whole fleet
 ///
 /// The nodes that rank first among those known watch the store and push
-/// what changes to the others; each update says how old its picture is. A
-/// node whose picture grows old asks another relay, then the store itself.
+/// what changes to the others; in a large fleet relays in each data centre
+/// hear from them and push to the nodes beside them. Each update says how old
+/// its picture is. A node whose picture grows old asks another relay, then
+/// the store itself.
 /// Does no input or output, starts no threads and reads no clock.
 ////////////////////////////////////////////////////////////
 class Replica
@@ -120,6 +124,7 @@
         bool            wantsAll{true}; //!< Needs the whole picture
         core::Timestamp nextBeat{};     //!< Next update without news
         core::Timestamp fedAt{};        //!< Last update
+        core::Timestamp fedAsOf{};      //!< What it told was the store's then
         core::Timestamp nextNodes{};    //!< Next telling of the nodes
         core::Timestamp newNodesAt{};   //!< Not before, when there are many new ones
         std::size_t     nodesTold{0};   //!< Nodes at the last telling
@@ -143,6 +148,14 @@
         unsigned        failures{0};  //!< In a row
     };
 
+    /// \brief A node that pushes what changes to others
+    struct Relay
+    {
+        std::string address;        //!< Where it listens
+        std::string dataCentre;     //!< Where it runs
+        bool        watcher{false}; //!< It watches the store
+    };
+
     void                                   hear(const NodeAddress& node, core::Timestamp now);
     void                                   avoid(const std::string& address, core::Timestamp now, std::string_view why);
     void                                   manageUpstreams(core::Timestamp now);
@@ -151,8 +164,12 @@
     void                                   feed(LinkId link, Follower& follower, core::Timestamp now);
     void                                   startWatch(core::Timestamp now);
     void                                   noteFresh(core::Timestamp asOf, core::Timestamp now);
-    [[nodiscard]] std::vector<std::string> rankRelays(core::Timestamp now) const;
-    [[nodiscard]] std::vector<std::string> chooseUpstreams(const std::vector<std::string>& relays) const;
+    void                                   rank(core::Timestamp now);
+    [[nodiscard]] std::vector<Relay>       rankRelays(core::Timestamp now) const;
+    [[nodiscard]] std::vector<std::string> chooseUpstreams(const std::vector<Relay>& relays) const;
+    [[nodiscard]] bool                     isSeed(const std::string& address) const;
+    [[nodiscard]] std::size_t              relaysWanted(std::size_t dataCentres, core::Timestamp now) const;
+    [[nodiscard]] bool                     fedSteadily(core::Timestamp now) const;
     [[nodiscard]] std::vector<NodeAddress> nodeList(core::Timestamp now) const;
     [[nodiscard]] core::Timestamp          staleAt() const;
     [[nodiscard]] bool                     shouldWatch(core::Timestamp now) const;
@@ -177,7 +194,9 @@
     StoreState                   m_store{StoreState::Idle};            //!< Call under way
     bool                         m_needRead{true};                     //!< The history is not usable
     bool                         m_booted{false};                      //!< The store was asked since the start
-    bool                         m_relayRole{false};                   //!< Ranks among the relays
+    bool                         m_watchRole{false};                   //!< Ranks among the watchers
+    std::vector<std::string>     m_wanted;                             //!< Relays to follow
+    core::Timestamp              m_rankAt{};                           //!< Next ranking of the relays
     bool                         m_proving{false};                     //!< The watch under way returns at once
     core::Timestamp              m_nextStore{};                        //!< Next call, after failures
     unsigned                     m_storeFailures{0};                   //!< In a row
--- a/src/sailpath/replication/Replica.cpp
+++ b/src/sailpath/replication/Replica.cpp
@@ -21,6 +21,8 @@
 constexpr double newNodesShare = 0.1;                        // More nodes than were told, so that they are told at once
 constexpr auto   watchPause = std::chrono::milliseconds{80}; // After news, so that more comes with the next call
 constexpr auto   relaySteady = std::chrono::milliseconds{1200}; // A relay is fresh this long before the own watch ends
+constexpr auto   rankEvery = std::chrono::milliseconds{200};    // Also at once when a node is new or failed
+constexpr auto   worthTelling = std::chrono::milliseconds{400}; // A copy that is so much fresher than was told
 constexpr auto   connectPatience = std::chrono::milliseconds{700};
 constexpr std::uint32_t longestAge = std::numeric_limits<std::uint32_t>::max();
 
@@ -61,61 +63,101 @@
 }
 
 ////////////////////////////////////////////////////////////
-std::vector<std::string> Replica::rankRelays(core::Timestamp now) const
+bool Replica::isSeed(const std::string& address) const
 {
-    struct Ranked
+    return std::find(m_settings.seeds.begin(), m_settings.seeds.end(), address) != m_settings.seeds.end();
+}
+
+////////////////////////////////////////////////////////////
+std::size_t Replica::relaysWanted(std::size_t dataCentres, core::Timestamp now) const
+{
+    const std::size_t known = nodes(now);
+    const std::size_t bySize = std::max<std::size_t>(m_settings.watchers, known / m_settings.nodesPerRelay + 1);
+    const std::size_t byPlace = known < m_settings.largeFleet ? 0 : m_settings.relaysPerDataCentre * dataCentres;
+    return std::max(bySize, byPlace);
+}
+
+////////////////////////////////////////////////////////////
+std::vector<Replica::Relay> Replica::rankRelays(core::Timestamp now) const
+{
+    struct Candidate
     {
         std::uint32_t capacity;
         std::uint64_t rank;
-        std::string   address;
-        std::string   dataCentre;
+        Relay         relay;
     };
-    std::vector<Ranked> ranked;
-    const auto          isSeed = [this](const std::string& address)
-    { return std::find(m_settings.seeds.begin(), m_settings.seeds.end(), address) != m_settings.seeds.end(); };
+    std::vector<Candidate> candidates;
     // Before peers have told of others, only seeds count as relays, or every node would be one.
     if (now - m_born > bootWait || m_settings.seeds.empty() || isSeed(m_settings.self.address))
-        ranked.push_back({m_settings.self.capacity, core::hash(m_settings.self.address), m_settings.self.address,
-                          m_settings.self.dataCentre});
+        candidates.push_back({m_settings.self.capacity,
+                              core::hash(m_settings.self.address),
+                              {m_settings.self.address, m_settings.self.dataCentre, false}});
     for (const auto& [address, known] : m_known)
     {
         if (now - known.heard < m_settings.nodeLife && now >= known.avoidUntil)
-            ranked.push_back({known.capacity, core::hash(address), address, known.dataCentre});
+            candidates.push_back({known.capacity, core::hash(address), {address, known.dataCentre, false}});
     }
-    std::sort(ranked.begin(), ranked.end(),
-              [](const Ranked& left, const Ranked& right)
+    std::sort(candidates.begin(), candidates.end(),
+              [](const Candidate& left, const Candidate& right)
               { return left.capacity != right.capacity ? left.capacity > right.capacity : left.rank < right.rank; });
-    const std::size_t wanted = std::max<std::size_t>(m_settings.relays, nodes(now) / m_settings.nodesPerRelay + 1);
-    // The first, then the first in other data centres, then whoever follows.
-    std::vector<std::string> chosen;
-    std::vector<std::string> places;
-    for (const bool anyPlace : {false, true})
+    std::map<std::string, std::size_t> byPlace;
+    for (const Candidate& candidate : candidates)
+        byPlace[candidate.relay.dataCentre] = 0;
+    const std::size_t  wanted = relaysWanted(byPlace.size(), now);
+    // The first of each data centre, then the second of each, and so on.
+    std::vector<Relay> chosen;
+    for (std::size_t turn = 0; chosen.size() < std::min(wanted, candidates.size()); ++turn)
     {
-        for (const Ranked& node : ranked)
+        std::map<std::string, std::size_t> seen;
+        for (const Candidate& candidate : candidates)
         {
-            const bool taken = std::find(chosen.begin(), chosen.end(), node.address) != chosen.end();
-            const bool samePlace = std::find(places.begin(), places.end(), node.dataCentre) != places.end();
-            if (chosen.size() >= wanted || taken || (samePlace && !anyPlace))
+            if (seen[candidate.relay.dataCentre]++ != turn || chosen.size() >= wanted)
                 continue;
-            chosen.push_back(node.address);
-            places.push_back(node.dataCentre);
+            chosen.push_back(candidate.relay);
+            chosen.back().watcher = chosen.size() <= m_settings.watchers;
         }
     }
     return chosen;
 }
 
 ////////////////////////////////////////////////////////////
-std::vector<std::string> Replica::chooseUpstreams(const std::vector<std::string>& relays) const
+void Replica::rank(core::Timestamp now)
 {
-    std::vector<std::string> others;
-    std::copy_if(relays.begin(), relays.end(), std::back_inserter(others),
-                 [this](const std::string& address) { return address != m_settings.self.address; });
-    // Each node follows relays of its own choice, so that these share the work.
-    std::sort(others.begin(), others.end(),
-              [this](const std::string& left, const std::string& right)
-              { return core::hash(left + m_settings.self.address) < core::hash(right + m_settings.self.address); });
-    others.resize(std::min<std::size_t>(others.size(), m_settings.upstreams));
-    return others;
+    if (now < m_rankAt)
+        return;
+    m_rankAt = now + rankEvery;
+    const std::vector<Relay> ranked = rankRelays(now);
+    m_watchRole =
+        std::any_of(ranked.begin(), ranked.end(),
+                    [this](const Relay& relay) { return relay.watcher && relay.address == m_settings.self.address; });
+    m_wanted = chooseUpstreams(ranked);
+}
+
+////////////////////////////////////////////////////////////
+std::vector<std::string> Replica::chooseUpstreams(const std::vector<Relay>& relays) const
+{
+    const auto isSelf = [this](const Relay& relay) { return relay.address == m_settings.self.address; };
+    const bool relaysItself = std::any_of(relays.begin(), relays.end(), isSelf);
+    // Relays hear from the watchers, others from the relays beside them.
+    const auto farness = [&](const Relay& relay)
+    {
+        const bool near = relay.dataCentre == m_settings.self.dataCentre;
+        if (relaysItself)
+            return relay.watcher ? 0 : 1 + (near ? 0 : 1);
+        return near ? 0 : 1 + (relay.watcher ? 0 : 1);
+    };
+    // Among equals each node follows relays of its own choice, so that these share the work.
+    std::vector<std::pair<std::pair<int, std::uint64_t>, std::string>> others;
+    for (const Relay& relay : relays)
+    {
+        if (!isSelf(relay))
+            others.push_back({{farness(relay), core::hash(relay.address + m_settings.self.address)}, relay.address});
+    }
+    std::sort(others.begin(), others.end());
+    std::vector<std::string> upstreams;
+    for (std::size_t i = 0; i < std::min<std::size_t>(others.size(), m_settings.upstreams); ++i)
+        upstreams.push_back(std::move(others[i].second));
+    return upstreams;
 }
 
 ////////////////////////////////////////////////////////////
@@ -136,10 +178,9 @@
         item = m_upstreams.erase(item);
         avoid(address, now, "relay-silent");
     }
-    std::vector<std::string> relays = rankRelays(now);
-    m_relayRole = std::find(relays.begin(), relays.end(), m_settings.self.address) != relays.end();
-    relays = chooseUpstreams(relays);
-    bool allFed = true;
+    rank(now);
+    const std::vector<std::string>& relays = m_wanted;
+    bool                            allFed = true;
     for (const std::string& address : relays)
     {
         const auto link = std::find_if(m_upstreams.begin(), m_upstreams.end(),
@@ -171,13 +212,18 @@
 bool Replica::shouldWatch(core::Timestamp now) const
 {
     // Everybody reads the store once at its start: relays would choke on whole pictures for all.
-    if (!m_booted || m_relayRole || !m_followers.empty())
+    if (!m_booted || m_watchRole || (!m_followers.empty() && !fedSteadily(now)))
         return true;
     if (age(now) > m_settings.staleAfter && now - m_born > bootWait)
         return true;
     // Once begun, the own watch goes on until relays have proved steady.
-    const bool steady = m_relayFresh != core::Timestamp::min() && now - m_relayFresh < relaySteady;
-    return m_store == StoreState::Watching && !steady;
+    return m_store == StoreState::Watching && !fedSteadily(now);
+}
+
+////////////////////////////////////////////////////////////
+bool Replica::fedSteadily(core::Timestamp now) const
+{
+    return m_relayFresh != core::Timestamp::min() && now - m_relayFresh < relaySteady;
 }
 
 ////////////////////////////////////////////////////////////
@@ -346,6 +392,8 @@
     if (now - heard > m_settings.nodeLife)
         return;
     Known& known = m_known[node.address];
+    if (known.dataCentre.empty() || known.heard == core::Timestamp{})
+        m_rankAt = {};
     known.dataCentre = node.dataCentre;
     known.capacity = node.capacity;
     known.heard = std::max(known.heard, heard);
@@ -360,6 +408,7 @@
     const auto doublings = std::min(known.failures, 2U);
     ++known.failures;
     known.avoidUntil = now + m_settings.avoidance * (1U << doublings);
+    m_rankAt = {};
     m_actions.push_back(Note{std::string(why), address, core::toMilliseconds(age(now))});
 }
 
@@ -372,7 +421,9 @@
         const auto known = m_known.find(follower.node.address);
         if (known != m_known.end())
             known->second.heard = now;
-        if (m_table.at() > follower.sentAt)
+        // News are told at once, and so is that the copy was proved anew: it grows old again at each hop.
+        const bool proved = m_asOf != core::Timestamp::min() && m_asOf - follower.fedAsOf > worthTelling;
+        if (m_table.at() > follower.sentAt || proved)
             follower.nextBeat = std::min(follower.nextBeat, follower.fedAt + m_settings.gather);
         if (now >= follower.nextBeat)
             feed(link, follower, now);
@@ -403,6 +454,7 @@
         follower.nextNodes = now + std::max<core::Duration>(std::chrono::seconds{1}, nodesEvery * known);
     }
     follower.fedAt = now;
+    follower.fedAsOf = m_asOf;
     follower.nextBeat = now + m_settings.beat;
     m_actions.push_back(SendUpdate{link, std::move(update)});
 }
--- a/test/replication/Replica.test.cpp
+++ b/test/replication/Replica.test.cpp
@@ -14,10 +14,10 @@
 constexpr std::size_t nodes = 13;
 
 ////////////////////////////////////////////////////////////
-std::size_t lacking(const ReplicaGroup& group, const std::string& key)
+std::size_t lacking(const ReplicaGroup& group, const std::string& key, std::size_t of = nodes)
 {
     std::size_t count = 0;
-    for (std::size_t node = 0; node < nodes; ++node)
+    for (std::size_t node = 0; node < of; ++node)
         count += group.running(node) && group.valueAt(node, key) != group.value(key) ? 1 : 0;
     return count;
 }
@@ -49,6 +49,50 @@
     BOOST_TEST(group.calls() - before <= 2U * 11U);
 }
 
+BOOST_AUTO_TEST_CASE(ALargeFleetHearsWithinItsDataCentresAndTwoWatch)
+{
+    constexpr std::size_t large = 90;
+    ReplicaGroup          group(large, 4);
+    group.write("config", "1");
+    group.pass(30s);
+    BOOST_TEST(group.watchers() == 2U);
+    const auto across = group.itemsAcross();
+    const auto calls = group.calls();
+    for (int change = 0; change < 20; ++change)
+    {
+        group.write("config", "change " + std::to_string(change));
+        group.pass(100ms);
+        BOOST_TEST(lacking(group, "config", large) == 0U);
+    }
+    // Two relays in each of three data centres hear from both watchers; 120 if all did.
+    BOOST_TEST(group.itemsAcross() - across <= 20U * 12U);
+    BOOST_TEST(group.calls() - calls <= 20U * 2U + 6U);
+}
+
+BOOST_AUTO_TEST_CASE(ALargeFleetHearsWithinTheBoundWithoutItsWatchersOrRelays)
+{
+    constexpr std::size_t large = 60;
+    for (std::uint64_t seed = 1; seed <= 6; ++seed)
+    {
+        ReplicaGroup group(large, seed);
+        group.write("config", "1");
+        group.pass(30s);
+        std::size_t lost = 0;
+        for (std::size_t node = 0; node < large; ++node)
+        {
+            const bool relay = group.replica(node).watching() || group.replica(node).followers() > 3;
+            if (!relay || (seed % 2 == 0 && !group.replica(node).watching()))
+                continue;
+            group.cut(node, true, true);
+            ++lost;
+        }
+        BOOST_TEST(lost >= 2U);
+        group.write("config", "2");
+        group.pass(1900ms);
+        BOOST_TEST(lacking(group, "config", large) <= lost, "seed " << seed);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(ARemovalIsHeardOf)
 {
     ReplicaGroup group(nodes, 3);
--- a/test/support/ReplicaGroup.cpp
+++ b/test/support/ReplicaGroup.cpp
@@ -335,7 +335,9 @@
         const auto  end = m_nodes[index].ends.find(hello != nullptr ? hello->link : update->link);
         if (end == m_nodes[index].ends.end())
             return;
-        const auto          far = end->second;
+        const auto far = end->second;
+        if (update != nullptr && index % dataCentres != far.first % dataCentres)
+            m_itemsAcross += update->update.items.size();
         const std::uint64_t farLife = m_nodes[far.first].life;
         const auto          message = action;
         at(m_now + way,
@@ -400,6 +402,12 @@
         m_nodes.begin(), m_nodes.end(), [](const Node& node) { return node.replica && node.replica->watching(); }));
 }
 
+////////////////////////////////////////////////////////////
+std::uint64_t ReplicaGroup::itemsAcross() const
+{
+    return m_itemsAcross;
+}
+
 ////////////////////////////////////////////////////////////
 bool ReplicaGroup::wentBack() const
 {
--- a/test/support/ReplicaGroup.hpp
+++ b/test/support/ReplicaGroup.hpp
@@ -45,8 +45,9 @@
     [[nodiscard]] std::string     valueAt(std::size_t node, const std::string& key) const; //!< Empty when there is none
     [[nodiscard]] std::string     value(const std::string& key) const;                     //!< In the store
     [[nodiscard]] std::uint64_t   calls() const;                                           //!< Of the store, by all
-    [[nodiscard]] std::size_t     watchers() const; //!< Nodes that call the store
-    [[nodiscard]] bool            wentBack() const; //!< Some node took a lower revision of a key in one life
+    [[nodiscard]] std::size_t     watchers() const;    //!< Nodes that call the store
+    [[nodiscard]] std::uint64_t   itemsAcross() const; //!< Items sent between data centres
+    [[nodiscard]] bool            wentBack() const;    //!< Some node took a lower revision of a key in one life
     [[nodiscard]] core::Timestamp now() const;
 
 private:
@@ -92,6 +93,7 @@
     StoreMode                                             m_mode{StoreMode::Well};
     std::vector<Watch>                                    m_watches;
     std::uint64_t                                         m_calls{0};
+    std::uint64_t                                         m_itemsAcross{0};
     replication::LinkId                                   m_nextAccepted{2};
     bool                                                  m_wentBack{false};
 };
