--- a/include/sailpath/balance/ServerView.hpp
+++ b/include/sailpath/balance/ServerView.hpp
@@ -56,6 +56,7 @@
     [[nodiscard]] const std::shared_ptr<const deployment::Instance>& instance() const; //!< As announced
     [[nodiscard]] unsigned                                           inFlight() const; //!< Own requests there
     [[nodiscard]] unsigned                                           open() const;     //!< Own connections to it
+    [[nodiscard]] unsigned                                           idle() const;     //!< Those at rest
     [[nodiscard]] double                                             ratio() const; //!< Observed over expected latency
 
 private:
--- a/include/sailpath/balance/Settings.hpp
+++ b/include/sailpath/balance/Settings.hpp
@@ -26,7 +26,8 @@
     core::Duration reportFresh{std::chrono::milliseconds{15}}; //!< Age up to which a report needs no probe
     core::Duration probeWait{std::chrono::milliseconds{15}};   //!< Longest wait for the probes of one round
     core::Duration roundPause{std::chrono::milliseconds{10}};  //!< Between rounds of probes that found nothing good
-    unsigned       probesPerRound{3};                          //!< Servers asked at once
+    unsigned       probesAtFirst{2};                           //!< Servers asked at once to begin with
+    unsigned       probesPerRound{4};                          //!< Servers asked at once when these were not good
     bool           probing{true};                              //!< Ask servers for their load before a send
     unsigned       firstProbes{6};       //!< Answers without a load report after which a service is not asked
     bool           nearFirst{true};      //!< Ask servers of the own data centre first
--- a/src/sailpath/balance/BalancerSearch.cpp
+++ b/src/sailpath/balance/BalancerSearch.cpp
@@ -37,11 +37,12 @@
     Search& search = request.search;
     Wish    wish = wishOf(request);
     wish.nearFirst = m_settings.nearFirst && search.probes.empty();
-    auto servers = request.pool->worthProbing(wish, search.asked, m_settings.probesPerRound, now, m_random);
+    const unsigned most = search.probes.empty() ? m_settings.probesAtFirst : m_settings.probesPerRound;
+    auto           servers = request.pool->worthProbing(wish, search.asked, most, now, m_random);
     if (servers.empty())
     {
         search.asked.clear();
-        servers = request.pool->worthProbing(wish, search.asked, m_settings.probesPerRound, now, m_random);
+        servers = request.pool->worthProbing(wish, search.asked, most, now, m_random);
     }
     search.pausing = false;
     search.waiting = 0;
--- a/src/sailpath/balance/ServerView.cpp
+++ b/src/sailpath/balance/ServerView.cpp
@@ -198,6 +198,12 @@
     return m_open;
 }
 
+////////////////////////////////////////////////////////////
+unsigned ServerView::idle() const
+{
+    return m_idle;
+}
+
 ////////////////////////////////////////////////////////////
 double ServerView::ratio() const
 {
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -6,16 +6,17 @@
 {
 namespace
 {
-constexpr double   othersGain = 0.05;   // Share of one report in the pool's mean
-constexpr double   paceGain = 0.03;     // Share of one report in the pool's mean
-constexpr double   workGain = 0.05;     // Share of one answer in the usual work
-constexpr double   failurePenalty = 2;  // Usual works that a failed attempt costs when it can be mended
-constexpr double   lossPenalty = 12;    // Usual works that a failed attempt costs when it cannot
-constexpr double   ejectedPenalty = 40; // Usual works; an ejected server is taken only when all are
-constexpr double   leastIdle = 0.25;    // Of the cost of distance, when all servers are busy
-constexpr double   farPenalty = 20;     // Usual works; less than that of an ejected server
-constexpr double   crowdedAbove = 0.5;  // Crowding from which an answer tells of the slowdown
-constexpr double   slowdownGain = 0.03; // Share of one answer in the slowdown of crowded instances
+constexpr double   othersGain = 0.05;    // Share of one report in the pool's mean
+constexpr double   paceGain = 0.03;      // Share of one report in the pool's mean
+constexpr double   workGain = 0.05;      // Share of one answer in the usual work
+constexpr double   failurePenalty = 2;   // Usual works that a failed attempt costs when it can be mended
+constexpr double   lossPenalty = 12;     // Usual works that a failed attempt costs when it cannot
+constexpr double   ejectedPenalty = 40;  // Usual works; an ejected server is taken only when all are
+constexpr double   leastIdle = 0.25;     // Of the cost of distance, when all servers are busy
+constexpr double   farPenalty = 20;      // Usual works; less than that of an ejected server
+constexpr double   connectPenalty = 0.5; // Usual works, for a server that a connection would have to be opened to
+constexpr double   crowdedAbove = 0.5;   // Crowding from which an answer tells of the slowdown
+constexpr double   slowdownGain = 0.03;  // Share of one answer in the slowdown of crowded instances
 constexpr double   mostSlowdown = 4;
 constexpr double   spread = 0.08;      // Random part of a cost, so that nodes with equal views part
 constexpr double   probeSpread = 0.25; // Random part when servers to be probed are ranked
@@ -75,7 +76,8 @@
         if (!mayBeGiven(*server, wish) || std::find(asked.begin(), asked.end(), server.get()) != asked.end())
             continue;
         const double far = wish.nearFirst && !near(*server) ? farPenalty * work : 0;
-        ranked.emplace_back(far + cost(*server, wish, work, now) * (1 + probeSpread * random.unit()), server);
+        const double connect = server->idle() == 0 ? connectPenalty * work : 0;
+        ranked.emplace_back(far + connect + cost(*server, wish, work, now) * (1 + probeSpread * random.unit()), server);
     }
     std::sort(ranked.begin(), ranked.end(),
               [](const auto& left, const auto& right) { return left.first < right.first; });
--- a/test/balance/Balancer.test.cpp
+++ b/test/balance/Balancer.test.cpp
@@ -68,6 +68,8 @@
         settings.retryRatio = 0.2;
         settings.retryExtra = 50;
         settings.firstProbes = 0; // Most tests are about what follows a choice, not about the search
+        settings.probesAtFirst = 3;
+        settings.probesPerRound = 3;
         return settings;
     }
 
@@ -437,6 +439,47 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(FewServersAreAskedFirstAndMoreWhenTheseAreBusy)
+{
+    auto settings = settingsOf();
+    settings.probesAtFirst = 2;
+    settings.probesPerRound = 4;
+    balancer = Balancer(settings, now);
+    for (int i = 5; i <= 20; ++i)
+        declared.instances.push_back(instanceOf("s" + std::to_string(i)));
+    configure();
+    now += 20s;
+    learnLoad(1);
+    const auto asked = admit(2);
+    BOOST_REQUIRE_EQUAL(count(asked, StepKind::Probe), 2U);
+    BOOST_TEST(answerProbe(asked[0], Load{3, 3, 3, 5}).empty());
+    BOOST_TEST(count(answerProbe(asked[1], Load{3, 3, 3, 5}), StepKind::Probe) == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(ServersThatAConnectionIsOpenToAreAskedFirst)
+{
+    for (int i = 5; i <= 20; ++i)
+        declared.instances.push_back(instanceOf("s" + std::to_string(i)));
+    configure();
+    learnLoad(1);
+    std::set<std::string> connected;
+    for (const char* id : {"s7", "s9", "s11"})
+    {
+        connected.insert(id);
+        balancer.connections(instanceOf(id), 1, 1);
+    }
+    std::size_t known = 0;
+    for (Ticket ticket = 2; ticket < 22; ++ticket)
+    {
+        for (const Step& probe : admit(ticket))
+            known += connected.contains(probe.instance->id) ? 1 : 0;
+        balancer.callerLeft(ticket, now);
+        (void)steps();
+        now += 400ms;
+    }
+    BOOST_TEST(known >= 50U);
+}
+
 BOOST_AUTO_TEST_CASE(WhenNearServersAreBusyFarOnesAreAsked)
 {
     declared.instances.push_back(instanceOf("far"));
