A start reads the store cheaply and relays prove the reading; watchers pause longer after news

At its start a node takes a reading that may be old (a tenth of the price), uses it only once a relay or a call of its own has proved it, and calls the store when as many relays as it follows cannot. Watchers wait a tenth of the drain time after news. Tests: ANodeThatStartsReadsCheaplyAndHearsTheRestFromRelays, AnOldReadingIsNotUsedBeforeItIsProved, WhenAllStartAtOnceNobodyWaitsForRelays (failed first), ACheapReadingIsTakenForAsOldAsItsOldestPage.

--- a/include/sailpath/replication/ItemSource.hpp
+++ b/include/sailpath/replication/ItemSource.hpp
@@ -19,6 +19,15 @@
     Failed       //!< It was refused, or not answered in time
 };
 
+////////////////////////////////////////////////////////////
+/// \brief How a reading of all items may be served
+////////////////////////////////////////////////////////////
+enum class Reading
+{
+    Latest,  //!< As of the time of the call at the earliest
+    MayBeOld //!< As of seconds ago perhaps; cheaper
+};
+
 ////////////////////////////////////////////////////////////
 /// \brief What a call of the store brought
 ////////////////////////////////////////////////////////////
@@ -43,7 +52,7 @@
 
     virtual ~ItemSource() = default;
 
-    virtual void read(Answered answered) = 0; //!< All items, as of the time of the call at the earliest
+    virtual void read(Reading how, Answered answered) = 0; //!< All items
 
     virtual void watch(std::uint64_t after, core::Duration wait, Answered answered) = 0; //!< Changes after a revision
 
--- a/include/sailpath/replication/Replica.hpp
+++ b/include/sailpath/replication/Replica.hpp
@@ -2,6 +2,7 @@
 
 #include <sailpath/core/Random.hpp>
 #include <sailpath/core/Time.hpp>
+#include <sailpath/replication/ItemSource.hpp>
 #include <sailpath/replication/ItemTable.hpp>
 #include <sailpath/replication/Message.hpp>
 
@@ -34,6 +35,8 @@
     unsigned                 largeFleet{30};         //!< From so many nodes on, data centres have relays of their own
     unsigned                 relaysPerDataCentre{2}; //!< Of a large fleet
     unsigned                 upstreams{2};           //!< Relays that a node follows
+    core::Duration           watchPause{std::chrono::milliseconds{80}}; //!< After news, so that more comes at once
+    core::Duration           proofWait{std::chrono::milliseconds{40}};  //!< For relays to prove a first, old reading
     core::Duration           gather{std::chrono::milliseconds{25}}; //!< Changes this close together are told at once
     std::uint64_t            seed{1};                               //!< Of the random choices
 };
@@ -42,6 +45,7 @@
 
 struct ReadStore //!< Read all items; answer with `storeRead` or `storeFailed`
 {
+    Reading how{Reading::Latest}; //!< What will do
 };
 struct WatchStore //!< Ask for changes; answer with `storeChanged`, `historyLost` or `storeFailed`
 {
@@ -93,7 +97,13 @@
 
     void tick(core::Timestamp now);
 
-    void storeRead(std::span<const Item> items, std::uint64_t at, core::Timestamp askedAt, core::Timestamp now);
+    ////////////////////////////////////////////////////////////
+    /// \brief Hear the answer to `ReadStore`
+    ///
+    /// \param asOf The items are the store's since then at the latest; null when they may be old
+    ////////////////////////////////////////////////////////////
+    void storeRead(std::span<const Item> items, std::uint64_t at, std::optional<core::Timestamp> asOf,
+                   core::Timestamp now);
     void storeChanged(std::span<const Item> items, std::uint64_t at, core::Timestamp now);
     void historyLost(core::Timestamp now);
     void storeFailed(core::Timestamp now);
@@ -107,9 +117,10 @@
     [[nodiscard]] std::vector<Item>          takeChanges();   //!< Items that changed here since the last call
     [[nodiscard]] core::Timestamp            nextDue() const; //!< When `tick` is to be called next
 
-    [[nodiscard]] const ItemTable& table() const;                  //!< The copy
-    [[nodiscard]] core::Duration   age(core::Timestamp now) const; //!< Time since it was known to be the store's
-    [[nodiscard]] bool             known() const;                  //!< There is a copy
+    [[nodiscard]] const ItemTable& table() const;                     //!< The copy
+    [[nodiscard]] core::Duration   age(core::Timestamp now) const;    //!< Time since it was known to be the store's
+    [[nodiscard]] bool             known() const;                     //!< There is a copy
+    [[nodiscard]] bool             usable(core::Timestamp now) const; //!< It was proved, or nobody can prove it
     [[nodiscard]] bool             storeIll(core::Timestamp now,
                                             core::Duration  within) const; //!< The store failed somebody of late
     [[nodiscard]] unsigned         nodes(core::Timestamp now) const;      //!< Nodes known of, this one included
@@ -164,11 +175,13 @@
     void                                   feed(LinkId link, Follower& follower, core::Timestamp now);
     void                                   startWatch(core::Timestamp now);
     void                                   noteFresh(core::Timestamp asOf, core::Timestamp now);
+    void                                   noteLacking(core::Timestamp now);
     void                                   rank(core::Timestamp now);
     [[nodiscard]] std::vector<Relay>       rankRelays(core::Timestamp now) const;
     [[nodiscard]] std::vector<std::string> chooseUpstreams(const std::vector<Relay>& relays) const;
     [[nodiscard]] bool                     isSeed(const std::string& address) const;
     [[nodiscard]] std::size_t              relaysWanted(std::size_t dataCentres, core::Timestamp now) const;
+    [[nodiscard]] bool                     proved() const;
     [[nodiscard]] bool                     fedSteadily(core::Timestamp now) const;
     [[nodiscard]] std::vector<NodeAddress> nodeList(core::Timestamp now) const;
     [[nodiscard]] core::Timestamp          staleAt() const;
@@ -194,6 +207,8 @@
     StoreState                   m_store{StoreState::Idle};            //!< Call under way
     bool                         m_needRead{true};                     //!< The history is not usable
     bool                         m_booted{false};                      //!< The store was asked since the start
+    core::Timestamp              m_proveAt{};                          //!< When an old first reading is proved here
+    unsigned                     m_relaysLacking{0};                   //!< Times that a relay could not be heard
     bool                         m_watchRole{false};                   //!< Ranks among the watchers
     std::vector<std::string>     m_wanted;                             //!< Relays to follow
     core::Timestamp              m_rankAt{};                           //!< Next ranking of the relays
--- a/src/programs/GatewayProgram.cpp
+++ b/src/programs/GatewayProgram.cpp
@@ -108,6 +108,7 @@
     const core::Duration drain = seconds(settings, "drain-s");
     fleet.replica.staleAfter = drain * 7 / 10;
     fleet.replica.watchWait = drain / 2;
+    fleet.replica.watchPause = drain / 10;
     fleet.belief.belief = drain * 11 / 20;
     fleet.belief.outage = drain;
     fleet.replica.seed = std::random_device{}();
--- a/src/sailpath/fleet/FleetThread.cpp
+++ b/src/sailpath/fleet/FleetThread.cpp
@@ -78,14 +78,15 @@
     void step(Work work)
     {
         const auto before = now();
-        const auto oldAge = replica.known() ? replica.age(before) : core::Duration{};
+        const auto oldAge = replica.usable(before) ? replica.age(before) : core::Duration{};
         work();
         for (auto actions = replica.takeActions(); !actions.empty(); actions = replica.takeActions())
         {
             for (const auto& action : actions)
                 std::visit([this](const auto& item) { perform(item); }, action);
         }
-        apply(replica.takeChanges(), oldAge);
+        if (replica.usable(now()))
+            apply(replica.takeChanges(), oldAge);
         refreshStatus();
         arm();
     }
@@ -111,21 +112,23 @@
             });
     }
 
-    void perform(const replication::ReadStore&)
+    void perform(const replication::ReadStore& action)
     {
-        const auto askedAt = now();
-        source->read(
-            [this, askedAt](const SourceAnswer& answer)
-            {
-                step(
-                    [&]
-                    {
-                        if (answer.status == SourceStatus::Ok)
-                            replica.storeRead(answer.items, answer.at, askedAt, now());
-                        else
-                            failed(answer);
-                    });
-            });
+        std::optional<core::Timestamp> asOf;
+        if (action.how == replication::Reading::Latest)
+            asOf = now();
+        source->read(action.how,
+                     [this, asOf](const SourceAnswer& answer)
+                     {
+                         step(
+                             [&]
+                             {
+                                 if (answer.status == SourceStatus::Ok)
+                                     replica.storeRead(answer.items, answer.at, asOf, now());
+                                 else
+                                     failed(answer);
+                             });
+                     });
     }
 
     void perform(const replication::WatchStore& action)
--- a/src/sailpath/replication/Replica.cpp
+++ b/src/sailpath/replication/Replica.cpp
@@ -15,11 +15,10 @@
 constexpr auto   bootWait = std::chrono::milliseconds{600}; // For seeds to answer before a node calls the store itself
 constexpr auto   firstBackoff = std::chrono::milliseconds{250};
 constexpr auto   longestBackoff = std::chrono::milliseconds{1500};
-constexpr auto   proofWait = std::chrono::milliseconds{1};
+constexpr auto   atOnce = std::chrono::milliseconds{1};
 constexpr auto   nodesEvery = std::chrono::milliseconds{50}; // For each node known, between tellings of them
 constexpr auto   newNodesAfter = std::chrono::milliseconds{300};
-constexpr double newNodesShare = 0.1;                        // More nodes than were told, so that they are told at once
-constexpr auto   watchPause = std::chrono::milliseconds{80}; // After news, so that more comes with the next call
+constexpr double newNodesShare = 0.1; // More nodes than were told, so that they are told at once
 constexpr auto   relaySteady = std::chrono::milliseconds{1200}; // A relay is fresh this long before the own watch ends
 constexpr auto   rankEvery = std::chrono::milliseconds{200};    // Also at once when a node is new or failed
 constexpr auto   worthTelling = std::chrono::milliseconds{400}; // A copy that is so much fresher than was told
@@ -214,6 +213,8 @@
     // Everybody reads the store once at its start: relays would choke on whole pictures for all.
     if (!m_booted || m_watchRole || (!m_followers.empty() && !fedSteadily(now)))
         return true;
+    if (known() && !proved())
+        return now >= m_proveAt;
     if (age(now) > m_settings.staleAfter && now - m_born > bootWait)
         return true;
     // Once begun, the own watch goes on until relays have proved steady.
@@ -234,8 +235,9 @@
     if (m_needRead || !known())
     {
         m_store = StoreState::Reading;
+        // At the start an old reading will do, as relays tell what is new since.
+        m_actions.push_back(ReadStore{m_booted || m_settings.seeds.empty() ? Reading::Latest : Reading::MayBeOld});
         m_booted = true;
-        m_actions.push_back(ReadStore{});
         return;
     }
     startWatch(now);
@@ -247,7 +249,7 @@
     m_store = StoreState::Watching;
     // A picture that is old already is proved at once; a watch proves it at its end only.
     m_proving = age(now) > m_settings.staleAfter / 2;
-    m_actions.push_back(WatchStore{m_table.at(), m_proving ? core::Duration(proofWait) : m_settings.watchWait});
+    m_actions.push_back(WatchStore{m_table.at(), m_proving ? core::Duration(atOnce) : m_settings.watchWait});
 }
 
 ////////////////////////////////////////////////////////////
@@ -259,13 +261,17 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Replica::storeRead(std::span<const Item> items, std::uint64_t at, core::Timestamp askedAt, core::Timestamp now)
+void Replica::storeRead(std::span<const Item> items, std::uint64_t at, std::optional<core::Timestamp> asOf,
+                        core::Timestamp now)
 {
     m_store = StoreState::Idle;
     m_storeFailures = 0;
     m_needRead = false;
     m_table.takeAll(items, at, m_changes);
-    noteFresh(askedAt, now);
+    if (asOf)
+        noteFresh(*asOf, now);
+    else if (!proved())
+        m_proveAt = m_relaysLacking >= m_settings.upstreams ? now : now + m_settings.proofWait;
     tick(now);
 }
 
@@ -277,7 +283,7 @@
     m_table.take(items, at, m_changes);
     noteFresh(now, now);
     if (!items.empty())
-        m_nextStore = now + watchPause;
+        m_nextStore = now + m_settings.watchPause;
     tick(now);
 }
 
@@ -324,11 +330,21 @@
         const std::string address = upstream->second.address;
         m_upstreams.erase(upstream);
         avoid(address, now, "relay-lost");
+        noteLacking(now);
     }
     m_followers.erase(link);
     tick(now);
 }
 
+////////////////////////////////////////////////////////////
+void Replica::noteLacking(core::Timestamp now)
+{
+    // As many relays as a node follows could not prove its first reading: all nodes may have just started.
+    ++m_relaysLacking;
+    if (known() && !proved() && m_relaysLacking >= m_settings.upstreams)
+        m_proveAt = std::min(m_proveAt, now);
+}
+
 ////////////////////////////////////////////////////////////
 void Replica::helloReceived(LinkId link, const Hello& hello, core::Timestamp now)
 {
@@ -355,7 +371,10 @@
     if (update.illAgeMs != longestAge)
         m_ill = std::max(m_ill, now - core::Duration(std::chrono::milliseconds{update.illAgeMs}));
     if (update.at == 0)
+    {
+        noteLacking(now);
         return tick(now);
+    }
     upstream->second.fed = true;
     if (update.full)
     {
@@ -422,8 +441,8 @@
         if (known != m_known.end())
             known->second.heard = now;
         // News are told at once, and so is that the copy was proved anew: it grows old again at each hop.
-        const bool proved = m_asOf != core::Timestamp::min() && m_asOf - follower.fedAsOf > worthTelling;
-        if (m_table.at() > follower.sentAt || proved)
+        const bool fresher = proved() && m_asOf - follower.fedAsOf > worthTelling;
+        if (m_table.at() > follower.sentAt || fresher)
             follower.nextBeat = std::min(follower.nextBeat, follower.fedAt + m_settings.gather);
         if (now >= follower.nextBeat)
             feed(link, follower, now);
@@ -434,7 +453,7 @@
 void Replica::feed(LinkId link, Follower& follower, core::Timestamp now)
 {
     Update update;
-    update.at = m_table.at();
+    update.at = proved() ? m_table.at() : 0;
     update.ageMs = ageMs(m_asOf, now);
     update.illAgeMs = ageMs(m_ill, now);
     if (update.at > 0)
@@ -494,6 +513,8 @@
                                   (upstream.open ? m_settings.linkSilence : core::Duration(connectPatience)));
     if (m_store == StoreState::Idle)
         next = std::min(next, m_nextStore > m_now ? m_nextStore : staleAt());
+    if (known() && !proved())
+        next = std::min(next, std::max(m_proveAt, m_now));
     if (m_now - m_born < bootWait)
         next = std::min(next, m_born + bootWait);
     return std::max(next, m_now) + leastRest;
@@ -525,6 +546,18 @@
     return m_table.at() > 0;
 }
 
+////////////////////////////////////////////////////////////
+bool Replica::proved() const
+{
+    return m_asOf != core::Timestamp::min();
+}
+
+////////////////////////////////////////////////////////////
+bool Replica::usable(core::Timestamp now) const
+{
+    return proved() || (known() && now - m_born > bootWait);
+}
+
 ////////////////////////////////////////////////////////////
 bool Replica::storeIll(core::Timestamp now, core::Duration within) const
 {
--- a/test/platform/Platform.test.cpp
+++ b/test/platform/Platform.test.cpp
@@ -47,9 +47,9 @@
 ////////////////////////////////////////////////////////////
 struct Caller
 {
-    SourceAnswer read()
+    SourceAnswer read(replication::Reading how = replication::Reading::Latest)
     {
-        return run([this](auto answered) { source.read(answered); });
+        return run([this, how](auto answered) { source.read(how, answered); });
     }
 
     SourceAnswer watch(std::uint64_t after, core::Duration wait)
@@ -164,6 +164,18 @@
     BOOST_TEST(store.calls() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(ACheapReadingIsTakenForAsOldAsItsOldestPage)
+{
+    for (int i = 0; i < 8; ++i)
+        store.put("servers/i " + std::to_string(i), "value " + std::to_string(i));
+    store.remove("servers/i 7");
+    const SourceAnswer answer = read(replication::Reading::MayBeOld);
+    BOOST_TEST((answer.status == SourceStatus::Ok));
+    BOOST_TEST(answer.items.size() == 7U);
+    BOOST_TEST(answer.at == 4U); // The first page ends with the third item written
+    BOOST_TEST(store.oldReads() == store.calls());
+}
+
 BOOST_AUTO_TEST_CASE(AWatchTellsWritesAndRemovals)
 {
     store.put("a", "1");
--- a/test/platform/StoreStandIn.cpp
+++ b/test/platform/StoreStandIn.cpp
@@ -96,6 +96,13 @@
     return m_server.port();
 }
 
+////////////////////////////////////////////////////////////
+std::size_t StoreStandIn::oldReads() const
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return m_oldReads;
+}
+
 ////////////////////////////////////////////////////////////
 std::size_t StoreStandIn::calls() const
 {
@@ -141,8 +148,9 @@
     const std::lock_guard<std::mutex> lock(m_mutex);
     const std::string                 prefix = unescaped(parameter(target, "PathPrefix"));
     const std::string                 after = unescaped(parameter(target, "after"));
-    json                              items = json::array();
-    bool                              more = false;
+    m_oldReads += parameter(target, "stale") == "1" ? 1 : 0;
+    json items = json::array();
+    bool more = false;
     for (const auto& [key, item] : m_items)
     {
         if (item.gone || !key.starts_with(prefix) || (!after.empty() && key <= after))
--- a/test/platform/StoreStandIn.hpp
+++ b/test/platform/StoreStandIn.hpp
@@ -35,8 +35,9 @@
     void forgetHistory();                                       //!< Watches from before now get 410
     void setFault(StoreFault fault);                            //!< From the next call on
 
-    [[nodiscard]] std::uint16_t port() const;  //!< On 127.0.0.1
-    [[nodiscard]] std::size_t   calls() const; //!< So far
+    [[nodiscard]] std::uint16_t port() const;     //!< On 127.0.0.1
+    [[nodiscard]] std::size_t   calls() const;    //!< So far
+    [[nodiscard]] std::size_t   oldReads() const; //!< Of these, pages that may be old
 
 private:
     struct Item
@@ -56,6 +57,7 @@
     std::map<std::string, Item> m_items;                   //!< By key
     std::uint64_t               m_revision{1};             //!< Of the last change
     std::uint64_t               m_forgotten{0};            //!< History up to here is gone
+    std::size_t                 m_oldReads{0};             //!< Pages that may be old
     StoreFault                  m_fault{StoreFault::None}; //!< What goes wrong
     support::ScriptedServer     m_server;                  //!< Listens
 };
--- a/test/replication/Replica.test.cpp
+++ b/test/replication/Replica.test.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace
@@ -93,6 +94,69 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(ANodeThatStartsReadsCheaplyAndHearsTheRestFromRelays)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed)
+    {
+        ReplicaGroup group(nodes, seed);
+        group.write("config", "1");
+        group.pass(8s);
+        std::size_t node = 0;
+        while (group.replica(node).watching())
+            ++node;
+        group.kill(node);
+        group.pass(1s);
+        group.write("config", "2");
+        group.pass(100ms);
+        const auto dear = group.calls() - group.oldReads();
+        const auto cheap = group.oldReads();
+        group.start(node);
+        group.pass(150ms);
+        BOOST_TEST(group.valueAt(node, "config") == "2");
+        BOOST_TEST(group.replica(node).usable(group.now()));
+        BOOST_TEST(group.oldReads() == cheap + 1);
+        // The two watchers may have ended a call meanwhile.
+        BOOST_TEST(group.calls() - group.oldReads() - dear <= 3U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AnOldReadingIsNotUsedBeforeItIsProved)
+{
+    const core::Timestamp                          start{1h};
+    const std::vector<sailpath::replication::Item> items{{"config", "1", 4, false}};
+    sailpath::replication::ReplicaSettings         settings;
+    settings.self = {"10.0.0.9:7000", "dc", 0, 0};
+    settings.seeds = {"10.0.0.1:7000"};
+    sailpath::replication::Replica replica(settings, start);
+    replica.storeRead(items, 4, {}, start + 5ms);
+    BOOST_TEST(replica.known());
+    BOOST_TEST(!replica.usable(start + 5ms));
+    (void)replica.takeActions();
+    replica.tick(start + 60ms);
+    const auto actions = replica.takeActions();
+    const bool asks = std::any_of(actions.begin(), actions.end(),
+                                  [](const auto& action)
+                                  { return std::holds_alternative<sailpath::replication::WatchStore>(action); });
+    BOOST_TEST(asks);
+    replica.storeChanged({}, 4, start + 65ms);
+    BOOST_TEST(replica.usable(start + 65ms));
+}
+
+BOOST_AUTO_TEST_CASE(WhenAllStartAtOnceNobodyWaitsForRelays)
+{
+    ReplicaGroup group(nodes, 12);
+    group.write("config", "1");
+    group.pass(8s);
+    for (std::size_t node = 0; node < nodes; ++node)
+        group.kill(node);
+    group.pass(1s);
+    for (std::size_t node = 0; node < nodes; ++node)
+        group.start(node);
+    group.pass(30ms);
+    for (std::size_t node = 0; node < nodes; ++node)
+        BOOST_TEST(group.replica(node).usable(group.now()));
+}
+
 BOOST_AUTO_TEST_CASE(ARemovalIsHeardOf)
 {
     ReplicaGroup group(nodes, 3);
--- a/test/support/ReplicaGroup.cpp
+++ b/test/support/ReplicaGroup.cpp
@@ -13,6 +13,7 @@
 
 constexpr core::Duration storeWay = 2ms;
 constexpr core::Duration callPatience = 900ms;
+constexpr core::Duration oldest = 3s; // Of a reading that may be old
 constexpr std::size_t    dataCentres = 3;
 constexpr std::size_t    seeds = 3;
 
@@ -87,6 +88,7 @@
 void ReplicaGroup::write(const std::string& key, const std::string& value)
 {
     m_store[key] = {key, value, ++m_revision, false};
+    remember();
     answerWatches();
 }
 
@@ -94,9 +96,25 @@
 void ReplicaGroup::remove(const std::string& key)
 {
     m_store[key] = {key, {}, ++m_revision, true};
+    remember();
     answerWatches();
 }
 
+////////////////////////////////////////////////////////////
+void ReplicaGroup::remember()
+{
+    m_past.push_back({m_now, m_revision, m_store});
+    while (m_past.size() > 1 && m_past[1].since < m_now - oldest)
+        m_past.pop_front();
+}
+
+////////////////////////////////////////////////////////////
+ReplicaGroup::Past ReplicaGroup::asOf(core::Timestamp time) const
+{
+    const auto after = std::find_if(m_past.begin(), m_past.end(), [&](const Past& past) { return past.since > time; });
+    return after == m_past.begin() ? Past{{}, 1, {}} : *std::prev(after);
+}
+
 ////////////////////////////////////////////////////////////
 void ReplicaGroup::compact()
 {
@@ -276,16 +294,28 @@
 {
     const std::uint64_t  life = m_nodes[index].life;
     const core::Duration way = 1ms + core::Duration(m_random.below(2000));
-    if (std::get_if<replication::ReadStore>(&action) != nullptr)
+    if (const auto* read = std::get_if<replication::ReadStore>(&action))
     {
-        const auto asked = m_now;
+        std::optional<core::Timestamp> asked;
+        core::Duration                 lag{};
+        if (read->how == replication::Reading::Latest)
+            asked = m_now;
+        else
+            lag = core::Duration(m_random.below(static_cast<std::uint64_t>(oldest.count())));
+        m_oldReads += asked ? 0 : 1;
         storeCall(
             index,
-            [this, index, life, asked]
+            [this, index, life, asked, lag]
             {
-                auto items = since(0);
-                std::erase_if(items, [](const Item& item) { return item.gone; });
-                at(m_now + storeWay, [this, index, life, asked, items, revision = m_revision]
+                const Past        past = asked ? Past{m_now, m_revision, m_store} : asOf(m_now - lag);
+                std::vector<Item> items;
+                for (const auto& [key, item] : past.items)
+                {
+                    if (!item.gone)
+                        items.push_back(item);
+                }
+                at(m_now + storeWay,
+                   [this, index, life, asked, items, revision = past.revision]
                    { toNode(index, life, [&] { m_nodes[index].replica->storeRead(items, revision, asked, m_now); }); });
             });
     }
@@ -395,6 +425,12 @@
     return m_calls;
 }
 
+////////////////////////////////////////////////////////////
+std::uint64_t ReplicaGroup::oldReads() const
+{
+    return m_oldReads;
+}
+
 ////////////////////////////////////////////////////////////
 std::size_t ReplicaGroup::watchers() const
 {
--- a/test/support/ReplicaGroup.hpp
+++ b/test/support/ReplicaGroup.hpp
@@ -3,6 +3,7 @@
 #include <sailpath/core/Random.hpp>
 #include <sailpath/replication/Replica.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -44,7 +45,8 @@
     [[nodiscard]] const replication::Replica& replica(std::size_t node) const;
     [[nodiscard]] std::string     valueAt(std::size_t node, const std::string& key) const; //!< Empty when there is none
     [[nodiscard]] std::string     value(const std::string& key) const;                     //!< In the store
-    [[nodiscard]] std::uint64_t   calls() const;                                           //!< Of the store, by all
+    [[nodiscard]] std::uint64_t   calls() const;    //!< Of the store, by all
+    [[nodiscard]] std::uint64_t   oldReads() const; //!< Of these, cheap readings that may be old
     [[nodiscard]] std::size_t     watchers() const;    //!< Nodes that call the store
     [[nodiscard]] std::uint64_t   itemsAcross() const; //!< Items sent between data centres
     [[nodiscard]] bool            wentBack() const;    //!< Some node took a lower revision of a key in one life
@@ -71,6 +73,16 @@
         core::Timestamp until;
     };
 
+    /// \brief The store as it stood
+    struct Past
+    {
+        core::Timestamp                          since;
+        std::uint64_t                            revision;
+        std::map<std::string, replication::Item> items;
+    };
+
+    void               remember();
+    [[nodiscard]] Past asOf(core::Timestamp time) const;
     void               act(std::size_t node);
     void               perform(std::size_t node, const replication::ReplicaAction& action);
     void               at(core::Timestamp time, std::function<void()> work);
@@ -93,6 +105,8 @@
     StoreMode                                             m_mode{StoreMode::Well};
     std::vector<Watch>                                    m_watches;
     std::uint64_t                                         m_calls{0};
+    std::uint64_t                                         m_oldReads{0};
+    std::deque<Past>                                      m_past;
     std::uint64_t                                         m_itemsAcross{0};
     replication::LinkId                                   m_nextAccepted{2};
     bool                                                  m_wentBack{false};
