--- /dev/null
+++ b/test/platform/soak/callers.py
@@ -0,0 +1,104 @@
+"""Callers: each keeps one connection to a gateway for many requests, as long as the gateway leaves it open."""
+
+import asyncio
+import contextlib
+import random
+from dataclasses import dataclass
+
+import wire
+from history import Call, History
+
+PATIENCE_S = 2.5
+OPENING_S = 1.0
+
+
+@dataclass
+class Door:
+    """A gateway as callers see it."""
+
+    number: int
+    port: int       # of the proxy in front of it
+    life: int = 0
+    ready: bool = False
+
+
+@dataclass
+class Kind:
+    """A kind of request."""
+
+    path: str
+    repeatable: bool
+    timeout: float
+    work_ms: int
+    body: int
+
+
+class Caller:
+    """Sends one request after the other until it is told to end."""
+
+    def __init__(self, number: int, doors: list[Door], kinds: list[Kind], history: History, now, seed: int):
+        self._number = number
+        self._doors = doors
+        self._kinds = kinds
+        self._history = history
+        self._now = now
+        self._random = random.Random(seed)
+        self._count = 0
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+        self._door = doors[0]
+        self._life = 0
+        self.pause = 0.15
+
+    async def run(self, until: float) -> None:
+        """Send until that time."""
+        while self._now() < until:
+            await asyncio.sleep(self._random.uniform(0.2, 1.8) * self.pause)
+            with contextlib.suppress(OSError, asyncio.TimeoutError):
+                if self._writer is None:
+                    await self._connect()
+                await self._one()
+        self._drop()
+
+    async def _connect(self) -> None:
+        ready = [door for door in self._doors if door.ready]
+        self._door = self._random.choice(ready or self._doors)
+        self._life = self._door.life
+        self._reader, self._writer = await asyncio.wait_for(
+            asyncio.open_connection("127.0.0.1", self._door.port), OPENING_S)
+
+    def _drop(self) -> None:
+        if self._writer is not None:
+            self._writer.transport.abort()
+        self._reader = self._writer = None
+
+    async def _one(self) -> None:
+        assert self._reader is not None and self._writer is not None
+        kind = self._random.choice(self._kinds)
+        self._count += 1
+        request = f"{self._number}-{self._count}-{self._random.randrange(1 << 30):x}"
+        body = self._random.randbytes(kind.body)
+        headers = {"Host": "soak.example", wire.REQUEST_ID: request, wire.DEADLINE_MS: str(int(PATIENCE_S * 1000)),
+                   "x-work-ms": str(kind.work_ms)}
+        call = Call(request, self._door.number, self._life, kind.path, kind.repeatable, self._now(), kind.timeout)
+        self._history.calls.append(call)
+        method = "GET" if kind.repeatable else "POST"
+        self._writer.write(wire.request_bytes(method, f"{kind.path}{self._count}", headers, body))
+        leaves = kind.work_ms > 100 and self._random.random() < 0.15
+        patience = kind.work_ms / 2000 if leaves else PATIENCE_S
+        try:
+            answer = await asyncio.wait_for(wire.read_message(self._reader), patience)
+        except asyncio.TimeoutError:
+            call.left_at = self._now()
+            return self._drop()
+        except (OSError, asyncio.IncompleteReadError):
+            call.closed_at = self._now()
+            return self._drop()
+        call.answered_at = self._now()
+        call.status = answer.status
+        call.signature = answer.headers.get(wire.SIGNATURE, "")
+        call.body = answer.body
+        if answer.headers.get("connection", "").lower() == "close":
+            self._drop()
+        if call.status == 503:
+            await asyncio.sleep(min(0.5, float(answer.headers.get("retry-after", "0.1"))))
--- /dev/null
+++ b/test/platform/soak/servers.py
@@ -0,0 +1,193 @@
+"""Backend servers as stand-ins: slots, a queue, load reports, identity, draining, and the ways they fail."""
+
+import asyncio
+import contextlib
+import random
+from dataclasses import dataclass
+
+import rules
+import wire
+from history import Arrival, History, Leaving
+from store import Store
+
+HEARTBEAT_S = 1.5
+QUEUE = 6
+
+
+@dataclass
+class Behaviour:
+    """What a server does wrong."""
+
+    slowdown: float = 1.0   # times as long as usual
+    lose: float = 0.0       # share of answers that are lost after the work
+    garble: float = 0.0     # share of answers cut short
+    extra: float = 0.0      # share of answers followed by a second one
+    fail: float = 0.0       # share answered 500
+    shed: bool = False      # turns all away as not run
+
+
+class Server:
+    """One server behind one port; a restart makes another instance of it."""
+
+    def __init__(self, number: int, service: str, zone: str, store: Store, history: History, now, seed: int):
+        self.number = number
+        self.service = service
+        self.zone = zone
+        self.behaviour = Behaviour()
+        self.port = 0
+        self.advertised = 0     # port of the proxy in front of it
+        self.slots = 3
+        self.life = 0
+        self.id = ""
+        self.running = 0
+        self.waiting = 0
+        self.draining = False
+        self._up = False
+        self._store = store
+        self._history = history
+        self._now = now
+        self._random = random.Random(seed)
+        self._free = asyncio.Semaphore(self.slots)
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def listen(self) -> None:
+        """Listen on a free port, for all lives."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    async def start(self, service: str | None = None) -> None:
+        """Begin a life, of another service perhaps, and announce it."""
+        self.service = service or self.service
+        self.life += 1
+        self.id = f"i-{self.number}-{self.life}"
+        self.draining = False
+        self.behaviour = Behaviour()
+        self._free = asyncio.Semaphore(self.slots)
+        self._up = True
+        await self.announce()
+
+    async def announce(self) -> None:
+        """Write the own entry."""
+        await self._store.put(f"servers/{self.id}", {
+            "Service": self.service, "Address": f"127.0.0.1:{self.advertised}", "Zone": self.zone, "Version": "v1",
+            "Slots": self.slots, "State": "draining" if self.draining else "ready", "WarmupLeftS": 0,
+            "Seq": self.life})
+
+    async def drain(self) -> None:
+        """Say that it leaves."""
+        self.draining = True
+        await self.announce()
+        self._history.leavings.append(Leaving(self.id, self._now()))
+
+    async def leave(self) -> None:
+        """End after having drained."""
+        await self._store.remove(f"servers/{self.id}")
+        self.crash()
+
+    def crash(self) -> None:
+        """End at once; the entry stays until the store lets it lapse."""
+        self._up = False
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def lapse(self) -> None:
+        """Lose the entry in the store."""
+        await self._store.remove(f"servers/{self.id}")
+
+    @property
+    def up(self) -> bool:
+        """It serves."""
+        return self._up
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if not self._up:
+            writer.transport.abort()
+            return
+        self._writers.add(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while True:
+                message = await wire.read_message(reader)
+                if message.target == wire.HEALTH_PATH:
+                    writer.write(wire.answer_bytes(503 if self.draining else 200, self._own_headers(), b""))
+                    continue
+                if not await self._handle(message, reader, writer):
+                    break
+        self._writers.discard(writer)
+        writer.close()
+
+    def _own_headers(self) -> dict[str, str]:
+        return {wire.INSTANCE_ID: self.id, wire.SERVER_LOAD: f"{self.running},{self.waiting},{self.slots},100"}
+
+    def _reply(self, writer: asyncio.StreamWriter, arrival: Arrival, status: int, headers: dict[str, str],
+               body: bytes) -> bytes:
+        arrival.status = status
+        arrival.ended_at = self._now()
+        answer = wire.answer_bytes(status, {wire.REQUEST_ID: arrival.id, **self._own_headers(), **headers}, body)
+        writer.write(answer)
+        return answer
+
+    async def _handle(self, message: wire.Message, reader: asyncio.StreamReader,
+                      writer: asyncio.StreamWriter) -> bool:
+        """Answer one request; false when the connection is to end."""
+        request = message.headers.get(wire.REQUEST_ID, "")
+        arrival = Arrival(request, self.id, self.service, self._now())
+        self._history.arrivals.append(arrival)
+        wanted = message.headers.get(wire.TARGET_INSTANCE, self.id)
+        if wanted != self.id:
+            self._reply(writer, arrival, 421, {wire.NOT_EXECUTED: "other"}, b"")
+            return True
+        if self.behaviour.shed or self.waiting >= QUEUE:
+            self._reply(writer, arrival, 503, {wire.NOT_EXECUTED: "full", "Retry-After": "0.1"}, b"")
+            return True
+        life = self.life
+        self.waiting += 1
+        free = self._free
+        await free.acquire()
+        self.waiting -= 1
+        self.running += 1
+        try:
+            return await self._work(message, arrival, reader, writer, life)
+        finally:
+            self.running -= 1
+            free.release()
+
+    async def _work(self, message: wire.Message, arrival: Arrival, reader: asyncio.StreamReader,
+                    writer: asyncio.StreamWriter, life: int) -> bool:
+        arrival.executed = True
+        arrival.work = float(message.headers.get("x-work-ms", "30")) / 1000 * self.behaviour.slowdown
+        left = float(message.headers.get(wire.DEADLINE_MS, "60000")) / 1000
+        closed = asyncio.ensure_future(reader.read(1))
+        done, _ = await asyncio.wait([closed], timeout=min(arrival.work, left))
+        if done:
+            arrival.cut_at = self._now()
+            return False
+        closed.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await closed
+        if life != self.life or not self._up:
+            arrival.cut_at = self._now()
+            return False
+        if arrival.work > left:
+            arrival.signature = rules.sign(self.id, arrival.id, b"")
+            self._reply(writer, arrival, 504, {wire.SIGNATURE: arrival.signature}, b"")
+            return True
+        return self._answer(message, arrival, writer)
+
+    def _answer(self, message: wire.Message, arrival: Arrival, writer: asyncio.StreamWriter) -> bool:
+        chance = self._random.random
+        body = arrival.id.encode() * (1 + self._random.randrange(40)) + message.body
+        if chance() < self.behaviour.lose:
+            arrival.ended_at = self._now()
+            return False
+        status = 500 if chance() < self.behaviour.fail else 200
+        arrival.signature = rules.sign(self.id, arrival.id, body)
+        if chance() < self.behaviour.garble:
+            arrival.ended_at = self._now()
+            arrival.status = status
+            whole = wire.answer_bytes(status, {wire.REQUEST_ID: arrival.id, wire.SIGNATURE: arrival.signature}, body)
+            writer.write(whole[:-max(1, len(body) // 2)])
+            return False
+        answer = self._reply(writer, arrival, status, {wire.SIGNATURE: arrival.signature}, body)
+        if chance() < self.behaviour.extra:
+            writer.write(answer)
+        return True
--- /dev/null
+++ b/test/platform/soak/soak.py
@@ -0,0 +1,271 @@
+"""Randomized soak of the real gateway under faults from outside; see docs/design/soak.md.
+
+Prints the faults it injects and what the rules found; exits with 1 when a rule was broken.
+"""
+
+import argparse
+import asyncio
+import itertools
+import random
+import shutil
+import signal
+import sys
+import time
+from pathlib import Path
+
+import rules
+import wire
+from callers import Caller, Kind
+from fleet import Gateway
+from history import History, Span, Version
+from proxy import Mode, Proxy
+from servers import Server
+from store import Fault, Store
+
+ZONES = ("north", "south", "east")
+KINDS = [Kind("/read/", True, 1.0, 30, 0), Kind("/slow/", True, 1.5, 300, 0), Kind("/pay/", False, 1.2, 40, 2000),
+         Kind("/move/", True, 1.0, 20, 0)]
+MOVING = ("m0", "m1", "m2")
+SERVERS = [("a", 4), ("b", 3), ("m0", 2), ("m1", 2), ("m2", 2)]
+QUIET_S = 5.0
+
+
+class Soak:
+    """One run: gateways, stand-ins, callers, faults."""
+
+    def __init__(self, options: argparse.Namespace):
+        self._options = options
+        self._random = random.Random(options.seed)
+        self._history = History()
+        self._bounds = rules.Bounds(slack=options.slack)
+        self._store = Store(time.monotonic)
+        self._servers: list[Server] = []
+        self._links: dict[Server, Proxy] = {}
+        self._gateways: list[Gateway] = []
+        self._version = 0
+        self._tasks: set[asyncio.Task] = set()
+        self._counts: dict[str, int] = {}
+        self._overdue_stops = 0
+        self._readiness: list[asyncio.Task] = []
+
+    async def run(self) -> list[str]:
+        """Play the run; what the rules found."""
+        await self._prepare()
+        begun = time.monotonic()
+        until = begun + self._options.seconds
+        callers = [Caller(n, [gateway.door for gateway in self._gateways], KINDS, self._history, time.monotonic,
+                          self._options.seed * 1000 + n) for n in range(self._options.callers)]
+        traffic = [asyncio.create_task(caller.run(until)) for caller in callers]
+        await self._inject(until - QUIET_S - 4)
+        while self._tasks:
+            await asyncio.wait(set(self._tasks))
+        await asyncio.gather(*traffic)
+        for gateway in self._gateways:
+            gateway.end()
+        # Connections that the end of the run breaks off are nobody's failure.
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        findings = self._check(until - QUIET_S)
+        self._report(time.monotonic() - begun, findings)
+        return findings
+
+    async def _prepare(self) -> None:
+        out = Path(self._options.out)
+        shutil.rmtree(out, ignore_errors=True)
+        out.mkdir(parents=True)
+        await self._store.start()
+        for number, (service, _) in enumerate(itertools.chain.from_iterable([entry] * entry[1] for entry in SERVERS)):
+            server = Server(number, service, ZONES[number % len(ZONES)], self._store, self._history, time.monotonic,
+                            self._options.seed * 100 + number)
+            await server.listen()
+            link = Proxy(("127.0.0.1", server.port))
+            await link.start()
+            server.advertised = link.port
+            self._servers.append(server)
+            self._links[server] = link
+            await server.start()
+        await self._configure()
+        program = Path(self._options.build) / "bin" / "sailpath-gateway"
+        for number in range(self._options.gateways):
+            gateway = Gateway(number, ZONES[number % len(ZONES)], program, out, self._bounds, self._history,
+                              time.monotonic)
+            await gateway.prepare(self._store.port)
+            self._gateways.append(gateway)
+        for gateway in self._gateways:
+            gateway.seeds = [other.ports.peers for other in self._gateways[:3]]
+            gateway.start()
+        self._readiness = [asyncio.create_task(gateway.watch_readiness()) for gateway in self._gateways]
+        for _ in range(200):
+            if all(gateway.door.ready for gateway in self._gateways):
+                return
+            await asyncio.sleep(0.1)
+        raise RuntimeError("the gateways did not become ready")
+
+    async def _configure(self) -> None:
+        self._version += 1
+        service = MOVING[self._version % len(MOVING)]
+
+        def route(path: str, kind: Kind, target: str) -> dict[str, object]:
+            return {"Name": "r" + path.strip("/"), "Host": "soak.example", "PathPrefix": path,
+                    "RouteType": "safe" if kind.repeatable else "unsafe", "TimeoutS": kind.timeout,
+                    "TargetLatencyS": 0.6, "Priority": 1, "Service": target, "MaxAttempts": 2}
+
+        targets = {"/read/": "a", "/slow/": "a", "/pay/": "b", "/move/": service}
+        await self._store.put("op/config", {
+            "Version": self._version, "Routes": [route(kind.path, kind, targets[kind.path]) for kind in KINDS],
+            "Services": [{"Name": name, "HealthPath": wire.HEALTH_PATH, "MaxConns": 200} for name, _ in SERVERS],
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutS": 3, "IdleTimeoutS": 15}})
+        self._history.versions.append(Version(self._version, service, time.monotonic()))
+
+    async def _inject(self, until: float) -> None:
+        faults = [getattr(self, name) for name in dir(self) if name.startswith("fault_")]
+        if self._options.scenario:
+            faults = [fault for fault in faults if self._options.scenario in fault.__name__]
+        await asyncio.sleep(2)
+        while time.monotonic() < until:
+            fault = self._random.choice(faults)
+            self._counts[fault.__name__[6:]] = self._counts.get(fault.__name__[6:], 0) + 1
+            task = asyncio.create_task(fault(self._random.uniform(0.5, 3.5)))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(self._random.uniform(0.2, 2.5))
+
+    # Faults. Each takes about `seconds` and mends what it broke.
+
+    async def fault_kill(self, seconds: float) -> None:
+        await self._random.choice(self._gateways).kill(seconds / 3)
+
+    async def fault_kill_all(self, seconds: float) -> None:
+        if self._random.random() < 0.3:
+            await asyncio.gather(*(gateway.kill(seconds / 3) for gateway in self._gateways))
+
+    async def fault_freeze(self, seconds: float) -> None:
+        await self._random.choice(self._gateways).freeze(seconds)
+
+    async def fault_planned_stop(self, _: float) -> None:
+        gateway = self._random.choice(self._gateways)
+        if not gateway.running or any(stop.gateway == gateway.number and stop.ended_at == float("inf")
+                                      for stop in self._history.stops):
+            return
+        if not await gateway.stop_as_planned() and \
+                not self._history.disturbed(time.monotonic() - 9, time.monotonic() - 0.1, gateway.number):
+            self._overdue_stops += 1
+
+    async def fault_hang_up(self, _: float) -> None:
+        for gateway in self._gateways:
+            gateway.send(signal.SIGHUP)
+
+    async def fault_store(self, seconds: float) -> None:
+        fault = self._random.choice([fault for fault in Fault if fault != Fault.NONE])
+        span = Span(time.monotonic(), float("inf"))
+        self._history.spans.append(span)
+        self._store.fault = fault
+        await asyncio.sleep(seconds)
+        lapsed = [server for server in self._servers if server.up and self._random.random() < 0.5]
+        if self._random.random() < 0.3:
+            for server in lapsed:
+                await server.lapse()
+        self._store.fault = Fault.NONE
+        for server in lapsed:
+            await asyncio.sleep(0.1)
+            if server.up:
+                await server.announce()
+        span.end = time.monotonic()
+
+    async def fault_compaction(self, _: float) -> None:
+        span = Span(time.monotonic(), time.monotonic() + 0.5)
+        self._history.spans.append(span)
+        await self._store.compact()
+
+    async def fault_store_link(self, seconds: float) -> None:
+        gateway = self._random.choice(self._gateways)
+        gateway.disturb(seconds + 0.5)
+        await self._break_link(gateway.to_store, seconds)
+
+    async def fault_caller_link(self, seconds: float) -> None:
+        gateway = self._random.choice(self._gateways)
+        gateway.disturb(seconds + 0.5)
+        await self._break_link(gateway.front, seconds)
+
+    async def fault_server_link(self, seconds: float) -> None:
+        server = self._random.choice(self._servers)
+        self._history.spans.append(Span(time.monotonic(), time.monotonic() + seconds + 0.5, server=server.id))
+        await self._break_link(self._links[server], seconds)
+
+    async def _break_link(self, link: Proxy, seconds: float) -> None:
+        link.set_mode(self._random.choice([mode for mode in Mode if mode != Mode.PASS]))
+        await asyncio.sleep(seconds)
+        link.set_mode(Mode.PASS)
+
+    async def fault_server_crash(self, seconds: float) -> None:
+        server = self._random.choice(self._servers)
+        if not server.up or server.draining:
+            return
+        server.crash()
+        await asyncio.sleep(seconds)
+        await server.lapse()
+        await server.start()
+
+    async def fault_server_behaves(self, seconds: float) -> None:
+        server = self._random.choice(self._servers)
+        wrong = self._random.choice([("slowdown", 8.0), ("lose", 0.4), ("garble", 0.4), ("extra", 0.4), ("fail", 0.5),
+                                     ("shed", True)])
+        setattr(server.behaviour, *wrong)
+        await asyncio.sleep(seconds)
+        setattr(server.behaviour, wrong[0], type(server.behaviour)().__dict__[wrong[0]])
+
+    async def fault_server_drains(self, _: float) -> None:
+        server = self._random.choice(self._servers)
+        if not server.up or server.draining:
+            return
+        await server.drain()
+        await asyncio.sleep(self._bounds.drain + self._random.uniform(0.5, 2))
+        await server.leave()
+        await asyncio.sleep(2)
+        others = [name for name, _ in SERVERS]
+        swap = self._random.random() < 0.3 and sum(other.service == server.service and other.up
+                                                   for other in self._servers) >= 2
+        await server.start(self._random.choice(others) if swap else None)
+
+    async def fault_configuration(self, _: float) -> None:
+        for _ in range(self._random.choice([1, 1, 4])):
+            await self._configure()
+            await asyncio.sleep(self._random.uniform(0.1, 1.0))
+
+    def _check(self, quiet_since: float) -> list[str]:
+        findings = []
+        for name, rule in rules.RULES.items():
+            findings += [f"{name}: {finding}" for finding in rule(self._history, self._bounds)]
+        late = [call for call in self._history.calls if call.sent_at > quiet_since]
+        findings += [f"recovery: {finding}" for finding in rules.recovery(late)]
+        if self._overdue_stops:
+            findings.append(f"planned-stop: {self._overdue_stops} gateways did not end within the grace")
+        return findings
+
+    def _report(self, seconds: float, findings: list[str]) -> None:
+        calls = self._history.calls
+        statuses: dict[int, int] = {}
+        for call in calls:
+            statuses[call.status] = statuses.get(call.status, 0) + 1
+        print(f"seed={self._options.seed} seconds={seconds:.0f} requests={len(calls)} "
+              f"arrivals={len(self._history.arrivals)} statuses={dict(sorted(statuses.items()))} "
+              f"faults={dict(sorted(self._counts.items()))} store-calls={self._store.calls} broken={len(findings)}")
+        for finding in findings[:20]:
+            print("  " + finding)
+
+
+def main() -> int:
+    """Read the command line and play one run."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="build", help="directory of the build")
+    parser.add_argument("--out", default="build/soak-gateway", help="directory for the logs of the gateways")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=40)
+    parser.add_argument("--gateways", type=int, default=5)
+    parser.add_argument("--callers", type=int, default=40)
+    parser.add_argument("--slack", type=float, default=0.4, help="added to bounds in time, seconds")
+    parser.add_argument("--scenario", default="", help="only faults whose name contains this")
+    return 1 if asyncio.run(Soak(parser.parse_args()).run()) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
