Body memory is shared between workspaces

Cause: memory for bodies was one amount for all callers, so sixty callers of one workspace that sent a byte of a told 7 KB each kept every other workspace's bodies out (refused 503) for as long as they dribbled. Three quarters are for anybody; the rest is for workspaces that hold less than an equal share. Test SlowBodiesOfOneWorkspaceKeepNobodyElseOut failed first.

--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -57,9 +57,10 @@
 }
 
 ////////////////////////////////////////////////////////////
-CallerConnection::CallerConnection(asio::ip::tcp::socket socket, CallerEvents& events) :
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket, CallerEvents& events, BodyMemory& bodies) :
 m_socket(std::move(socket)),
 m_events(events),
+m_bodies(bodies),
 m_activity(now())
 {
 }
@@ -149,7 +150,9 @@
     const auto needed = std::max(told, static_cast<std::int64_t>(m_reader->bodySize()));
     if (needed <= m_reserved)
         return true;
-    if (!m_events.reserve(needed - m_reserved))
+    if (m_reserved == 0)
+        m_workspace = m_events.workspaceOf(m_reader->head());
+    if (!m_bodies.take(m_workspace, needed - m_reserved))
         return false;
     m_reserved = needed;
     return true;
@@ -316,7 +319,7 @@
 void CallerConnection::release()
 {
     if (m_reserved > 0)
-        (void)m_events.reserve(-m_reserved);
+        m_bodies.giveBack(m_workspace, m_reserved);
     m_reserved = 0;
 }
 
--- a/src/sailpath/gateway/CallerConnection.hpp
+++ b/src/sailpath/gateway/CallerConnection.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "BodyMemory.hpp"
+
 #include <sailpath/core/Time.hpp>
 #include <sailpath/deployment/Deployment.hpp>
 #include <sailpath/http/MessageReader.hpp>
@@ -27,9 +29,9 @@
                              std::string body) = 0;        //!< A whole request
     virtual void callerLeft(CallerConnection& caller) = 0; //!< It ended while a request was under way
     virtual void callerGone(CallerConnection& caller) = 0; //!< The connection is closed
-    virtual bool reserve(std::int64_t bytes) = 0;          //!< Memory for bodies; false when there is none
 
-    [[nodiscard]] virtual const deployment::CallerLimits& limits() const = 0;  //!< In force
+    [[nodiscard]] virtual std::string workspaceOf(const http::Head& head) const = 0; //!< Whose request it is
+    [[nodiscard]] virtual const deployment::CallerLimits& limits() const = 0;        //!< In force
     [[nodiscard]] virtual bool                            leaving() const = 0; //!< Connections end at the next answer
 };
 
@@ -50,7 +52,7 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-    CallerConnection(asio::ip::tcp::socket socket, CallerEvents& events);
+    CallerConnection(asio::ip::tcp::socket socket, CallerEvents& events, BodyMemory& bodies);
 
     void start();                                                 //!< Begin to read
     void answer(const http::Head& head, const std::string& body); //!< Pass a server's answer on
@@ -85,6 +87,7 @@
 
     asio::ip::tcp::socket                m_socket;                //!< Connection
     CallerEvents&                        m_events;                //!< Gateway
+    BodyMemory&                          m_bodies;                //!< Memory for bodies, shared with the others
     std::unique_ptr<http::MessageReader> m_reader;                //!< Of the request; null between requests
     std::string                          m_unread;                //!< Bytes not taken yet
     std::string                          m_out;                   //!< Answer
@@ -93,6 +96,7 @@
     core::Timestamp                      m_activity{};            //!< Last bytes
     std::uint64_t                        m_ticket{0};             //!< Request under way
     std::int64_t                         m_reserved{0};           //!< Memory reserved for its body
+    std::string                          m_workspace;             //!< Whose memory that is
     State                                m_state{State::Reading}; //!< What it does
     bool                                 m_reading{false};        //!< A read is under way
     bool                                 m_headSeen{false};       //!< The head of the request is whole
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -1,5 +1,6 @@
 #include <sailpath/gateway/Gateway.hpp>
 
+#include "BodyMemory.hpp"
 #include "CallerConnection.hpp"
 #include "Exchange.hpp"
 #include "ServerConnections.hpp"
@@ -80,10 +81,10 @@
     void                      log(const Exchange& exchange, unsigned status, std::string_view reason);
     [[nodiscard]] std::string metrics() const;
 
-    void requestRead(CallerConnection& caller, const http::Head& head, std::string body) override;
-    void callerLeft(CallerConnection& caller) override;
-    void callerGone(CallerConnection& caller) override;
-    bool reserve(std::int64_t bytes) override;
+    void                      requestRead(CallerConnection& caller, const http::Head& head, std::string body) override;
+    void                      callerLeft(CallerConnection& caller) override;
+    void                      callerGone(CallerConnection& caller) override;
+    [[nodiscard]] std::string workspaceOf(const http::Head& head) const override;
     [[nodiscard]] const deployment::CallerLimits& limits() const override;
     [[nodiscard]] bool                            leaving() const override;
 
@@ -102,7 +103,7 @@
     deployment::CallerLimits                      callerLimits;
     Counters                                      counters;
     balance::Ticket                               nextTicket{1};
-    std::int64_t                                  buffered{0};
+    priv::BodyMemory                              bodies;
     std::uint64_t                                 version{0};
     bool                                          ready{false};
     bool                                          isLeaving{false};
@@ -126,6 +127,7 @@
 acceptor(listenOn(loop, settings.listen)),
 dueTimer(loop),
 sweepTimer(loop),
+bodies(static_cast<std::int64_t>(settings.bufferedBytes)),
 readiness(loop, settings.readinessListen, {{names.readinessPath, [this] {
                                                 return priv::StatusAnswer{ready && !isLeaving ? 200U : 503U, {}};
                                             }}})
@@ -151,7 +153,7 @@
             {
                 asio::error_code ignored;
                 socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-                auto caller = std::make_shared<CallerConnection>(std::move(socket), *this);
+                auto caller = std::make_shared<CallerConnection>(std::move(socket), *this, bodies);
                 callers.insert(caller);
                 caller->start();
             }
@@ -218,12 +220,11 @@
 }
 
 ////////////////////////////////////////////////////////////
-bool Gateway::Impl::reserve(std::int64_t bytes)
+std::string Gateway::Impl::workspaceOf(const http::Head& head) const
 {
-    if (bytes > 0 && buffered + bytes > static_cast<std::int64_t>(settings.bufferedBytes))
-        return false;
-    buffered += bytes;
-    return true;
+    // Hosts that nobody declared share what one workspace gets.
+    const std::string_view host = head.field("Host");
+    return balancer.hasRoute(host, head.target) ? std::string(host) : std::string();
 }
 
 ////////////////////////////////////////////////////////////
@@ -418,7 +419,7 @@
     add("server_connections_opened_total", "counter", servers.opened());
     add("callers", "gauge", callers.size());
     add("requests_unfinished", "gauge", exchanges.size());
-    add("body_bytes_held", "gauge", buffered);
+    add("body_bytes_held", "gauge", bodies.used());
     add("configuration_version", "gauge", version);
     if (furtherMetrics)
         text += furtherMetrics();
