Until answers tell, a route's work is guessed from its target latency

Cause: every route began with 100 ms of assumed work whatever its target, so after each start and on each new route long work was sent to servers that could not finish it in time and short work was held back from some that could. Test BeforeAnyAnswerWorkIsGuessedFromTheTarget.

--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -152,6 +152,7 @@
         core::Duration               comeBack{};        //!< Latest word of a server on when to come back
     };
 
+    void                                       expectWork();
     [[nodiscard]] std::shared_ptr<ServicePool> poolFor(const deployment::HostRoute& route);
     [[nodiscard]] bool   tooLate(const Request& request, const Choice& choice, core::Timestamp now) const;
     [[nodiscard]] bool   maySendAgain(Request& request, core::Timestamp now) const;
--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -77,9 +77,10 @@
     [[nodiscard]] bool takeProbe(core::Timestamp now); //!< Count a probe, if the budget allows one
     [[nodiscard]] bool mayProbe() const;               //!< Servers tell their load at a known path
 
-    void learnOthers(double others); //!< A report told of others' requests
-    void learnPace(double pace);     //!< A report told a pace
-    void learnNoLoad();              //!< An answer carried no load report
+    void expectWork(std::string_view route, double ms); //!< A guess, until answers tell
+    void learnOthers(double others);                    //!< A report told of others' requests
+    void learnPace(double pace);                        //!< A report told a pace
+    void learnNoLoad();                                 //!< An answer carried no load report
 
     ////////////////////////////////////////////////////////////
     /// \brief Learn from a good answer
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -17,6 +17,7 @@
 constexpr double   leastHedgeWorks = 1.3; // Expected times that the first send is given
 constexpr double   hopelessWorks = 3.0;   // Expected times after which a send is taken for stuck
 constexpr double   lateFactor = 1.05;     // Targets that a request may be expected to take and still be let in
+constexpr double   worksInTarget = 0.35;  // Usual work as a part of its target latency, until answers tell
 constexpr unsigned statusServerFailed = 500;
 
 ////////////////////////////////////////////////////////////
@@ -62,7 +63,8 @@
 void Balancer::configure(const deployment::Declared& declared, core::Timestamp now)
 {
     m_nodes = std::max(1U, declared.nodes);
-    if (declared.deployment && declared.deployment != m_deployment)
+    bool changed = declared.deployment && declared.deployment != m_deployment;
+    if (changed)
     {
         m_deployment = declared.deployment;
         m_routes = deployment::RouteTable(m_deployment);
@@ -79,7 +81,10 @@
     {
         auto& pool = m_pools[name];
         if (!pool)
+        {
             pool = std::make_shared<ServicePool>(name, m_settings, m_born);
+            changed = true;
+        }
         pool->setInstances(std::move(instances), now);
     }
     if (!m_deployment)
@@ -90,6 +95,22 @@
         if (pool != m_pools.end())
             pool->second->setRule(rule, m_nodes);
     }
+    if (changed)
+        expectWork();
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::expectWork()
+{
+    for (const deployment::HostRoute& route : m_deployment->routes)
+    {
+        for (const deployment::SplitPart& part : route.parts)
+        {
+            const auto pool = m_pools.find(part.service);
+            if (pool != m_pools.end())
+                pool->second->expectWork(route.name, worksInTarget * core::toMilliseconds(route.targetLatency));
+        }
+    }
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -179,6 +179,14 @@
     return server.finishMs(work, m_usual, now) + (distance + crowd) * work + (risk + absence) * work * m_usual.pace;
 }
 
+////////////////////////////////////////////////////////////
+void ServicePool::expectWork(std::string_view route, double ms)
+{
+    const bool first = m_routeWork.empty();
+    if (m_routeWork.try_emplace(std::string(route), RouteWork{ms, 0}).second && first)
+        m_usual.workMs = ms;
+}
+
 ////////////////////////////////////////////////////////////
 void ServicePool::learnOthers(double others)
 {
--- a/test/balance/Balancer.test.cpp
+++ b/test/balance/Balancer.test.cpp
@@ -503,6 +503,27 @@
     BOOST_TEST(far);
 }
 
+BOOST_AUTO_TEST_CASE(BeforeAnyAnswerWorkIsGuessedFromTheTarget)
+{
+    auto slow = deploymentOf();
+    slow->routes[0].targetLatency = 1000ms;
+    slow->routes[1].targetLatency = 100ms;
+    declared.deployment = slow;
+    Balancer fresh(settingsOf(), now);
+    fresh.configure(declared, now);
+    double expected[2]{};
+    int    at = 0;
+    for (const char* target : {"/read/1", "/pay/1"})
+    {
+        std::vector<Step> taken;
+        fresh.admit(Ticket(at + 1), {"a.example", target, now, 3s}, now);
+        fresh.takeSteps(taken);
+        expected[at++] = only(taken, StepKind::Forward).expectedMs;
+    }
+    BOOST_TEST(expected[0] > 300);
+    BOOST_TEST(expected[1] < 60);
+}
+
 BOOST_AUTO_TEST_CASE(ARouteThatIsNewToAServiceIsNotRefusedForTheWorkOfOthers)
 {
     auto slow = deploymentOf();
