--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -215,8 +215,11 @@
     ++work.answers;
     const bool crowded = crowding > crowdedAbove && work.answers > answersToKnow;
     if (crowded)
-        m_usual.fullSlowdown =
-            std::clamp(m_usual.fullSlowdown * (1 + slowdownGain * (seen / m_roomy - 1)), 1.0, mostSlowdown);
+    {
+        const double first = 1.0 / (++m_crowdedAnswers + 4);
+        const double share = std::max(slowdownGain, first);
+        m_usual.fullSlowdown = std::clamp(m_usual.fullSlowdown * (1 + share * (seen / m_roomy - 1)), 1.0, mostSlowdown);
+    }
     else
         m_roomy += slowdownGain * (seen - m_roomy);
     // What a crowded instance takes longer is mostly the crowding's doing.
