--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -7,6 +7,7 @@
 #include <sailpath/deployment/Declared.hpp>
 #include <sailpath/deployment/RouteTable.hpp>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -152,7 +153,20 @@
         core::Duration               comeBack{};        //!< Latest word of a server on when to come back
     };
 
-    void                                       expectWork();
+    void expectWork();
+    /// \brief A request that came before the first configuration
+    struct Early
+    {
+        Ticket                        ticket{0};
+        std::string                   host;
+        std::string                   target;
+        core::Timestamp               since{};
+        std::optional<core::Duration> timeLeft;
+        core::Timestamp               until{}; //!< It is refused then
+    };
+
+    void                                       hold(Ticket ticket, const Arrival& arrival, core::Timestamp now);
+    void                                       admitEarly(core::Timestamp now);
     [[nodiscard]] std::shared_ptr<ServicePool> poolFor(const deployment::HostRoute& route);
     [[nodiscard]] bool   tooLate(const Request& request, const Choice& choice, core::Timestamp now) const;
     [[nodiscard]] bool   maySendAgain(Request& request, core::Timestamp now) const;
@@ -188,6 +202,7 @@
     unsigned                                                      m_nodes{1};   //!< That share budgets
     std::unordered_map<Ticket, Request>                           m_requests;   //!< Unfinished
     std::set<std::pair<core::Timestamp, Ticket>>                  m_wakes;      //!< What is due when
+    std::deque<Early>                                             m_early;      //!< In the order that they came
     std::vector<Step>                                             m_steps;      //!< Decided, not taken
 };
 
--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -125,7 +125,7 @@
     core::Timestamp                            m_probesAt{};                   //!< Time of that figure
     unsigned                                   m_connections{0};               //!< Most own connections to one instance
     Usual                                      m_usual;                        //!< Of late
-    unsigned                                   m_crowdedAnswers{0}; //!< Seen so far
+    unsigned                                   m_crowdedAnswers{0};            //!< Seen so far
     double                                     m_roomy{1};  //!< Observed over expected time at instances with room
     std::unordered_map<std::string, RouteWork> m_routeWork; //!< Usual work by route
 };
--- a/include/sailpath/balance/Settings.hpp
+++ b/include/sailpath/balance/Settings.hpp
@@ -22,7 +22,8 @@
     core::Duration reportLife{std::chrono::milliseconds{150}}; //!< How fast a load report loses its worth
     core::Duration wayBack{std::chrono::milliseconds{8}};      //!< Kept back of the time for the answer's way
     core::Duration firstWork{std::chrono::milliseconds{100}};  //!< Assumed work before anything was measured
-    double         probeRate{20}; //!< Probes that a server may get a second, from all nodes
+    core::Duration earlyWait{std::chrono::milliseconds{100}}; //!< Longest wait of a request for the first configuration
+    double         probeRate{20};                             //!< Probes that a server may get a second, from all nodes
     core::Duration reportFresh{std::chrono::milliseconds{15}}; //!< Age up to which a report needs no probe
     core::Duration probeWait{std::chrono::milliseconds{15}};   //!< Longest wait for the probes of one round
     core::Duration roundPause{std::chrono::milliseconds{10}};  //!< Between rounds of probes that found nothing good
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace sailpath::balance
 {
@@ -97,6 +98,21 @@
     }
     if (changed)
         expectWork();
+    admitEarly(now);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::hold(Ticket ticket, const Arrival& arrival, core::Timestamp now)
+{
+    m_early.push_back({ticket, std::string(arrival.host), std::string(arrival.target), arrival.since, arrival.timeLeft,
+                       now + m_settings.earlyWait});
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::admitEarly(core::Timestamp now)
+{
+    for (const Early& early : std::exchange(m_early, {}))
+        admit(early.ticket, {early.host, early.target, early.since, early.timeLeft}, now);
 }
 
 ////////////////////////////////////////////////////////////
@@ -117,7 +133,7 @@
 void Balancer::admit(Ticket ticket, const Arrival& arrival, core::Timestamp now)
 {
     if (!configured())
-        return refuse(ticket, {RefusalReason::NotConfigured, false, soon});
+        return hold(ticket, arrival, now);
     const deployment::HostRoute* route = m_routes.find(arrival.host, arrival.target);
     if (!route)
         return refuse(ticket, {RefusalReason::NoRoute, false, {}});
@@ -329,6 +345,8 @@
 ////////////////////////////////////////////////////////////
 void Balancer::due(core::Timestamp now)
 {
+    for (; !m_early.empty() && m_early.front().until <= now; m_early.pop_front())
+        refuse(m_early.front().ticket, {RefusalReason::NotConfigured, false, soon});
     while (!m_wakes.empty() && m_wakes.begin()->first <= now)
     {
         const Ticket ticket = m_wakes.begin()->second;
@@ -397,6 +415,7 @@
 ////////////////////////////////////////////////////////////
 void Balancer::callerLeft(Ticket ticket, core::Timestamp now)
 {
+    std::erase_if(m_early, [ticket](const Early& early) { return early.ticket == ticket; });
     const auto found = m_requests.find(ticket);
     if (found == m_requests.end())
         return;
@@ -495,7 +514,12 @@
 ////////////////////////////////////////////////////////////
 std::optional<core::Timestamp> Balancer::nextDue() const
 {
-    return m_wakes.empty() ? std::nullopt : std::optional(m_wakes.begin()->first);
+    std::optional<core::Timestamp> next;
+    if (!m_wakes.empty())
+        next = m_wakes.begin()->first;
+    if (!m_early.empty())
+        next = std::min(next.value_or(never), m_early.front().until);
+    return next;
 }
 
 ////////////////////////////////////////////////////////////
@@ -520,7 +544,7 @@
 ////////////////////////////////////////////////////////////
 std::size_t Balancer::unfinished() const
 {
-    return m_requests.size();
+    return m_requests.size() + m_early.size();
 }
 
 } // namespace sailpath::balance
--- a/test/balance/Balancer.test.cpp
+++ b/test/balance/Balancer.test.cpp
@@ -165,12 +165,33 @@
     fresh.admit(1, {"a.example", "/read/1", now, {}}, now);
     std::vector<Step> taken;
     fresh.takeSteps(taken);
+    BOOST_TEST(taken.empty());
+    BOOST_REQUIRE(fresh.nextDue().has_value());
+    BOOST_TEST((*fresh.nextDue() <= now + 100ms));
+    fresh.due(*fresh.nextDue());
+    fresh.takeSteps(taken);
+    BOOST_TEST(fresh.unfinished() == 0U);
     const Step& refused = only(taken, StepKind::Refuse);
     BOOST_TEST((refused.refusal.reason == RefusalReason::NotConfigured));
     BOOST_TEST(!refused.refusal.mayHaveRun);
     BOOST_TEST(refused.refusal.comeBack.count() > 0);
 }
 
+BOOST_AUTO_TEST_CASE(WhatComesJustBeforeTheFirstConfigurationIsServed)
+{
+    Balancer fresh(settingsOf(), now);
+    fresh.admit(1, {"a.example", "/read/1", now, {}}, now);
+    fresh.admit(2, {"a.example", "/none/1", now, {}}, now);
+    fresh.admit(3, {"a.example", "/read/1", now, {}}, now);
+    fresh.callerLeft(3, now);
+    BOOST_TEST(fresh.unfinished() == 2U);
+    fresh.configure(declared, now + 20ms);
+    std::vector<Step> taken;
+    fresh.takeSteps(taken);
+    BOOST_TEST(only(taken, StepKind::Forward).ticket == 1U);
+    BOOST_TEST((only(taken, StepKind::Refuse).refusal.reason == RefusalReason::NoRoute));
+}
+
 BOOST_AUTO_TEST_CASE(UnknownPathsHaveNoRoute)
 {
     BOOST_TEST((only(admit(1, "/none/1"), StepKind::Refuse).refusal.reason == RefusalReason::NoRoute));
