--- a/include/sailpath/balance/Settings.hpp
+++ b/include/sailpath/balance/Settings.hpp
@@ -17,13 +17,14 @@
     double         retryExtra{0};                         //!< Further sends beyond the share, over the fleet
     core::Duration retryWindow{std::chrono::seconds{10}}; //!< Span that the retry budget is counted over
     core::Duration otherDataCentre{std::chrono::milliseconds{4}}; //!< Assumed round trip to another data centre
-    double         otherDataCentreCost{1.2}; //!< Usual works that a far server may be behind a near one
-    core::Duration connectCost{std::chrono::milliseconds{8}};  //!< What a new connection is weighed as
-    core::Duration reportLife{std::chrono::milliseconds{150}}; //!< How fast a load report loses its worth
-    core::Duration wayBack{std::chrono::milliseconds{8}};      //!< Kept back of the time for the answer's way
-    core::Duration firstWork{std::chrono::milliseconds{100}};  //!< Assumed work before anything was measured
+    core::Duration connectCost{std::chrono::milliseconds{8}};     //!< What a new connection is weighed as
+    core::Duration reportLife{std::chrono::milliseconds{150}};    //!< How fast a load report loses its worth
+    core::Duration wayBack{std::chrono::milliseconds{8}};         //!< Kept back of the time for the answer's way
+    core::Duration firstWork{std::chrono::milliseconds{100}};     //!< Assumed work before anything was measured
     core::Duration earlyWait{std::chrono::milliseconds{100}}; //!< Longest wait of a request for the first configuration
-    double         probeRate{20};                             //!< Probes that a server may get a second, from all nodes
+    core::Duration comeBackSoon{std::chrono::milliseconds{200}}; //!< When a lack of servers may be over
+    double         hopelessWorks{3}; //!< Expected times after which a send is taken for stuck
+    double         probeRate{20};    //!< Probes that a server may get a second, from all nodes
     core::Duration reportFresh{std::chrono::milliseconds{15}}; //!< Age up to which a report needs no probe
     core::Duration probeWait{std::chrono::milliseconds{15}};   //!< Longest wait for the probes of one round
     core::Duration roundPause{std::chrono::milliseconds{10}};  //!< Between rounds of probes that found nothing good
--- a/include/sailpath/replication/Replica.hpp
+++ b/include/sailpath/replication/Replica.hpp
@@ -28,10 +28,13 @@
     core::Duration           beat{std::chrono::milliseconds{350}};         //!< Between updates without news
     core::Duration           linkSilence{std::chrono::milliseconds{1100}}; //!< Without an update, a relay is given up
     core::Duration           avoidance{std::chrono::seconds{3}};           //!< A relay that failed is left alone
-    core::Duration           nodeLife{std::chrono::seconds{20}};           //!< A node not heard of is forgotten
-    core::Duration           countLife{std::chrono::seconds{25}};          //!< A node counts for shared budgets
-    unsigned                 watchers{2};                                  //!< Relays that watch the store for all
-    unsigned                 nodesPerRelay{75};                            //!< One more relay for each so many nodes
+    core::Duration           bootWait{std::chrono::milliseconds{600}};     //!< Of a start: only seeds count as relays
+    core::Duration           connectPatience{std::chrono::milliseconds{700}}; //!< For a link to come up
+    core::Duration           firstBackoff{std::chrono::milliseconds{250}};    //!< After one failed call of the store
+    core::Duration           nodeLife{std::chrono::seconds{20}};              //!< A node not heard of is forgotten
+    core::Duration           countLife{std::chrono::seconds{25}};             //!< A node counts for shared budgets
+    unsigned                 watchers{2};                                     //!< Relays that watch the store for all
+    unsigned                 nodesPerRelay{75};                               //!< One more relay for each so many nodes
     unsigned                 largeFleet{30};         //!< From so many nodes on, data centres have relays of their own
     unsigned                 relaysPerDataCentre{2}; //!< Of a large fleet
     unsigned                 upstreams{2};           //!< Relays that a node follows
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -8,25 +8,15 @@
 {
 namespace
 {
-constexpr auto     soon = std::chrono::milliseconds{200}; // When a lack of servers may be over
 constexpr auto     leastComeBack = std::chrono::milliseconds{50};
 constexpr auto     longestComeBack = std::chrono::seconds{2};
 constexpr auto     never = core::Timestamp::max();
 constexpr unsigned mostUnsent = 4;        // Connections that may fail to come up before a request is refused
 constexpr double   retryExtraShare = 0.6; // Of the extra; the rest covers nodes not known of
-constexpr double   hedgeRoom = 1.2;       // Further time over the estimate that a second send is given
-constexpr double   leastHedgeWorks = 1.3; // Expected times that the first send is given
-constexpr double   hopelessWorks = 3.0;   // Expected times after which a send is taken for stuck
 constexpr double   lateFactor = 1.05;     // Targets that a request may be expected to take and still be let in
 constexpr double   worksInTarget = 0.35;  // Usual work as a part of its target latency, until answers tell
 constexpr unsigned statusServerFailed = 500;
 
-////////////////////////////////////////////////////////////
-core::Duration milliseconds(double value)
-{
-    return core::fromMilliseconds(value);
-}
-
 } // namespace
 
 ////////////////////////////////////////////////////////////
@@ -101,20 +91,6 @@
     admitEarly(now);
 }
 
-////////////////////////////////////////////////////////////
-void Balancer::hold(Ticket ticket, const Arrival& arrival, core::Timestamp now)
-{
-    m_early.push_back({ticket, std::string(arrival.host), std::string(arrival.target), arrival.since, arrival.timeLeft,
-                       now + m_settings.earlyWait});
-}
-
-////////////////////////////////////////////////////////////
-void Balancer::admitEarly(core::Timestamp now)
-{
-    for (const Early& early : std::exchange(m_early, {}))
-        admit(early.ticket, {early.host, early.target, early.since, early.timeLeft}, now);
-}
-
 ////////////////////////////////////////////////////////////
 void Balancer::expectWork()
 {
@@ -253,7 +229,7 @@
 {
     if (request.sends >= request.route.attempts || request.attempts.size() >= request.route.attempts + mostUnsent)
         return false;
-    if (now + milliseconds(request.pool->workMs(request.route.name) / 2) > request.deadline)
+    if (now + core::fromMilliseconds(request.pool->workMs(request.route.name) / 2) > request.deadline)
         return false;
     return request.sends == 0 || request.pool->retries().allows(retryExtra(), now);
 }
@@ -261,7 +237,7 @@
 ////////////////////////////////////////////////////////////
 bool Balancer::sendAgain(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now)
 {
-    if (!maySendAgain(request, now) || now + milliseconds(choice.finishMs / 2) > request.deadline)
+    if (!maySendAgain(request, now) || now + core::fromMilliseconds(choice.finishMs / 2) > request.deadline)
         return false;
     // What never reached a server costs no budget.
     if (request.sends > 0 && !request.pool->retries().take(retryExtra(), now))
@@ -296,80 +272,6 @@
     m_steps.push_back(std::move(step));
 }
 
-////////////////////////////////////////////////////////////
-void Balancer::plan(Ticket ticket, Request& request, core::Timestamp now)
-{
-    if (request.wake != core::Timestamp{})
-        m_wakes.erase({request.wake, ticket});
-    request.wake = request.deadline;
-    if (request.search.active)
-        request.wake = std::min(request.wake, request.search.next);
-    if (request.search.active || request.attempts.empty())
-    {
-        m_wakes.insert({request.wake, ticket});
-        return;
-    }
-    const Attempt& last = request.attempts.back();
-    const bool     mayHedge = m_settings.hedging && request.route.repeatable && !request.left &&
-                          request.sends < request.route.attempts && last.running;
-    if (mayHedge)
-    {
-        const double typical = request.pool->workMs(request.route.name);
-        const auto   target = request.since + request.route.targetLatency;
-        const auto   latestUseful = target - milliseconds(hedgeRoom * typical) - m_settings.wayBack -
-                                  m_settings.probeWait - m_settings.connectCost;
-        const auto      patience = last.sentAt + milliseconds(leastHedgeWorks * typical);
-        const auto      stuck = last.sentAt + milliseconds(hopelessWorks * std::max(typical, last.expectedMs));
-        // Later than that a second send cannot meet the target; then it is only for what is stuck.
-        core::Timestamp at = patience <= latestUseful ? latestUseful : stuck;
-        if (at <= now)
-            at = std::max(stuck, now + milliseconds(typical));
-        at = std::max(at, request.noHedgeUntil);
-        request.wake = std::min(request.wake, at);
-    }
-    m_wakes.insert({request.wake, ticket});
-}
-
-////////////////////////////////////////////////////////////
-void Balancer::hedge(Ticket ticket, Request& request, core::Timestamp now)
-{
-    if (!maySendAgain(request, now))
-    {
-        // Looked at again only when it is stuck; the deadline ends it in any case.
-        request.noHedgeUntil = now + milliseconds(hopelessWorks * request.pool->workMs(request.route.name));
-        return plan(ticket, request, now);
-    }
-    seek(ticket, request, now);
-}
-
-////////////////////////////////////////////////////////////
-void Balancer::due(core::Timestamp now)
-{
-    for (; !m_early.empty() && m_early.front().until <= now; m_early.pop_front())
-        refuse(m_early.front().ticket, {RefusalReason::NotConfigured, false, soon});
-    while (!m_wakes.empty() && m_wakes.begin()->first <= now)
-    {
-        const Ticket ticket = m_wakes.begin()->second;
-        Request&     request = m_requests.at(ticket);
-        if (request.deadline <= now)
-            timeOut(ticket, request, now);
-        else if (!request.search.active)
-            hedge(ticket, request, now);
-        else if (request.search.pausing)
-            beginRound(ticket, request, now);
-        else
-            endRound(ticket, request, now);
-    }
-}
-
-////////////////////////////////////////////////////////////
-void Balancer::timeOut(Ticket ticket, Request& request, core::Timestamp now)
-{
-    abandonRunning(ticket, request, now);
-    refuse(ticket, {RefusalReason::TimedOut, request.mayHaveRun, request.mayHaveRun ? core::Duration{} : soon});
-    close(ticket);
-}
-
 ////////////////////////////////////////////////////////////
 void Balancer::conclude(Ticket ticket, Request& request, core::Timestamp)
 {
@@ -400,7 +302,7 @@
         attempt.server->ended(now);
         const double elapsed = core::toMilliseconds(now - attempt.sentAt);
         attempt.server->overdue(elapsed, attempt.plainMs);
-        if (elapsed > hopelessWorks * std::max(attempt.expectedMs, request.pool->workMs(request.route.name)))
+        if (elapsed > m_settings.hopelessWorks * std::max(attempt.expectedMs, request.pool->workMs(request.route.name)))
             attempt.server->failed(now);
         request.mayHaveRun = true;
         Step step;
@@ -495,7 +397,7 @@
 core::Duration Balancer::comeBack(const ServicePool& pool, double expectedMs)
 {
     const double base = std::max(expectedMs, pool.workMs()) * (0.5 + m_random.unit());
-    return std::clamp<core::Duration>(milliseconds(base), leastComeBack, longestComeBack);
+    return std::clamp<core::Duration>(core::fromMilliseconds(base), leastComeBack, longestComeBack);
 }
 
 ////////////////////////////////////////////////////////////
@@ -511,17 +413,6 @@
     server->setOpenConnections(open);
 }
 
-////////////////////////////////////////////////////////////
-std::optional<core::Timestamp> Balancer::nextDue() const
-{
-    std::optional<core::Timestamp> next;
-    if (!m_wakes.empty())
-        next = m_wakes.begin()->first;
-    if (!m_early.empty())
-        next = std::min(next.value_or(never), m_early.front().until);
-    return next;
-}
-
 ////////////////////////////////////////////////////////////
 void Balancer::takeSteps(std::vector<Step>& steps)
 {
--- a/src/sailpath/balance/BalancerSearch.cpp
+++ b/src/sailpath/balance/BalancerSearch.cpp
@@ -8,15 +8,8 @@
 {
 namespace
 {
-constexpr double goodFactor = 1.4;                      // Usual work that a server may take and be chosen at once
-constexpr double searchRoom = 1.2;                      // Usual works that have to be left to look on
-constexpr auto   soon = std::chrono::milliseconds{200}; // When a lack of servers may be over
-
-////////////////////////////////////////////////////////////
-core::Duration milliseconds(double value)
-{
-    return core::fromMilliseconds(value);
-}
+constexpr double goodFactor = 1.4; // Usual work that a server may take and be chosen at once
+constexpr double searchRoom = 1.2; // Usual works that have to be left to look on
 
 } // namespace
 
@@ -129,7 +122,7 @@
 ////////////////////////////////////////////////////////////
 bool Balancer::meetsTarget(const Request& request, double finishMs, core::Timestamp now) const
 {
-    const auto done = now + milliseconds(finishMs) + m_settings.wayBack;
+    const auto done = now + core::fromMilliseconds(finishMs) + m_settings.wayBack;
     return done <= request.since + request.route.targetLatency;
 }
 
@@ -150,7 +143,7 @@
     }
     if (!choice.server)
     {
-        refuse(ticket, {RefusalReason::NoServer, false, soon});
+        refuse(ticket, {RefusalReason::NoServer, false, m_settings.comeBackSoon});
         return close(ticket);
     }
     if (tooLate(request, choice, now))
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -12,7 +12,6 @@
 constexpr double   failurePenalty = 2;   // Usual works that a failed attempt costs when it can be mended
 constexpr double   lossPenalty = 12;     // Usual works that a failed attempt costs when it cannot
 constexpr double   ejectedPenalty = 40;  // Usual works; an ejected server is taken only when all are
-constexpr double   leastIdle = 0.25;     // Of the cost of distance, when all servers are busy
 constexpr double   farPenalty = 20;      // Usual works; less than that of an ejected server
 constexpr double   connectPenalty = 0.5; // Usual works, for a server that a connection would have to be opened to
 constexpr double   crowdedAbove = 0.5;   // Crowding from which an answer tells of the slowdown
@@ -172,12 +171,9 @@
 {
     const double risk = server.failureShare(now) * (wish.repeatable ? failurePenalty : lossPenalty);
     const double absence = server.ejected(now) ? ejectedPenalty : 0;
-    // Bytes between data centres are dear, so a near server may be slower; the less so the busier all are.
-    const double idle = std::clamp(1 - m_usual.others / std::max(1U, server.instance()->slots), leastIdle, 1.0);
-    const double distance = near(server) ? 0 : idle * m_settings.otherDataCentreCost;
     // Filling an instance also slows down what it works on already.
     const double crowd = server.crowding(m_usual.others, now) * (m_usual.fullSlowdown - 1);
-    return server.finishMs(work, m_usual, now) + (distance + crowd) * work + (risk + absence) * work * m_usual.pace;
+    return server.finishMs(work, m_usual, now) + crowd * work + (risk + absence) * work * m_usual.pace;
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/replication/Replica.cpp
+++ b/src/sailpath/replication/Replica.cpp
@@ -1,7 +1,5 @@
 #include <sailpath/replication/Replica.hpp>
 
-#include <sailpath/core/Hash.hpp>
-
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -12,18 +10,13 @@
 {
 constexpr auto   longestRest = std::chrono::milliseconds{500};
 constexpr auto   leastRest = std::chrono::milliseconds{5};
-constexpr auto   bootWait = std::chrono::milliseconds{600}; // For seeds to answer before a node calls the store itself
-constexpr auto   firstBackoff = std::chrono::milliseconds{250};
 constexpr auto   longestBackoff = std::chrono::milliseconds{1500};
 constexpr auto   atOnce = std::chrono::milliseconds{1};
 constexpr auto   nodesEvery = std::chrono::milliseconds{50}; // For each node known, between tellings of them
 constexpr auto   newNodesAfter = std::chrono::milliseconds{300};
-constexpr double newNodesShare = 0.1; // More nodes than were told, so that they are told at once
-constexpr auto   relaySteady = std::chrono::milliseconds{1200}; // A relay is fresh this long before the own watch ends
+constexpr double newNodesShare = 0.1;  // More nodes than were told, so that they are told at once
 constexpr int    followerPatience = 3; // Times as long between calls of a store that fails, when watchers are heard
-constexpr auto   rankEvery = std::chrono::milliseconds{200};    // Also at once when a node is new or failed
 constexpr auto   worthTelling = std::chrono::milliseconds{400}; // A copy that is so much fresher than was told
-constexpr auto   connectPatience = std::chrono::milliseconds{700};
 constexpr std::uint32_t longestAge = std::numeric_limits<std::uint32_t>::max();
 
 ////////////////////////////////////////////////////////////
@@ -62,155 +55,6 @@
     feedFollowers(now);
 }
 
-////////////////////////////////////////////////////////////
-bool Replica::isSeed(const std::string& address) const
-{
-    return std::find(m_settings.seeds.begin(), m_settings.seeds.end(), address) != m_settings.seeds.end();
-}
-
-////////////////////////////////////////////////////////////
-std::size_t Replica::relaysWanted(std::size_t dataCentres, core::Timestamp now) const
-{
-    const std::size_t known = nodes(now);
-    const std::size_t bySize = std::max<std::size_t>(m_settings.watchers, known / m_settings.nodesPerRelay + 1);
-    const std::size_t byPlace = known < m_settings.largeFleet ? 0 : m_settings.relaysPerDataCentre * dataCentres;
-    return std::max(bySize, byPlace);
-}
-
-////////////////////////////////////////////////////////////
-std::vector<Replica::Relay> Replica::rankRelays(core::Timestamp now) const
-{
-    struct Candidate
-    {
-        std::uint32_t capacity;
-        std::uint64_t rank;
-        Relay         relay;
-    };
-    std::vector<Candidate> candidates;
-    // Before peers have told of others, only seeds count as relays, or every node would be one.
-    if (now - m_born > bootWait || m_settings.seeds.empty() || isSeed(m_settings.self.address))
-        candidates.push_back({m_settings.self.capacity,
-                              core::hash(m_settings.self.address),
-                              {m_settings.self.address, m_settings.self.dataCentre, false}});
-    for (const auto& [address, known] : m_known)
-    {
-        if (now - known.heard < m_settings.nodeLife && now >= known.avoidUntil)
-            candidates.push_back({known.capacity, core::hash(address), {address, known.dataCentre, false}});
-    }
-    std::sort(candidates.begin(), candidates.end(),
-              [](const Candidate& left, const Candidate& right)
-              { return left.capacity != right.capacity ? left.capacity > right.capacity : left.rank < right.rank; });
-    std::map<std::string, std::size_t> byPlace;
-    for (const Candidate& candidate : candidates)
-        byPlace[candidate.relay.dataCentre] = 0;
-    const std::size_t  wanted = relaysWanted(byPlace.size(), now);
-    // The first of each data centre, then the second of each, and so on.
-    std::vector<Relay> chosen;
-    for (std::size_t turn = 0; chosen.size() < std::min(wanted, candidates.size()); ++turn)
-    {
-        std::map<std::string, std::size_t> seen;
-        for (const Candidate& candidate : candidates)
-        {
-            if (seen[candidate.relay.dataCentre]++ != turn || chosen.size() >= wanted)
-                continue;
-            chosen.push_back(candidate.relay);
-            chosen.back().watcher = chosen.size() <= m_settings.watchers;
-        }
-    }
-    return chosen;
-}
-
-////////////////////////////////////////////////////////////
-void Replica::rank(core::Timestamp now)
-{
-    if (now < m_rankAt)
-        return;
-    m_rankAt = now + rankEvery;
-    const std::vector<Relay> ranked = rankRelays(now);
-    const bool               watched = m_watchRole;
-    m_watchRole =
-        std::any_of(ranked.begin(), ranked.end(),
-                    [this](const Relay& relay) { return relay.watcher && relay.address == m_settings.self.address; });
-    m_wanted = chooseUpstreams(ranked);
-    if (m_watchRole && !watched)
-        m_nextStore = std::min<core::Timestamp>(m_nextStore, now + firstBackoff);
-}
-
-////////////////////////////////////////////////////////////
-std::vector<std::string> Replica::chooseUpstreams(const std::vector<Relay>& relays) const
-{
-    const auto isSelf = [this](const Relay& relay) { return relay.address == m_settings.self.address; };
-    const bool relaysItself = std::any_of(relays.begin(), relays.end(), isSelf);
-    // Relays hear from the watchers, others from the relays beside them.
-    const auto farness = [&](const Relay& relay)
-    {
-        const bool near = relay.dataCentre == m_settings.self.dataCentre;
-        if (relaysItself)
-            return relay.watcher ? 0 : 1 + (near ? 0 : 1);
-        return near ? 0 : 1 + (relay.watcher ? 0 : 1);
-    };
-    // Among equals each node follows relays of its own choice, so that these share the work.
-    std::vector<std::pair<std::pair<int, std::uint64_t>, std::string>> others;
-    for (const Relay& relay : relays)
-    {
-        if (!isSelf(relay))
-            others.push_back({{farness(relay), core::hash(relay.address + m_settings.self.address)}, relay.address});
-    }
-    std::sort(others.begin(), others.end());
-    std::vector<std::string> upstreams;
-    for (std::size_t i = 0; i < std::min<std::size_t>(others.size(), m_settings.upstreams); ++i)
-        upstreams.push_back(std::move(others[i].second));
-    return upstreams;
-}
-
-////////////////////////////////////////////////////////////
-void Replica::manageUpstreams(core::Timestamp now)
-{
-    for (auto item = m_upstreams.begin(); item != m_upstreams.end();)
-    {
-        const Upstream& upstream = item->second;
-        const auto      silent = now - std::max(upstream.since, upstream.heard);
-        const auto      patience = upstream.open ? m_settings.linkSilence : core::Duration(connectPatience);
-        if (silent <= patience)
-        {
-            ++item;
-            continue;
-        }
-        m_actions.push_back(CloseLink{item->first});
-        const std::string address = upstream.address;
-        item = m_upstreams.erase(item);
-        avoid(address, now, "relay-silent");
-    }
-    rank(now);
-    const std::vector<std::string>& relays = m_wanted;
-    bool                            allFed = true;
-    for (const std::string& address : relays)
-    {
-        const auto link = std::find_if(m_upstreams.begin(), m_upstreams.end(),
-                                       [&](const auto& item) { return item.second.address == address; });
-        allFed = allFed && link != m_upstreams.end() && link->second.fed;
-        if (link != m_upstreams.end())
-            continue;
-        const LinkId id = m_nextLink;
-        m_nextLink += 2;
-        m_upstreams[id] = Upstream{address, false, now, {}, false};
-        m_actions.push_back(OpenLink{id, address});
-    }
-    if (!allFed)
-        return;
-    // Links to former relays end once the new ones have sent something.
-    for (auto item = m_upstreams.begin(); item != m_upstreams.end();)
-    {
-        if (std::find(relays.begin(), relays.end(), item->second.address) != relays.end())
-        {
-            ++item;
-            continue;
-        }
-        m_actions.push_back(CloseLink{item->first});
-        item = m_upstreams.erase(item);
-    }
-}
-
 ////////////////////////////////////////////////////////////
 bool Replica::shouldWatch(core::Timestamp now) const
 {
@@ -219,18 +63,12 @@
         return true;
     if (known() && !proved())
         return now >= m_proveAt;
-    if (age(now) > m_settings.staleAfter && now - m_born > bootWait)
+    if (age(now) > m_settings.staleAfter && now - m_born > m_settings.bootWait)
         return true;
     // Once begun, the own watch goes on until relays have proved steady.
     return m_store == StoreState::Watching && !fedSteadily(now);
 }
 
-////////////////////////////////////////////////////////////
-bool Replica::fedSteadily(core::Timestamp now) const
-{
-    return m_relayFresh != core::Timestamp::min() && now - m_relayFresh < relaySteady;
-}
-
 ////////////////////////////////////////////////////////////
 void Replica::manageStore(core::Timestamp now)
 {
@@ -311,18 +149,12 @@
     m_ill = now;
     // The watchers look for the store's return and tell those that follow them.
     const int  patience = !m_watchRole && hearsRelays() ? followerPatience : 1;
-    const auto backoff = patience * std::min<core::Duration>(firstBackoff * (1U << doublings), longestBackoff);
+    const auto backoff =
+        patience * std::min<core::Duration>(m_settings.firstBackoff * (1U << doublings), longestBackoff);
     m_nextStore = now + core::fromMilliseconds(core::toMilliseconds(backoff) * (0.5 + m_random.unit()));
     tick(now);
 }
 
-////////////////////////////////////////////////////////////
-bool Replica::hearsRelays() const
-{
-    return std::any_of(m_upstreams.begin(), m_upstreams.end(),
-                       [](const auto& item) { return item.second.open && item.second.fed; });
-}
-
 ////////////////////////////////////////////////////////////
 void Replica::linkOpened(LinkId link, core::Timestamp now)
 {
@@ -415,35 +247,6 @@
     tick(now);
 }
 
-////////////////////////////////////////////////////////////
-void Replica::hear(const NodeAddress& node, core::Timestamp now)
-{
-    if (node.address == m_settings.self.address || node.address.empty())
-        return;
-    const auto heard = now - core::Duration(std::chrono::milliseconds{node.ageMs});
-    if (now - heard > m_settings.nodeLife)
-        return;
-    Known& known = m_known[node.address];
-    if (known.dataCentre.empty() || known.heard == core::Timestamp{})
-        m_rankAt = {};
-    known.dataCentre = node.dataCentre;
-    known.capacity = node.capacity;
-    known.heard = std::max(known.heard, heard);
-}
-
-////////////////////////////////////////////////////////////
-void Replica::avoid(const std::string& address, core::Timestamp now, std::string_view why)
-{
-    Known& known = m_known[address];
-    if (known.heard == core::Timestamp{})
-        known.heard = now;
-    const auto doublings = std::min(known.failures, 2U);
-    ++known.failures;
-    known.avoidUntil = now + m_settings.avoidance * (1U << doublings);
-    m_rankAt = {};
-    m_actions.push_back(Note{std::string(why), address, core::toMilliseconds(age(now))});
-}
-
 ////////////////////////////////////////////////////////////
 void Replica::feedFollowers(core::Timestamp now)
 {
@@ -523,13 +326,13 @@
         next = std::min(next, follower.nextBeat);
     for (const auto& [link, upstream] : m_upstreams)
         next = std::min(next, std::max(upstream.since, upstream.heard) +
-                                  (upstream.open ? m_settings.linkSilence : core::Duration(connectPatience)));
+                                  (upstream.open ? m_settings.linkSilence : m_settings.connectPatience));
     if (m_store == StoreState::Idle)
         next = std::min(next, m_nextStore > m_now ? m_nextStore : staleAt());
     if (known() && !proved())
         next = std::min(next, std::max(m_proveAt, m_now));
-    if (m_now - m_born < bootWait)
-        next = std::min(next, m_born + bootWait);
+    if (m_now - m_born < m_settings.bootWait)
+        next = std::min(next, m_born + m_settings.bootWait);
     return std::max(next, m_now) + leastRest;
 }
 
@@ -568,7 +371,7 @@
 ////////////////////////////////////////////////////////////
 bool Replica::usable(core::Timestamp now) const
 {
-    return proved() || (known() && now - m_born > bootWait);
+    return proved() || (known() && now - m_born > m_settings.bootWait);
 }
 
 ////////////////////////////////////////////////////////////
