--- a/test/support/ReplicaGroup.cpp
+++ b/test/support/ReplicaGroup.cpp
@@ -314,8 +314,7 @@
                     if (!item.gone)
                         items.push_back(item);
                 }
-                at(m_now + storeWay,
-                   [this, index, life, asked, items, revision = past.revision]
+                at(m_now + storeWay, [this, index, life, asked, items, revision = past.revision]
                    { toNode(index, life, [&] { m_nodes[index].replica->storeRead(items, revision, asked, m_now); }); });
             });
     }
--- a/test/support/ReplicaGroup.hpp
+++ b/test/support/ReplicaGroup.hpp
@@ -45,8 +45,8 @@
     [[nodiscard]] const replication::Replica& replica(std::size_t node) const;
     [[nodiscard]] std::string     valueAt(std::size_t node, const std::string& key) const; //!< Empty when there is none
     [[nodiscard]] std::string     value(const std::string& key) const;                     //!< In the store
-    [[nodiscard]] std::uint64_t   calls() const;    //!< Of the store, by all
-    [[nodiscard]] std::uint64_t   oldReads() const; //!< Of these, cheap readings that may be old
+    [[nodiscard]] std::uint64_t   calls() const;                                           //!< Of the store, by all
+    [[nodiscard]] std::uint64_t   oldReads() const;    //!< Of these, cheap readings that may be old
     [[nodiscard]] std::size_t     watchers() const;    //!< Nodes that call the store
     [[nodiscard]] std::uint64_t   itemsAcross() const; //!< Items sent between data centres
     [[nodiscard]] bool            wentBack() const;    //!< Some node took a lower revision of a key in one life
