--- a/test/balance/Balancer.test.cpp
+++ b/test/balance/Balancer.test.cpp
@@ -537,7 +537,7 @@
     for (const char* target : {"/read/1", "/pay/1"})
     {
         std::vector<Step> taken;
-        fresh.admit(Ticket(at + 1), {"a.example", target, now, 3s}, now);
+        fresh.admit(static_cast<Ticket>(at) + 1, {"a.example", target, now, 3s}, now);
         fresh.takeSteps(taken);
         expected[at++] = only(taken, StepKind::Forward).expectedMs;
     }
