Soak: overlapping faults begin one life of a gateway, and every gateway is ended

Two faults at once (a kill and a planned stop) each began a life of the same gateway, so one process was lost track of and outlived the run: three of 54 runs left one, and a run that failed to start left all. The life that was lost track of could not listen, so what was checked stands.

--- a/test/platform/soak/fleet.py
+++ b/test/platform/soak/fleet.py
@@ -61,7 +61,9 @@
         self.door.port = self.front.port
 
     def start(self) -> None:
-        """Begin a life."""
+        """Begin a life, unless another fault that overlaps has begun one already."""
+        if self.running:
+            return
         self.door.life += 1
         seeds = ",".join(f"127.0.0.1:{port}" for port in self.seeds)
         arguments = [
--- a/test/platform/soak/soak.py
+++ b/test/platform/soak/soak.py
@@ -50,6 +50,13 @@
 
     async def run(self) -> list[str]:
         """Play the run; what the rules found."""
+        try:
+            return await self._play()
+        finally:
+            for gateway in self._gateways:
+                gateway.end()
+
+    async def _play(self) -> list[str]:
         await self._prepare()
         begun = time.monotonic()
         until = begun + self._options.seconds
