A copy of the store keeps nothing that the store removed

Cause: a node's copy claims to be complete as of a revision, and nothing kept that true. A relay told "what changed since R" though it had read the store after R and never knew of removals before; an old first reading that came behind a relay's whole picture put servers back that the picture had left out; keys that came and went while the history was lost left no trace. Such a server stayed for the node's life and was handed on by relays: DRAIN by up to 21 s, at nodes undisturbed for seconds, with a fresh age.

Ruled out as the cause here: age on the way and deaf watches (ages 0 to 13 ms in the traced cases).

Change: ItemTable keeps completeness. Older sources add nothing; what a newer one leaves out is gone; gaps are remembered, and who knows a part of one is told all since its beginning. Updates say after which revision they tell.

--- a/include/sailpath/replication/ItemSource.hpp
+++ b/include/sailpath/replication/ItemSource.hpp
@@ -35,7 +35,8 @@
 {
     SourceStatus      status{SourceStatus::Failed}; //!< How it ended
     std::vector<Item> items;                        //!< All items, or changes
-    std::uint64_t     at{0};                        //!< The store's revision
+    std::uint64_t     at{0};                        //!< The store's revision; of a reading, the oldest of its parts
+    bool              snapshot{false};              //!< A reading, of one moment and of the time of the call at least
     std::string       why;                          //!< For the log, when it failed
 };
 
--- a/include/sailpath/replication/ItemTable.hpp
+++ b/include/sailpath/replication/ItemTable.hpp
@@ -13,14 +13,35 @@
 
 namespace sailpath::replication
 {
+////////////////////////////////////////////////////////////
+/// \brief Items of another copy whose last change lies after a revision
+////////////////////////////////////////////////////////////
+struct Changes
+{
+    std::uint64_t         after{0};      //!< All of that copy's items that changed after this revision are here
+    std::uint64_t         at{0};         //!< Revision that the other copy is complete as of
+    bool                  gapped{false}; //!< Keys may have come and gone in between without a trace
+    std::span<const Item> items;         //!< Items, and removals that the other copy knows of
+};
+
 ////////////////////////////////////////////////////////////
 /// \brief A node's copy of the store's items; each key only moves to higher revisions
+///
+/// The copy is complete as of a revision, `at`: it holds what the store held
+/// then, as written then or later. Hence a source that is older has nothing to
+/// add, and a newer one that leaves a key out says that the key is gone.
+///
+/// A reading of all items skips the changes between: a key that came and went
+/// there leaves no trace. Such a gap is remembered, so that a copy that knows
+/// a part of it is told all that changed since its beginning. A reading that is
+/// no snapshot may also lack keys that were removed after its revision; its gap
+/// stays open until all that happened before it was answered is taken.
 ////////////////////////////////////////////////////////////
 class ItemTable
 {
 public:
     ////////////////////////////////////////////////////////////
-    /// \brief Take changes
+    /// \brief Take the changes after `at` that the store told
     ///
     /// \param items   Changes, in any order
     /// \param at      Revision that they bring the table to
@@ -29,12 +50,36 @@
     void take(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed);
 
     ////////////////////////////////////////////////////////////
-    /// \brief Take all items as of a revision; others with lower revisions are gone
+    /// \brief Take what another copy tells
+    ///
+    /// Items that changed after `changes.after` here and are not among them are gone.
+    ///
+    /// \param changes What it tells; `after` is not higher than this copy's `at`
+    /// \param changed Receives the items that changed here
     ////////////////////////////////////////////////////////////
-    void takeAll(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed);
+    void take(const Changes& changes, std::vector<Item>& changed);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Take all items as they stood at a revision
+    ////////////////////////////////////////////////////////////
+    void takeSnapshot(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Take all items as they stood at a revision or later, not all at the same
+    ///
+    /// \param items   Items
+    /// \param at      Revision that none of them is older than
+    /// \param changed Receives the items that changed here
+    ////////////////////////////////////////////////////////////
+    void takeReading(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief All that happened before the last reading was answered is taken: its gap ends here
+    ////////////////////////////////////////////////////////////
+    void settle();
 
     ////////////////////////////////////////////////////////////
-    /// \brief Changes after a revision, removals included
+    /// \brief Items that changed after a revision, known removals included
     ////////////////////////////////////////////////////////////
     [[nodiscard]] std::vector<Item> since(std::uint64_t revision) const;
 
@@ -43,17 +88,44 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] std::vector<Item> all() const;
 
-    [[nodiscard]] std::uint64_t at() const;          //!< Revision that the table is of; 0 before the first
-    [[nodiscard]] std::uint64_t oldestSince() const; //!< `since` is complete for revisions from here on
+    ////////////////////////////////////////////////////////////
+    /// \brief Revision after which another copy has to be told all changes, to learn all removals
+    ///
+    /// \param revision Revision that the other copy is complete as of
+    ///
+    /// \return That revision, or a lower one; 0 when it needs the whole picture
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] std::uint64_t tellAfter(std::uint64_t revision) const;
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Whether keys may have come and gone after a revision without a trace here
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] bool gapAfter(std::uint64_t revision) const;
+
+    [[nodiscard]] std::uint64_t at() const;    //!< Revision that the table is of; 0 before the first
+    [[nodiscard]] bool          exact() const; //!< No gap is open
 
 private:
+    /// \brief Changes from one revision to another were skipped
+    struct Gap
+    {
+        std::uint64_t from; //!< The copy was complete as of this revision
+        std::uint64_t to;   //!< And again as of this one
+    };
+
+    void takeAll(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed);
     void put(const Item& item, std::vector<Item>& changed);
+    void removeUnlisted(std::span<const Item> items, std::uint64_t after, std::uint64_t at, std::vector<Item>& changed);
+    void advance(std::uint64_t at);
+    void noteGap(std::uint64_t to);
     void forgetRemovals();
 
     std::map<std::string, Item, std::less<>> m_items;        //!< By key; removals are kept for a while
     std::uint64_t                            m_at{0};        //!< Revision that the table is of
     std::uint64_t                            m_forgotten{0}; //!< Highest revision of a removal that was forgotten
     std::size_t                              m_removals{0};  //!< Removals kept
+    std::vector<Gap>                         m_gaps;         //!< In order
+    bool                                     m_open{false};  //!< The last gap goes on
 };
 
 } // namespace sailpath::replication
--- a/include/sailpath/replication/Message.hpp
+++ b/include/sailpath/replication/Message.hpp
@@ -35,12 +35,14 @@
 ////////////////////////////////////////////////////////////
 struct Update
 {
-    std::uint64_t            at{0};       //!< The store's revision that the picture is of
-    std::uint32_t            ageMs{0};    //!< Time since the picture was known to be the store's
-    std::uint32_t            illAgeMs{0}; //!< Time since the store failed a call of the relay
-    bool                     full{false}; //!< All items; others do not exist as of `at`
-    std::vector<Item>        items;       //!< Changes
-    std::vector<NodeAddress> nodes;       //!< Nodes known of; empty when left out
+    std::uint64_t            at{0};         //!< The store's revision that the picture is of
+    std::uint64_t            after{0};      //!< All that changed after this revision is told; 0 with the whole picture
+    std::uint32_t            ageMs{0};      //!< Time since the picture was known to be the store's
+    std::uint32_t            illAgeMs{0};   //!< Time since the store failed a call of the relay
+    bool                     full{false};   //!< All items; others do not exist as of `at`
+    bool                     gapped{false}; //!< Keys may have come and gone after `after` that nobody tells of
+    std::vector<Item>        items;         //!< Items as of `at` that changed after `after`, and known removals
+    std::vector<NodeAddress> nodes;         //!< Nodes known of; empty when left out
 };
 
 } // namespace sailpath::replication
--- a/include/sailpath/replication/Replica.hpp
+++ b/include/sailpath/replication/Replica.hpp
@@ -103,7 +103,8 @@
     ////////////////////////////////////////////////////////////
     /// \brief Hear the answer to `ReadStore`
     ///
-    /// \param asOf The items are the store's since then at the latest; null when they may be old
+    /// \param asOf The items are a snapshot, the store's since then at the latest; null when they may be old or
+    ///             of several moments
     ////////////////////////////////////////////////////////////
     void storeRead(std::span<const Item> items, std::uint64_t at, std::optional<core::Timestamp> asOf,
                    core::Timestamp now);
@@ -174,6 +175,7 @@
     void                                   avoid(const std::string& address, core::Timestamp now, std::string_view why);
     void                                   manageUpstreams(core::Timestamp now);
     void                                   manageStore(core::Timestamp now);
+    void                                   takeUpdate(const Update& update);
     void                                   feedFollowers(core::Timestamp now);
     void                                   feed(LinkId link, Follower& follower, core::Timestamp now);
     void                                   startWatch(core::Timestamp now);
@@ -185,6 +187,7 @@
     [[nodiscard]] bool                     isSeed(const std::string& address) const;
     [[nodiscard]] std::size_t              relaysWanted(std::size_t dataCentres, core::Timestamp now) const;
     [[nodiscard]] bool                     proved() const;
+    [[nodiscard]] bool                     mayTell() const;
     [[nodiscard]] bool                     hearsRelays() const;
     [[nodiscard]] bool                     fedSteadily(core::Timestamp now) const;
     [[nodiscard]] std::vector<NodeAddress> nodeList(core::Timestamp now) const;
@@ -211,6 +214,7 @@
     StoreState                   m_store{StoreState::Idle};            //!< Call under way
     bool                         m_needRead{true};                     //!< The history is not usable
     bool                         m_booted{false};                      //!< The store was asked since the start
+    core::Timestamp              m_readAt{};                           //!< When a reading that is no snapshot came
     core::Timestamp              m_proveAt{};                          //!< When an old first reading is proved here
     unsigned                     m_relaysLacking{0};                   //!< Times that a relay could not be heard
     bool                         m_watchRole{false};                   //!< Ranks among the watchers
--- a/src/sailpath/adapters/links/Codec.cpp
+++ b/src/sailpath/adapters/links/Codec.cpp
@@ -120,6 +120,8 @@
 {
     auto update = to.initUpdate();
     update.setAt(from.at);
+    update.setAfter(from.after);
+    update.setGapped(from.gapped);
     update.setAgeMs(from.ageMs);
     update.setIllAgeMs(from.illAgeMs);
     update.setFull(from.full);
@@ -137,6 +139,8 @@
     const auto          update = from.getUpdate();
     replication::Update to;
     to.at = update.getAt();
+    to.after = update.getAfter();
+    to.gapped = update.getGapped();
     to.ageMs = update.getAgeMs();
     to.illAgeMs = update.getIllAgeMs();
     to.full = update.getFull();
--- a/src/sailpath/adapters/links/Links.capnp
+++ b/src/sailpath/adapters/links/Links.capnp
@@ -35,6 +35,8 @@
   full @3 :Bool;
   items @4 :List(Item);
   nodes @5 :List(NodeGroup);
+  after @6 :UInt64;
+  gapped @7 :Bool;
 }
 
 struct Message {
--- a/src/sailpath/adapters/links/Links.capnp.h
+++ b/src/sailpath/adapters/links/Links.capnp.h
@@ -99,7 +99,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d66f6187d315db04, 3, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(d66f6187d315db04, 4, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -538,6 +538,10 @@
   inline bool hasNodes() const;
   inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Reader getNodes() const;
 
+  inline  ::uint64_t getAfter() const;
+
+  inline bool getGapped() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -592,6 +596,12 @@
   inline void adoptNodes(::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>> disownNodes();
 
+  inline  ::uint64_t getAfter();
+  inline void setAfter( ::uint64_t value);
+
+  inline bool getGapped();
+  inline void setGapped(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1154,6 +1164,34 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Update::Reader::getAfter() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Update::Builder::getAfter() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Update::Builder::setAfter( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Update::Reader::getGapped() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+
+inline bool Update::Builder::getGapped() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS);
+}
+inline void Update::Builder::setGapped(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::sailpath::adapters::links::wire::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/sailpath/fleet/FleetThread.cpp
+++ b/src/sailpath/fleet/FleetThread.cpp
@@ -114,12 +114,11 @@
 
     void perform(const replication::ReadStore& action)
     {
-        std::optional<core::Timestamp> asOf;
-        if (action.how == replication::Reading::Latest)
-            asOf = now();
+        const auto asked = now();
         source->read(action.how,
-                     [this, asOf](const SourceAnswer& answer)
+                     [this, asked](const SourceAnswer& answer)
                      {
+                         const auto asOf = answer.snapshot ? std::optional(asked) : std::nullopt;
                          step(
                              [&]
                              {
--- a/src/sailpath/replication/ItemTable.cpp
+++ b/src/sailpath/replication/ItemTable.cpp
@@ -8,6 +8,7 @@
 namespace
 {
 constexpr std::size_t mostRemovals = 512; // Kept, so that peers hear of them
+constexpr std::size_t mostGaps = 16;      // Kept apart; older ones are taken for one
 
 } // namespace
 
@@ -16,25 +17,110 @@
 {
     for (const Item& item : items)
         put(item, changed);
+    advance(at);
+}
+
+////////////////////////////////////////////////////////////
+void ItemTable::take(const Changes& changes, std::vector<Item>& changed)
+{
+    if (changes.at < m_at)
+        return;
+    if (changes.gapped)
+        noteGap(changes.at);
+    removeUnlisted(changes.items, changes.after, changes.at, changed);
+    take(changes.items, changes.at, changed);
+}
+
+////////////////////////////////////////////////////////////
+void ItemTable::takeSnapshot(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed)
+{
+    if (at < m_at)
+        return;
+    takeAll(items, at, changed);
+    settle();
+}
+
+////////////////////////////////////////////////////////////
+void ItemTable::takeReading(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed)
+{
+    if (at <= m_at)
+        return;
+    takeAll(items, at, changed);
+    m_open = true;
+}
+
+////////////////////////////////////////////////////////////
+void ItemTable::takeAll(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed)
+{
+    noteGap(at);
+    removeUnlisted(items, 0, at, changed);
+    take(items, at, changed);
+}
+
+////////////////////////////////////////////////////////////
+void ItemTable::settle()
+{
+    m_open = false;
+}
+
+////////////////////////////////////////////////////////////
+void ItemTable::advance(std::uint64_t at)
+{
     m_at = std::max(m_at, at);
+    if (m_open)
+        m_gaps.back().to = m_at;
     forgetRemovals();
 }
 
 ////////////////////////////////////////////////////////////
-void ItemTable::takeAll(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed)
+void ItemTable::noteGap(std::uint64_t to)
+{
+    if (m_open || to <= m_at)
+        return;
+    m_gaps.push_back({m_at, to});
+    if (m_gaps.size() <= mostGaps)
+        return;
+    // The two oldest become one, with what lies between.
+    m_gaps[1].from = m_gaps[0].from;
+    m_gaps.erase(m_gaps.begin());
+}
+
+////////////////////////////////////////////////////////////
+std::uint64_t ItemTable::tellAfter(std::uint64_t revision) const
 {
-    std::set<std::string_view> present;
+    if (revision < m_forgotten)
+        return 0;
+    for (auto gap = m_gaps.rbegin(); gap != m_gaps.rend(); ++gap)
+    {
+        const bool within = revision > gap->from && revision < gap->to;
+        if (within || (m_open && gap == m_gaps.rbegin() && revision >= gap->to))
+            return gap->from;
+    }
+    return revision;
+}
+
+////////////////////////////////////////////////////////////
+bool ItemTable::gapAfter(std::uint64_t revision) const
+{
+    return m_open || (!m_gaps.empty() && m_gaps.back().to > revision);
+}
+
+////////////////////////////////////////////////////////////
+void ItemTable::removeUnlisted(std::span<const Item> items, std::uint64_t after, std::uint64_t at,
+                               std::vector<Item>& changed)
+{
+    std::set<std::string_view> listed;
     for (const Item& item : items)
-        present.insert(item.key);
+        listed.insert(item.key);
     std::vector<Item> removals;
     for (const auto& [key, item] : m_items)
     {
-        if (!item.gone && item.revision < at && present.find(key) == present.end())
+        const bool covered = item.revision > after && item.revision < at;
+        if (!item.gone && covered && listed.find(key) == listed.end())
             removals.push_back({key, {}, at, true});
     }
     for (const Item& removal : removals)
         put(removal, changed);
-    take(items, at, changed);
 }
 
 ////////////////////////////////////////////////////////////
@@ -97,9 +183,9 @@
 }
 
 ////////////////////////////////////////////////////////////
-std::uint64_t ItemTable::oldestSince() const
+bool ItemTable::exact() const
 {
-    return m_forgotten;
+    return !m_open;
 }
 
 } // namespace sailpath::replication
--- a/src/sailpath/replication/Replica.cpp
+++ b/src/sailpath/replication/Replica.cpp
@@ -63,6 +63,8 @@
         return true;
     if (known() && !proved())
         return now >= m_proveAt;
+    if (!m_followers.empty() && !m_table.exact())
+        return true;
     if (age(now) > m_settings.staleAfter && now - m_born > m_settings.bootWait)
         return true;
     // Once begun, the own watch goes on until relays have proved steady.
@@ -90,7 +92,7 @@
 {
     m_store = StoreState::Watching;
     // A picture that is old already is proved at once; a watch proves it at its end only.
-    m_proving = age(now) > m_settings.staleAfter / 2;
+    m_proving = age(now) > m_settings.staleAfter / 2 || !m_table.exact();
     m_actions.push_back(WatchStore{m_table.at(), m_proving ? core::Duration(atOnce) : m_settings.watchWait});
 }
 
@@ -109,10 +111,17 @@
     m_store = StoreState::Idle;
     m_storeFailures = 0;
     m_needRead = false;
-    m_table.takeAll(items, at, m_changes);
     if (asOf)
+    {
+        m_table.takeSnapshot(items, at, m_changes);
         noteFresh(*asOf, now);
-    else if (!proved())
+    }
+    else
+    {
+        m_table.takeReading(items, at, m_changes);
+        m_readAt = now;
+    }
+    if (!proved())
         m_proveAt = m_relaysLacking >= m_settings.upstreams ? now : now + m_settings.proofWait;
     tick(now);
 }
@@ -123,6 +132,7 @@
     m_store = StoreState::Idle;
     m_storeFailures = 0;
     m_table.take(items, at, m_changes);
+    m_table.settle();
     noteFresh(now, now);
     if (!items.empty())
         m_nextStore = now + m_settings.watchPause;
@@ -197,7 +207,7 @@
     Follower follower;
     follower.node = hello.self;
     follower.sentAt = hello.at;
-    follower.wantsAll = hello.at == 0 || hello.at < m_table.oldestSince() || hello.at > m_table.at();
+    follower.wantsAll = hello.at == 0 || hello.at > m_table.at();
     m_followers[link] = follower;
     tick(now);
 }
@@ -220,16 +230,21 @@
         noteLacking(now);
         return tick(now);
     }
-    upstream->second.fed = true;
-    if (update.full)
+    if (update.after > m_table.at())
     {
-        m_table.takeAll(update.items, update.at, m_changes);
-        m_needRead = false;
+        // What came between is not known here: the relay is to begin from what this copy has.
+        m_actions.push_back(Note{"update-missed", upstream->second.address, static_cast<double>(update.after)});
+        m_actions.push_back(CloseLink{link});
+        m_upstreams.erase(upstream);
+        return tick(now);
     }
-    else
-        m_table.take(update.items, update.at, m_changes);
+    upstream->second.fed = true;
+    takeUpdate(update);
     const core::Duration old = std::chrono::milliseconds{update.ageMs};
     noteFresh(now - old, now);
+    // Updates take time on their way, so a little more than the time of the reading has to be covered.
+    if (now - old > m_readAt + m_settings.linkSilence)
+        m_table.settle();
     if (old < m_settings.staleAfter)
     {
         relay.failures = 0;
@@ -247,6 +262,18 @@
     tick(now);
 }
 
+////////////////////////////////////////////////////////////
+void Replica::takeUpdate(const Update& update)
+{
+    // Nodes of former versions do not say after which revision they tell.
+    if (!update.full && update.after == 0)
+        return m_table.take(update.items, update.at, m_changes);
+    if (!update.full)
+        return m_table.take({update.after, update.at, update.gapped, update.items}, m_changes);
+    m_table.takeSnapshot(update.items, update.at, m_changes);
+    m_needRead = false;
+}
+
 ////////////////////////////////////////////////////////////
 void Replica::feedFollowers(core::Timestamp now)
 {
@@ -257,8 +284,8 @@
         if (known != m_known.end())
             known->second.heard = now;
         // News are told at once, and so is that the copy was proved anew: it grows old again at each hop.
-        const bool fresher = proved() && m_asOf - follower.fedAsOf > worthTelling;
-        if (m_table.at() > follower.sentAt || fresher)
+        const bool fresher = m_asOf - follower.fedAsOf > worthTelling;
+        if (mayTell() && (m_table.at() > follower.sentAt || fresher))
             follower.nextBeat = std::min(follower.nextBeat, follower.fedAt + m_settings.gather);
         if (now >= follower.nextBeat)
             feed(link, follower, now);
@@ -269,13 +296,15 @@
 void Replica::feed(LinkId link, Follower& follower, core::Timestamp now)
 {
     Update update;
-    update.at = proved() ? m_table.at() : 0;
+    update.at = mayTell() ? m_table.at() : 0;
     update.ageMs = ageMs(m_asOf, now);
     update.illAgeMs = ageMs(m_ill, now);
     if (update.at > 0)
     {
-        update.full = follower.wantsAll;
-        update.items = follower.wantsAll ? m_table.all() : m_table.since(follower.sentAt);
+        update.after = follower.wantsAll ? 0 : m_table.tellAfter(follower.sentAt);
+        update.full = update.after == 0;
+        update.gapped = m_table.gapAfter(update.after);
+        update.items = update.full ? m_table.all() : m_table.since(update.after);
         follower.wantsAll = false;
         follower.sentAt = update.at;
     }
@@ -368,6 +397,12 @@
     return m_asOf != core::Timestamp::min();
 }
 
+////////////////////////////////////////////////////////////
+bool Replica::mayTell() const
+{
+    return proved() && m_table.exact();
+}
+
 ////////////////////////////////////////////////////////////
 bool Replica::usable(core::Timestamp now) const
 {
--- a/test/platform/Platform.test.cpp
+++ b/test/platform/Platform.test.cpp
@@ -161,9 +161,17 @@
     BOOST_REQUIRE_EQUAL(answer.items.size(), 8U);
     BOOST_TEST(answer.items[7].value == "value 7");
     BOOST_TEST(answer.at == 9U);
+    BOOST_TEST(!answer.snapshot); // Keys may have come and gone between the pages
     BOOST_TEST(store.calls() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(OnePageIsASnapshotUnlessItMayBeOld)
+{
+    store.put("servers/i", "value");
+    BOOST_TEST(read().snapshot);
+    BOOST_TEST(!read(replication::Reading::MayBeOld).snapshot);
+}
+
 BOOST_AUTO_TEST_CASE(ACheapReadingIsTakenForAsOldAsItsOldestPage)
 {
     for (int i = 0; i < 8; ++i)
--- a/test/replication/ItemTable.test.cpp
+++ b/test/replication/ItemTable.test.cpp
@@ -29,10 +29,11 @@
     ItemTable               table;
     std::vector<Item>       changed;
     const std::vector<Item> before{{"gone", "x", 3, false}, {"newer", "y", 12, false}, {"stays", "z", 4, false}};
-    table.take(before, 12, changed);
+    // Read in pages: some items are newer than what all are known to be of.
+    table.take(before, 9, changed);
     changed.clear();
     const std::vector<Item> picture{{"stays", "z", 4, false}};
-    table.takeAll(picture, 10, changed);
+    table.takeSnapshot(picture, 10, changed);
     BOOST_REQUIRE_EQUAL(changed.size(), 1U);
     BOOST_TEST(changed[0].key == "gone");
     BOOST_TEST(changed[0].gone);
@@ -62,7 +63,74 @@
         const std::vector<Item> item{{"k" + std::to_string(revision / 2), "", revision, revision % 2 == 1}};
         table.take(item, revision, changed);
     }
-    BOOST_TEST(table.oldestSince() > 0U);
+    BOOST_TEST(table.tellAfter(1) == 0U);
+    BOOST_TEST(table.tellAfter(2000) == 2000U);
+}
+
+BOOST_AUTO_TEST_CASE(AnOlderPictureAddsNothing)
+{
+    ItemTable               table;
+    std::vector<Item>       changed;
+    const std::vector<Item> whole{{"stays", "z", 4, false}};
+    table.takeSnapshot(whole, 10, changed);
+    changed.clear();
+    const std::vector<Item> old{{"left", "x", 3, false}, {"stays", "z", 4, false}};
+    table.takeReading(old, 4, changed);
+    table.takeSnapshot(old, 8, changed);
+    BOOST_TEST(changed.empty());
+    BOOST_TEST(table.all().size() == 1U);
+    BOOST_TEST(table.at() == 10U);
+    BOOST_TEST(table.exact());
+}
+
+BOOST_AUTO_TEST_CASE(WhoKnowsAPartOfAGapIsToldAllSinceItsBeginning)
+{
+    ItemTable               table;
+    std::vector<Item>       changed;
+    const std::vector<Item> items{{"k", "x", 3, false}};
+    table.takeSnapshot(items, 5, changed);
+    table.take(items, 20, changed);
+    BOOST_TEST(!table.gapAfter(5));
+    table.takeSnapshot(items, 30, changed);
+    BOOST_TEST(table.tellAfter(4) == 0U); // Before the first reading: the whole picture
+    BOOST_TEST(table.tellAfter(5) == 5U);
+    BOOST_TEST(table.tellAfter(20) == 20U);
+    BOOST_TEST(table.tellAfter(25) == 20U);
+    BOOST_TEST(table.tellAfter(30) == 30U);
+    BOOST_TEST(table.gapAfter(20));
+    BOOST_TEST(!table.gapAfter(30));
+}
+
+BOOST_AUTO_TEST_CASE(AReadingThatIsNoSnapshotLeavesItsGapOpenUntilItIsSettled)
+{
+    ItemTable               table;
+    std::vector<Item>       changed;
+    const std::vector<Item> items{{"k", "x", 3, false}};
+    table.takeReading(items, 3, changed);
+    BOOST_TEST(!table.exact());
+    table.take(items, 9, changed);
+    BOOST_TEST(table.tellAfter(9) == 0U);
+    table.settle();
+    BOOST_TEST(table.exact());
+    BOOST_TEST(table.tellAfter(8) == 0U);
+    BOOST_TEST(table.tellAfter(9) == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(WhatAnotherCopyDoesNotListOfItsChangesIsGone)
+{
+    ItemTable               table;
+    std::vector<Item>       changed;
+    const std::vector<Item> items{{"old", "x", 3, false}, {"brief", "y", 8, false}};
+    table.takeSnapshot(items, 8, changed);
+    changed.clear();
+    const std::vector<Item> told{{"new", "z", 11, false}};
+    table.take({5, 12, true, told}, changed);
+    BOOST_REQUIRE_EQUAL(changed.size(), 2U);
+    BOOST_TEST(changed[0].key == "brief");
+    BOOST_TEST(changed[0].gone);
+    BOOST_TEST(table.all().size() == 2U);
+    // The other copy's gap is this one's too.
+    BOOST_TEST(table.tellAfter(10) == 8U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/replication/Replica.test.cpp
+++ b/test/replication/Replica.test.cpp
@@ -77,7 +77,16 @@
     group.write("config", "last");
     group.pass(1900ms);
     BOOST_TEST(!group.wentBack(), "seed " << seed);
+    BOOST_TEST(group.incomplete().empty(), "seed " << seed << ": " << group.incomplete());
     BOOST_TEST(lacking(group, "config", nodeCount) == 0U, "seed " << seed);
+    for (int server = 0; server < 5; ++server)
+    {
+        const std::string key = "server" + std::to_string(server);
+        for (std::size_t node = 0; node < nodeCount; ++node)
+            BOOST_TEST(group.valueAt(node, key) == group.value(key),
+                       "seed " << seed << ", node " << node << ", " << key << " '" << group.valueAt(node, key)
+                               << "' in store '" << group.value(key) << "'");
+    }
 }
 
 std::uint64_t schedules(std::uint64_t usual)
--- a/test/replication/removals/Removals.test.cpp
+++ b/test/replication/removals/Removals.test.cpp
@@ -117,12 +117,13 @@
 
     relay.historyLost(start + 100ms);
     relay.storeRead(std::vector<Item>{{"config", "1", 90, false}}, 140, start + 110ms, start + 120ms);
-    (void)relay.takeActions();
     relay.tick(start + 200ms);
-    relay.tick(start + 600ms);
-    const auto update = lastUpdate(relay);
-    if (update)
-        node.updateReceived(link, *update, start + 601ms);
+    for (const auto& action : relay.takeActions())
+    {
+        if (const auto* sent = std::get_if<SendUpdate>(&action))
+            node.updateReceived(link, sent->update, start + 201ms);
+    }
+    BOOST_TEST(node.table().at() == 140U);
     BOOST_TEST(!has(node, brief));
 }
 
--- a/test/support/ReplicaGroup.cpp
+++ b/test/support/ReplicaGroup.cpp
@@ -88,6 +88,7 @@
 void ReplicaGroup::write(const std::string& key, const std::string& value)
 {
     m_store[key] = {key, value, ++m_revision, false};
+    note(m_store[key]);
     remember();
     answerWatches();
 }
@@ -96,10 +97,40 @@
 void ReplicaGroup::remove(const std::string& key)
 {
     m_store[key] = {key, {}, ++m_revision, true};
+    note(m_store[key]);
     remember();
     answerWatches();
 }
 
+////////////////////////////////////////////////////////////
+void ReplicaGroup::note(const Item& change)
+{
+    m_history[change.key].push_back(change);
+}
+
+////////////////////////////////////////////////////////////
+void ReplicaGroup::checkComplete(std::size_t index)
+{
+    const replication::ItemTable&        table = m_nodes[index].replica->table();
+    std::map<std::string, std::uint64_t> held;
+    for (const Item& item : table.all())
+        held[item.key] = item.revision;
+    for (const auto& [key, changes] : m_history)
+    {
+        const auto next = std::find_if(changes.begin(), changes.end(),
+                                       [&](const Item& change) { return change.revision > table.at(); });
+        if (next == changes.begin() || !m_incomplete.empty())
+            continue;
+        const Item& last = *std::prev(next);
+        const auto  found = held.find(key);
+        const bool  lacks = found == held.end() ? !last.gone && next == changes.end() : found->second < last.revision;
+        if (lacks)
+            m_incomplete = "node " + std::to_string(index) + " as of " + std::to_string(table.at()) + " has " + key +
+                           " of " + (found == held.end() ? "nothing" : std::to_string(found->second)) +
+                           ", changed at " + std::to_string(last.revision) + (last.gone ? " (removed)" : "");
+    }
+}
+
 ////////////////////////////////////////////////////////////
 void ReplicaGroup::remember()
 {
@@ -188,6 +219,8 @@
         seen = item.revision;
     }
     node.tickAt = node.replica->nextDue();
+    if (m_incomplete.empty())
+        checkComplete(index);
 }
 
 ////////////////////////////////////////////////////////////
@@ -309,12 +342,17 @@
             {
                 const Past        past = asked ? Past{m_now, m_revision, m_store} : asOf(m_now - lag);
                 std::vector<Item> items;
+                std::uint64_t     newest = 0;
                 for (const auto& [key, item] : past.items)
                 {
-                    if (!item.gone)
-                        items.push_back(item);
+                    if (item.gone)
+                        continue;
+                    items.push_back(item);
+                    newest = std::max(newest, item.revision);
                 }
-                at(m_now + storeWay, [this, index, life, asked, items, revision = past.revision]
+                // Of a reading that may be old only the latest revision among its items is known.
+                const std::uint64_t revision = asked ? past.revision : newest;
+                at(m_now + storeWay, [this, index, life, asked, items, revision]
                    { toNode(index, life, [&] { m_nodes[index].replica->storeRead(items, revision, asked, m_now); }); });
             });
     }
@@ -449,6 +487,12 @@
     return m_wentBack;
 }
 
+////////////////////////////////////////////////////////////
+std::string ReplicaGroup::incomplete() const
+{
+    return m_incomplete;
+}
+
 ////////////////////////////////////////////////////////////
 core::Timestamp ReplicaGroup::now() const
 {
--- a/test/support/ReplicaGroup.hpp
+++ b/test/support/ReplicaGroup.hpp
@@ -50,6 +50,7 @@
     [[nodiscard]] std::size_t     watchers() const;    //!< Nodes that call the store
     [[nodiscard]] std::uint64_t   itemsAcross() const; //!< Items sent between data centres
     [[nodiscard]] bool            wentBack() const;    //!< Some node took a lower revision of a key in one life
+    [[nodiscard]] std::string     incomplete() const;  //!< First copy that lacked a change before its `at`; else empty
     [[nodiscard]] core::Timestamp now() const;
 
 private:
@@ -82,6 +83,8 @@
     };
 
     void               remember();
+    void               note(const replication::Item& change);
+    void               checkComplete(std::size_t node);
     [[nodiscard]] Past asOf(core::Timestamp time) const;
     void               act(std::size_t node);
     void               perform(std::size_t node, const replication::ReplicaAction& action);
@@ -110,6 +113,8 @@
     std::uint64_t                                         m_itemsAcross{0};
     replication::LinkId                                   m_nextAccepted{2};
     bool                                                  m_wentBack{false};
+    std::map<std::string, std::vector<replication::Item>> m_history;    //!< All changes ever, by key
+    std::string                                           m_incomplete; //!< First copy that was not complete
 };
 
 } // namespace sailpath::support
