Tests: proper requests that are read, routed and answered without a denial

Forms of heads and bodies, cuts anywhere, sizes at both limits, limits that change with a configuration, answers that say that they did not run, and what is done before a configuration is known.

--- a/test/balance/Balancer.test.cpp
+++ b/test/balance/Balancer.test.cpp
@@ -618,4 +618,50 @@
     BOOST_TEST(again > 30U);
 }
 
+BOOST_AUTO_TEST_CASE(NoRequestIsDeniedBeforeAConfigurationIsKnown)
+{
+    Balancer             early(settingsOf(), now);
+    deployment::Declared known = declared;
+    known.deployment = nullptr;
+    std::vector<Step> taken;
+    early.configure(known, now);
+    early.admit(1, {"a.example", "/read/1", now, 800ms}, now);
+    early.admit(2, {"a.example", "/read/2", now, 800ms}, now);
+    early.takeSteps(taken);
+    BOOST_TEST(taken.empty());
+    early.callerLeft(2, now);
+    early.configure(known, now + 50ms);
+    early.due(now + 99ms);
+    early.takeSteps(taken);
+    BOOST_TEST(taken.empty());
+    early.due(now + 100ms);
+    early.takeSteps(taken);
+    BOOST_TEST((only(taken, StepKind::Refuse).refusal.reason == RefusalReason::NotConfigured));
+
+    early.admit(3, {"a.example", "/read/3", now, 800ms}, now);
+    early.configure(declared, now + 10ms);
+    early.takeSteps(taken);
+    BOOST_TEST(only(taken, StepKind::Forward).ticket == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(ARouteThatStaysIsNeverDeniedWhileConfigurationsChange)
+{
+    for (Ticket ticket = 1; ticket <= 40; ++ticket)
+    {
+        auto next = std::make_shared<deployment::Deployment>(*deploymentOf());
+        next->version = ticket + 1;
+        for (Ticket i = 0; i < ticket * 10; ++i)
+            next->routes.insert(next->routes.begin(), routeOf("more" + std::to_string(i), true));
+        next->routes[0].parts = {{"unknown", 1}};
+        declared.deployment = next;
+        if (ticket % 5 == 0)
+            declared.instances.clear();
+        configure();
+        for (const Step& step : admit(ticket, "/read/1"))
+            BOOST_TEST((step.kind != StepKind::Refuse || step.refusal.reason == RefusalReason::NoServer));
+        for (const Step& step : admit(1000 + ticket, "/more0/1"))
+            BOOST_TEST((step.kind != StepKind::Refuse || step.refusal.reason == RefusalReason::NoServer));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/gateway/Gateway.test.cpp
+++ b/test/gateway/Gateway.test.cpp
@@ -59,7 +59,7 @@
 ////////////////////////////////////////////////////////////
 struct Fixture
 {
-    explicit Fixture(ScriptedServer::Answer answer = echo) :
+    explicit Fixture(ScriptedServer::Answer answer = echo, bool configured = true) :
     server(std::move(answer))
     {
         gateway::GatewaySettings settings;
@@ -69,7 +69,8 @@
         settings.balance.retryExtra = 100;
         settings.bufferedBytes = 140'000;
         gateway.emplace(context, settings, dialect, log);
-        configure();
+        if (configured)
+            configure();
         thread = std::thread([this] { context.run(); });
     }
 
@@ -79,10 +80,10 @@
         thread.join();
     }
 
-    void configure()
+    void configure(std::uint32_t headBytes = 2000, std::uint64_t bodyBytes = 50'000)
     {
         auto deployment = std::make_shared<deployment::Deployment>();
-        deployment->version = 1;
+        deployment->version = declared.deployment ? declared.deployment->version + 1 : 1;
         for (const auto& [host, repeatable] :
              {std::pair("a.example", true), std::pair("a.example", false), std::pair("b.example", false)})
         {
@@ -100,8 +101,8 @@
         deployment->services = {{"portal", "", 0}};
         deployment->limits.headTime = 600ms;
         deployment->limits.idleTime = 1500ms;
-        deployment->limits.headBytes = 2000;
-        deployment->limits.bodyBytes = 50'000;
+        deployment->limits.headBytes = headBytes;
+        deployment->limits.bodyBytes = bodyBytes;
         declared.deployment = deployment;
         declared.instances = {{"i-1", "portal", "127.0.0.1", server.port(), "dc", 3, false, {}}};
         onLoop([this] { gateway->configure(declared); });
@@ -430,3 +431,119 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// A proper request gets no 3xx or 4xx of the gateway's own, save 408, 421 and 429.
+BOOST_AUTO_TEST_SUITE(GatewayProperRequestTest)
+
+BOOST_AUTO_TEST_CASE(ADenialWithTheServersMarkIsPassedOnUnchanged)
+{
+    for (const int status : {302, 400, 404, 409, 413})
+    {
+        Fixture setup(
+            [status](const std::string& request)
+            { return Script{Fixture::whole(fieldOf(request, "X-Id"), "no").replace(9, 3, std::to_string(status))}; });
+        TestCaller caller(setup.gateway->port());
+        caller.write(Fixture::request("/pay/x", "a1"));
+        const std::string answer = caller.readAnswer();
+        BOOST_TEST(statusOf(answer) == status);
+        BOOST_TEST(fieldOf(answer, "X-Mark") == "m");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ADenialThatSaysItDidNotRunBecomesARefusal)
+{
+    for (const std::string head :
+         {"421 Misdirected\r\n", "421 Misdirected\r\nX-Not-Run: 1\r\n", "400 No\r\nX-Not-Run: 1\r\n",
+          "404 No\r\nX-Not-Run: 1\r\n", "429 Many\r\nX-Not-Run: 1\r\n"})
+    {
+        Fixture setup(
+            [head](const std::string& request) {
+                return Script{"HTTP/1.1 " + head + "X-Id: " + fieldOf(request, "X-Id") +
+                              "\r\nContent-Length: 0\r\n\r\n"};
+            });
+        TestCaller caller(setup.gateway->port());
+        caller.write(Fixture::request("/pay/x", "a1"));
+        BOOST_TEST(statusOf(caller.readAnswer()) == 503);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(TheHostMayBeInAnyCaseAndWithAPort)
+{
+    Fixture    setup;
+    TestCaller caller(setup.gateway->port());
+    for (const std::string host : {"Host: A.EXAMPLE", "host:a.example:8080", "HOST:   a.example  "})
+    {
+        caller.write("GET /read/x?/pay/ HTTP/1.1\r\n" + host + "\r\nx-id: a1\r\n\r\n");
+        BOOST_TEST(statusOf(caller.readAnswer()) == 200);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(RequestsInARowAreAllServedHoweverTheyAreCut)
+{
+    Fixture     setup;
+    TestCaller  caller(setup.gateway->port());
+    std::string all;
+    for (int i = 0; i < 30; ++i)
+    {
+        const std::string id = "a" + std::to_string(i);
+        if (i % 3 == 0)
+            all += Fixture::request("/pay/x", id, "Transfer-Encoding: chunked\r\n", "POST") +
+                   "3;x=1\r\nabc\r\n0\r\nX-T: 1\r\n\r\n";
+        else if (i % 3 == 1)
+            all += Fixture::request("/pay/x", id, "Content-Length: 300\r\n", "POST") + std::string(300, 'b');
+        else
+            all += Fixture::request("/read/x", id, "X-Long: " + std::string(1800, 'x') + "\r\n");
+    }
+    for (std::size_t at = 0, piece = 1; at < all.size(); at += piece, piece = 1 + (piece * 7 + at) % 997)
+        caller.write(all.substr(at, piece));
+    for (int i = 0; i < 30; ++i)
+    {
+        const std::string answer = caller.readAnswer();
+        BOOST_TEST(statusOf(answer) == 200);
+        BOOST_TEST(answer.ends_with("for a" + std::to_string(i)));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(LimitsThatRiseHoldForTheNextRequestOfAKeptConnection)
+{
+    Fixture    setup;
+    TestCaller caller(setup.gateway->port());
+    caller.write(Fixture::request("/read/x", "a1"));
+    BOOST_TEST(statusOf(caller.readAnswer()) == 200);
+    setup.configure(9000, 90'000);
+    caller.write(Fixture::request("/read/x", "a2", "X-Long: " + std::string(8000, 'x') + "\r\n"));
+    BOOST_TEST(statusOf(caller.readAnswer()) == 200);
+    caller.write(Fixture::request("/pay/x", "a3", "Content-Length: 80000\r\n", "POST") + std::string(80'000, 'b'));
+    BOOST_TEST(statusOf(caller.readAnswer()) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(LimitsThatSinkSpareWhatWasBegunBefore)
+{
+    Fixture           setup;
+    TestCaller        caller(setup.gateway->port());
+    const std::string request =
+        Fixture::request("/pay/x", "a1", "Content-Length: 40000\r\nX-Long: " + std::string(1000, 'x') + "\r\n", "POST");
+    caller.write(request.substr(0, 500));
+    std::this_thread::sleep_for(100ms);
+    setup.configure(400, 1000);
+    caller.write(request.substr(500) + std::string(40'000, 'b'));
+    BOOST_TEST(statusOf(caller.readAnswer()) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(BeforeTheFirstConfigurationTheAnswerIsComeBackLater)
+{
+    Fixture    setup(Fixture::echo, false);
+    TestCaller caller(setup.gateway->port());
+    caller.write(Fixture::request("/read/x", "a1"));
+    BOOST_TEST(statusOf(caller.readAnswer()) == 503);
+    // Servers alone are no configuration.
+    setup.declared.instances = {{"i-1", "portal", "127.0.0.1", setup.server.port(), "dc", 3, false, {}}};
+    setup.onLoop([&] { setup.gateway->configure(setup.declared); });
+    caller.write(Fixture::request("/read/x", "a2"));
+    BOOST_TEST(statusOf(caller.readAnswer()) == 503);
+    setup.configure();
+    caller.write(Fixture::request("/read/x", "a3"));
+    BOOST_TEST(statusOf(caller.readAnswer()) == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/http/MessageReader.test.cpp
+++ b/test/http/MessageReader.test.cpp
@@ -2,6 +2,12 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <cstdio>
+#include <random>
+#include <string>
+#include <vector>
+
 namespace
 {
 using namespace sailpath::http;
@@ -27,6 +33,65 @@
     return unread;
 }
 
+////////////////////////////////////////////////////////////
+/// \brief A request in a form that the protocol allows, and the body it carries
+////////////////////////////////////////////////////////////
+struct Form
+{
+    std::string text;
+    std::string body;
+};
+
+////////////////////////////////////////////////////////////
+std::string requestOf(const std::string& fields, const std::string& body = {})
+{
+    return "POST /a/b?c=1 HTTP/1.1\r\nHost: x\r\n" + fields + "\r\n" + body;
+}
+
+////////////////////////////////////////////////////////////
+/// \brief A request whose head has exactly a size
+////////////////////////////////////////////////////////////
+std::string headOf(std::size_t size, const std::string& fields = {})
+{
+    const std::string rest = requestOf(fields + "X-Fill: \r\n");
+    std::string       head = requestOf(fields + "X-Fill: " + std::string(size - rest.size(), 'x') + "\r\n");
+    BOOST_REQUIRE_EQUAL(head.size(), size);
+    return head;
+}
+
+////////////////////////////////////////////////////////////
+/// \brief A body in chunks of drawn sizes, with what may accompany them
+////////////////////////////////////////////////////////////
+std::string inChunks(const std::string& body, std::mt19937& random)
+{
+    std::string text;
+    for (std::size_t at = 0; at < body.size();)
+    {
+        const std::size_t size = std::min<std::size_t>(body.size() - at, 1 + random() % 40);
+        char              digits[16];
+        std::snprintf(digits, sizeof(digits), random() % 2 == 0 ? "%zx" : "%04zX", size);
+        text += digits;
+        text += random() % 3 == 0 ? ";name=\"a; b\";other" : "";
+        text += "\r\n" + body.substr(at, size) + "\r\n";
+        at += size;
+    }
+    text += random() % 2 == 0 ? "0\r\n" : "000;last\r\n";
+    text += random() % 2 == 0 ? "X-Sum: 1\r\n" : "";
+    return text + "\r\n";
+}
+
+////////////////////////////////////////////////////////////
+void isReadInPiecesOfAnySize(const Form& form)
+{
+    for (std::size_t piece = 1; piece <= form.text.size(); ++piece)
+    {
+        MessageReader reader(MessageKind::Request, headLimit, bodyLimit);
+        const bool    whole = feed(reader, form.text, piece).empty() && reader.state() == ReadState::Done;
+        BOOST_TEST(whole, "in pieces of " << piece << ": " << form.text);
+        BOOST_TEST(reader.takeBody() == form.body);
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(MessageReaderTest)
@@ -114,4 +179,87 @@
     BOOST_TEST(!concernsConnection("X-Mine", "close"));
 }
 
+BOOST_AUTO_TEST_CASE(UnusualFormsOfAProperRequestAreRead)
+{
+    const std::string       chunked = "Transfer-Encoding: chunked\r\n";
+    const std::vector<Form> forms{
+        {requestOf("content-length:5\r\n", "hello"), "hello"},
+        {requestOf("CONTENT-LENGTH:  5\t \r\n", "hello"), "hello"},
+        {requestOf("Content-Length: 005\r\n", "hello"), "hello"},
+        {requestOf("Content-Length: 5\r\nContent-Length: 5\r\n", "hello"), "hello"},
+        {requestOf("Content-Length: 5, 5\r\n", "hello"), "hello"},
+        {requestOf("Content-Length: 0\r\n"), ""},
+        {requestOf("transfer-encoding: Chunked\r\n", "5\r\nhello\r\n0\r\n\r\n"), "hello"},
+        {requestOf(chunked, "0\r\n\r\n"), ""},
+        {requestOf(chunked, "000005\r\nhello\r\n00\r\n\r\n"), "hello"},
+        {requestOf(chunked, "A\r\nhelloworld\r\n0\r\n\r\n"), "helloworld"},
+        {requestOf(chunked, "5;a=b;c=\"d\\\"e\"\r\nhello\r\n0;f\r\n\r\n"), "hello"},
+        {requestOf(chunked, "5 ; a = b\r\nhello\r\n0\r\n\r\n"), "hello"},
+        {requestOf(chunked, "2\r\n\r\n\r\n0\r\n\r\n"), "\r\n"},
+        {requestOf(chunked + "Trailer: X-Sum\r\n", "1\r\na\r\n0\r\nX-Sum: 1\r\nX-Other: \r\n\r\n"), "a"},
+        {requestOf("Connection: keep-alive, Upgrade-Insecure\r\n"), ""},
+        {requestOf("Connection: , close,,\r\n"), ""},
+        {requestOf("Connection:\r\n"), ""},
+        {requestOf("Proxy-Connection: keep-alive\r\n"), ""},
+        {requestOf("Connection: close\r\nConnection: X-Mine\r\n"), ""},
+        {requestOf("X-Empty:\r\nX-Text: \xc3\xa9\ta \"b\" (c)\r\n"), ""},
+        {requestOf("X'!#$%&*+-.^_`|~9: odd name\r\n"), ""},
+        {"get /%7E/[a]|{b}^?\"c\"=`\xc3\xa9#d HTTP/1.1\r\nhOsT: X:80\r\n\r\n", ""},
+        {"M-SEARCH /a HTTP/1.1\r\nHost: x\r\n\r\n", ""},
+        {"GET /a HTTP/1.0\r\nHost: x\r\n\r\n", ""}};
+    for (const Form& form : forms)
+        isReadInPiecesOfAnySize(form);
+}
+
+BOOST_AUTO_TEST_CASE(DrawnRequestsInARowAreReadHoweverTheyAreCut)
+{
+    std::mt19937 random(7);
+    for (int round = 0; round < 3000; ++round)
+    {
+        // Sizes reach both limits exactly.
+        std::string              text;
+        std::vector<std::string> bodies;
+        for (unsigned count = 1 + random() % 3; count > 0; --count)
+        {
+            const std::size_t size = random() % 4 == 0 ? bodyLimit : random() % (bodyLimit + 1);
+            const std::size_t head = random() % 4 == 0 ? headLimit : 200 + random() % (headLimit - 199);
+            std::string       body(size, '\0');
+            for (char& letter : body)
+                letter = "\r\n0a;: "[random() % 7];
+            if (random() % 2 == 0)
+                text += headOf(head, "Content-Length: " + std::to_string(size) + "\r\n") + body;
+            else
+                text += headOf(head, "Transfer-Encoding: chunked\r\n") + inChunks(body, random);
+            bodies.push_back(body);
+        }
+        std::string unread;
+        std::size_t at = 0;
+        for (const std::string& body : bodies)
+        {
+            MessageReader reader(MessageKind::Request, headLimit, bodyLimit);
+            while (true)
+            {
+                unread.erase(0, reader.read(unread));
+                const bool more = reader.state() == ReadState::Head || reader.state() == ReadState::Body;
+                if (!more || at >= text.size())
+                    break;
+                const std::size_t piece = random() % 2 == 0 ? 1 + random() % 8 : 1 + random() % 4096;
+                unread += text.substr(at, piece);
+                at += piece;
+            }
+            BOOST_REQUIRE_MESSAGE(reader.state() == ReadState::Done, "round " << round << ": " << text);
+            BOOST_REQUIRE(reader.takeBody() == body);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(HeadAndBodyOfExactlyTheLimitsAreRead)
+{
+    const std::string head = headOf(headLimit, "Content-Length: 64\r\n");
+    isReadInPiecesOfAnySize({head + std::string(bodyLimit, 'b'), std::string(bodyLimit, 'b')});
+    MessageReader reader(MessageKind::Request, headLimit, bodyLimit);
+    BOOST_TEST(feed(reader, head + std::string(bodyLimit, 'b') + "GET /next", 100'000) == "GET /next");
+    BOOST_TEST((reader.state() == ReadState::Done));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/Platform.test.cpp
+++ b/test/platform/Platform.test.cpp
@@ -121,6 +121,31 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(AConfigurationWithLittleOrUnknownInItsFieldsIsTaken)
+{
+    const auto replaced = [](std::string_view from, std::string_view to)
+    {
+        std::string text(configuration);
+        const auto  at = text.find(from);
+        BOOST_REQUIRE(at != std::string::npos);
+        return text.replace(at, from.size(), to);
+    };
+    for (const std::string& text :
+         {replaced("\"Weight\":90", "\"Weight\":0"), replaced("\"Weight\":90", "\"Weight\":0.25"),
+          replaced("\"Weight\":90", "\"Weight\":1e12"), replaced("\"Priority\":2", "\"Priority\":null"),
+          replaced("\"Priority\":2", "\"Priority\":2.0"), replaced("\"Version\":7", "\"Version\":900000000000000"),
+          replaced("\"TargetLatencyS\":0.2", "\"TargetLatencyS\":null"),
+          replaced("\"TimeoutS\":0.8", "\"TimeoutS\":3600"), replaced("\"MaxConns\":220", "\"MaxConns\":null"),
+          replaced("\"HealthPath\":\"/health\"", "\"HealthPath\":null"),
+          replaced("\"TimeoutS\":1,\"Service\"", "\"TimeoutS\":1,\"Split\":null,\"Service\""),
+          replaced("\"PathPrefix\":\"/y/\"", "\"PathPrefix\":\"/\""), replaced("\"MaxHeaderBytes\":16384,", ""),
+          replaced("\"Limits\":{", "\"Limits\":{\"MaxTrailers\":[],")})
+    {
+        core::Findings findings;
+        BOOST_TEST(platform::JsonTranslator().deployment(text, findings).has_value(), findings.text());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(AnAnnouncementIsRead)
 {
     constexpr std::string_view value =
@@ -264,6 +289,10 @@
     store.put("op/config", "{\"Version\":8}");
     store.put("servers/i-1", R"({"Service":"s1","Address":"10.1.2.3:80","State":"draining","Seq":2})");
     BOOST_TEST(reaches([&] { return !last.instances.empty() && last.instances[0].draining; }));
+    // Nor does one that vanishes.
+    store.remove("op/config");
+    store.put("servers/i-2", R"({"Service":"s1","Address":"10.1.2.3:81","State":"ready","Seq":1})");
+    BOOST_TEST(reaches([&] { return last.instances.size() == 2; }));
     const std::lock_guard<std::mutex> lock(mutex);
     BOOST_TEST(last.deployment->version == 7U);
 }
