Tests: two ways in which a proper request is denied

A 3xx or 4xx of a server without its signature is passed on as if it were the server's answer. Before the first configuration the limits that were built in deny what the operator's limits may allow. These four tests fail on the code as it is.

--- a/test/gateway/Gateway.test.cpp
+++ b/test/gateway/Gateway.test.cpp
@@ -6,6 +6,7 @@
 #include <asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <future>
 
 namespace
@@ -546,4 +547,77 @@
     BOOST_TEST(statusOf(caller.readAnswer()) == 200);
 }
 
+BOOST_AUTO_TEST_CASE(ADenialWithoutTheServersMarkIsNotPassedOn)
+{
+    for (const bool withId : {false, true})
+    {
+        for (const std::string head : {"301 Moved", "302 Found", "304 Not Modified", "400 Bad Request", "401 No",
+                                       "403 No", "404 Not Found", "409 No", "413 Large", "431 Large"})
+        {
+            Fixture setup(
+                [&](const std::string& request)
+                {
+                    return Script{"HTTP/1.1 " + head + "\r\n" +
+                                  (withId ? "X-Id: " + fieldOf(request, "X-Id") + "\r\n" : "") +
+                                  "Content-Length: 0\r\n\r\n"};
+                });
+            TestCaller caller(setup.gateway->port());
+            caller.write(Fixture::request("/pay/x", "a1"));
+            BOOST_TEST(statusOf(caller.readAnswer()) == 502, head << (withId ? " with the id" : ""));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ADenialWithoutTheServersMarkIsTriedElsewhereWhenItMayBe)
+{
+    std::atomic<bool> denies{false};
+    Fixture           setup(
+        [&](const std::string& request)
+        {
+            return denies ? Script{"HTTP/1.1 404 Not Found\r\nX-Id: " + fieldOf(request, "X-Id") +
+                                   "\r\nContent-Length: 0\r\n\r\n"}
+                                    : Fixture::echo(request);
+        });
+    TestCaller caller(setup.gateway->port());
+    const auto serves = [&](int requests)
+    {
+        for (int i = 0; i < requests; ++i)
+        {
+            caller.write(Fixture::request("/read/x", "a" + std::to_string(i)));
+            BOOST_TEST(statusOf(caller.readAnswer()) == 200);
+        }
+    };
+    // What is served first earns the budget for sending again, and makes this server the better known.
+    serves(60);
+    denies = true;
+    ScriptedServer sound(Fixture::echo);
+    setup.declared.instances.push_back({"i-2", "portal", "127.0.0.1", sound.port(), "dc", 3, false, {}});
+    setup.onLoop([&] { setup.gateway->configure(setup.declared); });
+    serves(8);
+    BOOST_TEST(setup.server.requests().size() > 60U);
+}
+
+BOOST_AUTO_TEST_CASE(BeforeTheFirstConfigurationNoLimitDenies)
+{
+    Fixture    setup(Fixture::echo, false);
+    TestCaller head(setup.gateway->port());
+    head.write(Fixture::request("/read/x", "a1", "X-Long: " + std::string(20'000, 'x') + "\r\n"));
+    BOOST_TEST(statusOf(head.readAnswer()) == 503);
+    TestCaller body(setup.gateway->port());
+    body.write(Fixture::request("/pay/x", "a2", "Content-Length: 70000000\r\n", "POST"));
+    BOOST_TEST(statusOf(body.readAnswer()) == 503);
+}
+
+BOOST_AUTO_TEST_CASE(AHeadBegunBeforeTheFirstConfigurationIsHeldToItsLimits)
+{
+    Fixture           setup(Fixture::echo, false);
+    TestCaller        caller(setup.gateway->port());
+    const std::string request = Fixture::request("/read/x", "a1", "X-Long: " + std::string(20'000, 'x') + "\r\n");
+    caller.write(request.substr(0, 10'000));
+    std::this_thread::sleep_for(100ms);
+    setup.configure(32'768);
+    caller.write(request.substr(10'000));
+    BOOST_TEST(statusOf(caller.readAnswer()) == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
