Tests: seldom forms and values that are denied or rejected

Empty lines before a request, a target with the host in full, a dot after the host, folded fields, a head whose limit depends on how it arrives, fields after the last chunk taken for fields of the head, and configuration values beyond the bounds that were built in.

--- a/test/deployment/RouteTable.test.cpp
+++ b/test/deployment/RouteTable.test.cpp
@@ -52,4 +52,11 @@
     BOOST_TEST(RouteTable().find("a.example", "/x/1") == nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(ADotAtTheEndOfTheHostDoesNotMatter)
+{
+    const RouteTable table = tableOf({routeOf("one", "a.example", "/x/")});
+    BOOST_TEST(table.find("a.example.", "/x/1") != nullptr);
+    BOOST_TEST(table.find("a.example.:80", "/x/1") != nullptr);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/gateway/Gateway.test.cpp
+++ b/test/gateway/Gateway.test.cpp
@@ -620,4 +620,29 @@
     BOOST_TEST(statusOf(caller.readAnswer()) == 200);
 }
 
+BOOST_AUTO_TEST_CASE(EmptyLinesBetweenRequestsAreSkipped)
+{
+    Fixture    setup;
+    TestCaller caller(setup.gateway->port());
+    caller.write("\r\n" + Fixture::request("/read/x", "a1") + "\r\n");
+    BOOST_TEST(statusOf(caller.readAnswer()) == 200);
+    caller.write("\r");
+    std::this_thread::sleep_for(50ms);
+    caller.write("\n" + Fixture::request("/read/x", "a2"));
+    BOOST_TEST(statusOf(caller.readAnswer()) == 200);
+    // A connection with no more than these on it rests as one without.
+    caller.write("\r\n");
+    std::this_thread::sleep_for(1200ms);
+    caller.write(Fixture::request("/read/x", "a3"));
+    BOOST_TEST(statusOf(caller.readAnswer()) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(ATargetMayNameTheHostInFull)
+{
+    Fixture    setup;
+    TestCaller caller(setup.gateway->port());
+    caller.write(Fixture::request("http://a.example/read/x", "a1"));
+    BOOST_TEST(statusOf(caller.readAnswer()) == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/http/MessageReader.test.cpp
+++ b/test/http/MessageReader.test.cpp
@@ -262,4 +262,36 @@
     BOOST_TEST((reader.state() == ReadState::Done));
 }
 
+BOOST_AUTO_TEST_CASE(TheLimitOfAHeadDoesNotDependOnHowItArrives)
+{
+    for (const std::size_t size : {headLimit + 1UL, headLimit + 10UL, headLimit + 24UL, headLimit + 40UL})
+    {
+        const std::string head = headOf(size);
+        MessageReader     once(MessageKind::Request, headLimit, bodyLimit);
+        (void)feed(once, head, head.size());
+        for (std::size_t piece = 1; piece < head.size(); ++piece)
+        {
+            MessageReader reader(MessageKind::Request, headLimit, bodyLimit);
+            (void)feed(reader, head, piece);
+            BOOST_REQUIRE_MESSAGE(reader.state() == once.state(), "head of " << size << " in pieces of " << piece);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AFoldedFieldAsLongAsTheLimitAllowsIsRead)
+{
+    MessageReader reader(MessageKind::Request, 16384, bodyLimit);
+    (void)feed(reader, requestOf("X-Long: " + std::string(5000, 'x') + "\r\n y\r\n"), 4096);
+    BOOST_TEST((reader.state() == ReadState::Done));
+}
+
+BOOST_AUTO_TEST_CASE(WhatFollowsTheLastChunkIsNoFieldOfTheHead)
+{
+    MessageReader reader(MessageKind::Request, headLimit, bodyLimit);
+    (void)feed(reader, requestOf("Transfer-Encoding: chunked\r\n", "1\r\na\r\n0\r\nHost: other\r\nX-T: 1\r\n\r\n"),
+               1000);
+    BOOST_TEST((reader.state() == ReadState::Done));
+    BOOST_TEST(!reader.head().has("X-T"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/Platform.test.cpp
+++ b/test/platform/Platform.test.cpp
@@ -146,6 +146,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(ValuesBeyondWhatIsUsualAreTaken)
+{
+    for (const auto& [from, to] :
+         {std::pair("\"Priority\":2", "\"Priority\":5000"), std::pair("\"MaxAttempts\":2", "\"MaxAttempts\":1000"),
+          std::pair("\"TimeoutS\":0.8", "\"TimeoutS\":100000"),
+          std::pair("\"IdleTimeoutS\":15", "\"IdleTimeoutS\":604800"),
+          std::pair("\"MaxConns\":220", "\"MaxConns\":10000000"),
+          std::pair("\"MaxHeaderBytes\":16384", "\"MaxHeaderBytes\":1000000000")})
+    {
+        std::string text(configuration);
+        text.replace(text.find(from), std::string_view(from).size(), to);
+        core::Findings findings;
+        BOOST_TEST(platform::JsonTranslator().deployment(text, findings).has_value(), to);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(AnAnnouncementIsRead)
 {
     constexpr std::string_view value =
