A denial needs the server's signature; no built-in limit denies before a configuration

Such an answer now counts as lost: 502, or sent elsewhere where it may be, and its connection is not used again. Before a configuration what is too large gets 503.

Fields after the last chunk are no fields of the head.

Sight: a line and a counter for answers given before a whole request was read (there was none), lines for readings of the store and whole copies from relays.

--- a/include/sailpath/http/Head.hpp
+++ b/include/sailpath/http/Head.hpp
@@ -53,4 +53,9 @@
 ////////////////////////////////////////////////////////////
 [[nodiscard]] bool concernsConnection(std::string_view name, std::string_view connection);
 
+////////////////////////////////////////////////////////////
+/// \brief The path and query of a target, which may name scheme and host before them
+////////////////////////////////////////////////////////////
+[[nodiscard]] std::string_view pathOf(std::string_view target);
+
 } // namespace sailpath::http
--- a/include/sailpath/replication/Replica.hpp
+++ b/include/sailpath/replication/Replica.hpp
@@ -175,7 +175,7 @@
     void                                   avoid(const std::string& address, core::Timestamp now, std::string_view why);
     void                                   manageUpstreams(core::Timestamp now);
     void                                   manageStore(core::Timestamp now);
-    void                                   takeUpdate(const Update& update);
+    void                                   takeUpdate(const std::string& relay, const Update& update);
     void                                   feedFollowers(core::Timestamp now);
     void                                   feed(LinkId link, Follower& follower, core::Timestamp now);
     void                                   startWatch(core::Timestamp now);
--- a/src/sailpath/deployment/RouteTable.cpp
+++ b/src/sailpath/deployment/RouteTable.cpp
@@ -11,6 +11,8 @@
 std::string normalHost(std::string_view host)
 {
     std::string name(host.substr(0, host.find(':')));
+    if (name.ends_with('.'))
+        name.pop_back();
     std::transform(name.begin(), name.end(), name.begin(),
                    [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
     return name;
--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -105,6 +105,9 @@
 ////////////////////////////////////////////////////////////
 void CallerConnection::parse()
 {
+    // Empty lines before a request are no part of it.
+    if (!m_reader)
+        m_unread.erase(0, m_unread.find_first_not_of("\r\n"));
     if (m_unread.empty())
         return;
     if (!m_reader)
@@ -125,9 +128,9 @@
             return refuse(503, "no memory for another body");
         return headRead();
     case http::ReadState::HeadTooLarge:
-        return refuse(431, "the head is too large");
+        return m_events.configured() ? refuse(431, "the head is too large") : refuse(503, "not-configured");
     case http::ReadState::BodyTooLarge:
-        return refuse(413, "the body is too large");
+        return m_events.configured() ? refuse(413, "the body is too large") : refuse(503, "not-configured");
     case http::ReadState::Malformed:
         return refuse(400, "no request of the protocol");
     case http::ReadState::Done:
@@ -174,6 +177,7 @@
 ////////////////////////////////////////////////////////////
 void CallerConnection::refuse(unsigned status, std::string_view reason)
 {
+    m_events.refusedUnread(m_reader ? &m_reader->head() : nullptr, status, reason);
     m_reader.reset();
     m_unread.clear();
     m_keep = false;
--- a/src/sailpath/gateway/CallerConnection.hpp
+++ b/src/sailpath/gateway/CallerConnection.hpp
@@ -30,8 +30,16 @@
     virtual void callerLeft(CallerConnection& caller) = 0; //!< It ended while a request was under way
     virtual void callerGone(CallerConnection& caller) = 0; //!< The connection is closed
 
+    ////////////////////////////////////////////////////////////
+    /// \brief An own answer is given before a whole request was read
+    ///
+    /// \param head Of the request, as far as it is known; null when there is none
+    ////////////////////////////////////////////////////////////
+    virtual void refusedUnread(const http::Head* head, unsigned status, std::string_view reason) = 0;
+
     [[nodiscard]] virtual std::string workspaceOf(const http::Head& head) const = 0; //!< Whose request it is
     [[nodiscard]] virtual const deployment::CallerLimits& limits() const = 0;        //!< In force
+    [[nodiscard]] virtual bool                            configured() const = 0; //!< Whether these are the operator's
     [[nodiscard]] virtual bool                            leaving() const = 0; //!< Connections end at the next answer
 };
 
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -27,6 +27,7 @@
 
 constexpr auto          sweepEvery = std::chrono::milliseconds{500};
 constexpr std::uint64_t longestDeadlineMs = 3'600'000;
+constexpr std::uint32_t mostEarlyHead = 64U * 1024; // Before the operator's limit is known
 
 ////////////////////////////////////////////////////////////
 std::optional<core::Duration> timeLeft(std::string_view text)
@@ -84,8 +85,10 @@
     void                      requestRead(CallerConnection& caller, const http::Head& head, std::string body) override;
     void                      callerLeft(CallerConnection& caller) override;
     void                      callerGone(CallerConnection& caller) override;
+    void                      refusedUnread(const http::Head* head, unsigned status, std::string_view reason) override;
     [[nodiscard]] std::string workspaceOf(const http::Head& head) const override;
     [[nodiscard]] const deployment::CallerLimits& limits() const override;
+    [[nodiscard]] bool                            configured() const override;
     [[nodiscard]] bool                            leaving() const override;
 
     asio::io_context&                             context;
@@ -137,6 +140,9 @@
                             priv::StatusServer::Pages{{"/metrics", [this] {
                                                            return priv::StatusAnswer{200, metrics()};
                                                        }}});
+    // Until the operator's limits are known, only memory bounds what a caller sends.
+    callerLimits.headBytes = mostEarlyHead;
+    callerLimits.bodyBytes = settings.bufferedBytes;
     accept();
     scheduleSweep();
 }
@@ -192,7 +198,7 @@
 
     balance::Arrival arrival;
     arrival.host = head.field("Host");
-    arrival.target = head.target;
+    arrival.target = http::pathOf(head.target);
     arrival.since = caller.since();
     arrival.timeLeft = timeLeft(head.field(dialect.deadlineMs));
     if (balancer.hasRoute(arrival.host, arrival.target))
@@ -213,6 +219,19 @@
         exchanges.erase(found);
 }
 
+////////////////////////////////////////////////////////////
+void Gateway::Impl::refusedUnread(const http::Head* head, unsigned status, std::string_view reason)
+{
+    ++counters.refusedUnread;
+    events.write(ports::Level::Info, "request-refused",
+                 {{"request", head != nullptr ? head->field(dialect.requestId) : std::string_view()},
+                  {"status", status},
+                  {"reason", reason},
+                  {"version", version},
+                  {"headLimit", callerLimits.headBytes},
+                  {"bodyLimit", callerLimits.bodyBytes}});
+}
+
 ////////////////////////////////////////////////////////////
 void Gateway::Impl::callerGone(CallerConnection& caller)
 {
@@ -224,7 +243,7 @@
 {
     // Hosts that nobody declared share what one workspace gets.
     const std::string_view host = head.field("Host");
-    return balancer.hasRoute(host, head.target) ? std::string(host) : std::string();
+    return balancer.hasRoute(host, http::pathOf(head.target)) ? std::string(host) : std::string();
 }
 
 ////////////////////////////////////////////////////////////
@@ -233,6 +252,12 @@
     return callerLimits;
 }
 
+////////////////////////////////////////////////////////////
+bool Gateway::Impl::configured() const
+{
+    return balancer.configured();
+}
+
 ////////////////////////////////////////////////////////////
 bool Gateway::Impl::leaving() const
 {
@@ -416,6 +441,7 @@
     add("further_attempts_total", "counter", counters.secondSends);
     add("probes_total", "counter", counters.probes);
     add("callers_left_total", "counter", counters.callersLeft);
+    add("refused_unread_total", "counter", counters.refusedUnread);
     add("server_connections_opened_total", "counter", servers.opened());
     add("callers", "gauge", callers.size());
     add("requests_unfinished", "gauge", exchanges.size());
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -15,6 +15,7 @@
 constexpr unsigned statusTooMany = 429;
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusTimeout = 408;
+constexpr unsigned statusServerFailed = 500;
 
 ////////////////////////////////////////////////////////////
 core::Duration secondsOf(std::string_view text)
@@ -181,7 +182,9 @@
         judgeProbe(outcome, head);
     else
         judge(outcome, head);
-    const bool keep = head.keepAlive && !head.untilEnd && m_written && !m_poisoned && m_unread.empty();
+    // After what is not the server's answer, the one that is due may still come.
+    const bool sound = outcome.end != balance::AttemptEnd::Lost && !m_poisoned;
+    const bool keep = head.keepAlive && !head.untilEnd && m_written && sound && m_unread.empty();
     outcome.leaving = outcome.leaving || (!head.keepAlive && !head.untilEnd);
     m_restLimit = keepAliveOf(head.field("Keep-Alive"));
     ServerAnswer answer{head, m_reader->takeBody()};
@@ -211,7 +214,9 @@
     // These say that the request did not run; without the mark that is not to be passed on.
     const bool promises =
         head.status == statusUnavailable || head.status == statusTooMany || head.status == statusTimeout;
-    outcome.end = promises ? balance::AttemptEnd::Lost : balance::AttemptEnd::Answered;
+    // What turns a request away for good has to be the server's; a caller does not come back after it.
+    const bool denies = head.status < statusServerFailed && !head.has(m_dialect.signature);
+    outcome.end = promises || denies ? balance::AttemptEnd::Lost : balance::AttemptEnd::Answered;
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/http/Head.cpp
+++ b/src/sailpath/http/Head.cpp
@@ -52,4 +52,15 @@
     return false;
 }
 
+////////////////////////////////////////////////////////////
+std::string_view pathOf(std::string_view target)
+{
+    constexpr std::string_view mark = "://";
+    const auto                 scheme = target.find(mark);
+    if (target.starts_with('/') || scheme == std::string_view::npos)
+        return target;
+    const auto path = target.find('/', scheme + mark.size());
+    return path == std::string_view::npos ? std::string_view("/") : target.substr(path);
+}
+
 } // namespace sailpath::http
--- a/src/sailpath/http/MessageReader.cpp
+++ b/src/sailpath/http/MessageReader.cpp
@@ -14,6 +14,8 @@
 using Text = boost::beast::string_view;
 using ErrorCode = boost::beast::error_code;
 
+constexpr std::size_t fieldMarks = 4; // Bytes of a field beside name and value: colon, space, end of line
+
 ////////////////////////////////////////////////////////////
 std::string toString(Text text)
 {
@@ -27,7 +29,9 @@
 {
     Head        head;
     std::string body;
-    bool        headDone{false};
+    std::size_t headLimit{0};    //!< For the fields of the head, in bytes
+    std::size_t fieldBytes{0};   //!< Of the head so far, ends of lines included
+    bool        headDone{false}; //!< Fields that follow are a trailer
 };
 
 ////////////////////////////////////////////////////////////
@@ -56,9 +60,16 @@
         m_collected.head.version = static_cast<unsigned>(version);
     }
 
-    void on_field_impl(beast::field, Text name, Text value, ErrorCode&) override // NOLINT
+    void on_field_impl(beast::field, Text name, Text value, ErrorCode& error) override // NOLINT
     {
-        m_collected.head.fields.push_back({toString(name), toString(value)});
+        // A trailer is no part of the head: it could change who a request is for.
+        if (m_collected.headDone)
+            return;
+        m_collected.fieldBytes += name.size() + value.size() + fieldMarks;
+        if (m_collected.fieldBytes > m_collected.headLimit)
+            error = beast::error::header_limit;
+        else
+            m_collected.head.fields.push_back({toString(name), toString(value)});
     }
 
     void on_header_impl(ErrorCode&) override // NOLINT
@@ -133,11 +144,13 @@
         m_impl->parser.emplace<1>(m_impl->collected);
     else
         m_impl->parser.emplace<2>(m_impl->collected);
+    m_impl->collected.headLimit = headLimit;
     m_impl->visit(
         [&](auto& parser)
         {
             parser.eager(true);
-            parser.header_limit(headLimit);
+            // What the library counts depends on how the bytes arrive, so it only bounds memory.
+            parser.header_limit(2 * headLimit);
             parser.body_limit(bodyLimit);
             parser.skip(kind == MessageKind::AnswerNoBody);
         });
--- a/src/sailpath/replication/Replica.cpp
+++ b/src/sailpath/replication/Replica.cpp
@@ -111,6 +111,7 @@
     m_store = StoreState::Idle;
     m_storeFailures = 0;
     m_needRead = false;
+    m_actions.push_back(Note{"store-read", asOf ? "snapshot" : "may-be-old", static_cast<double>(at)});
     if (asOf)
     {
         m_table.takeSnapshot(items, at, m_changes);
@@ -239,7 +240,7 @@
         return tick(now);
     }
     upstream->second.fed = true;
-    takeUpdate(update);
+    takeUpdate(upstream->second.address, update);
     const core::Duration old = std::chrono::milliseconds{update.ageMs};
     noteFresh(now - old, now);
     // Updates take time on their way, so a little more than the time of the reading has to be covered.
@@ -263,7 +264,7 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Replica::takeUpdate(const Update& update)
+void Replica::takeUpdate(const std::string& relay, const Update& update)
 {
     // Nodes of former versions do not say after which revision they tell.
     if (!update.full && update.after == 0)
@@ -272,6 +273,7 @@
         return m_table.take({update.after, update.at, update.gapped, update.items}, m_changes);
     m_table.takeSnapshot(update.items, update.at, m_changes);
     m_needRead = false;
+    m_actions.push_back(Note{"whole-copy-from-relay", relay, static_cast<double>(update.at)});
 }
 
 ////////////////////////////////////////////////////////////
