An old configuration denies nothing

Cause (by reasoning): a node that has not heard of the store for longer than changes may take answered 404 to what may have a route by now; a caller does not come back after that. The control thread tells when the copy was last proved; past the servers' time for leaving (or before the first proof) a request without a route is refused as not run, with when to come back. Reason old-routes in logs and metrics. Test: BalancerTest/AnOldConfigurationDeniesNothing (new; there was no way to say it before).

--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -63,6 +63,11 @@
     ////////////////////////////////////////////////////////////
     void configure(const deployment::Declared& declared, core::Timestamp now);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Note when what is in force was last known to be what operators declare; null when it never was
+    ////////////////////////////////////////////////////////////
+    void proved(std::optional<core::Timestamp> at);
+
     ////////////////////////////////////////////////////////////
     /// \brief Decide about a request that has arrived
     ////////////////////////////////////////////////////////////
@@ -183,6 +188,7 @@
     static void          learnLoad(ServicePool& pool, ServerView& server, const Outcome& outcome, core::Timestamp now);
     void                 conclude(Ticket ticket, Request& request, core::Timestamp now);
     void                 refuse(Ticket ticket, const Refusal& refusal);
+    [[nodiscard]] bool   mayDeny(core::Timestamp now) const;
     void                 timeOut(Ticket ticket, Request& request, core::Timestamp now);
     void                 hedge(Ticket ticket, Request& request, core::Timestamp now);
     void                 abandonRunning(Ticket ticket, Request& request, core::Timestamp now);
@@ -192,18 +198,19 @@
     [[nodiscard]] double retryExtra() const;
     [[nodiscard]] core::Duration comeBack(const ServicePool& pool, double expectedMs);
 
-    Settings                                                      m_settings;   //!< Constants
-    core::Timestamp                                               m_born;       //!< Start of this life
-    core::Random                                                  m_random;     //!< For choices
-    std::shared_ptr<const deployment::Deployment>                 m_deployment; //!< In force
-    deployment::RouteTable                                        m_routes;     //!< In force
-    std::unordered_map<std::string, std::shared_ptr<ServicePool>> m_pools;      //!< By service
-    std::unordered_map<std::string, std::vector<double>>          m_credit;     //!< By route: what each part is owed
-    unsigned                                                      m_nodes{1};   //!< That share budgets
-    std::unordered_map<Ticket, Request>                           m_requests;   //!< Unfinished
-    std::set<std::pair<core::Timestamp, Ticket>>                  m_wakes;      //!< What is due when
-    std::deque<Early>                                             m_early;      //!< In the order that they came
-    std::vector<Step>                                             m_steps;      //!< Decided, not taken
+    Settings                                      m_settings;   //!< Constants
+    core::Timestamp                               m_born;       //!< Start of this life
+    core::Random                                  m_random;     //!< For choices
+    std::optional<core::Timestamp>                m_provedAt;   //!< The configuration was the operators' then
+    std::shared_ptr<const deployment::Deployment> m_deployment; //!< In force
+    deployment::RouteTable                        m_routes;     //!< In force
+    std::unordered_map<std::string, std::shared_ptr<ServicePool>> m_pools;    //!< By service
+    std::unordered_map<std::string, std::vector<double>>          m_credit;   //!< By route: what each part is owed
+    unsigned                                                      m_nodes{1}; //!< That share budgets
+    std::unordered_map<Ticket, Request>                           m_requests; //!< Unfinished
+    std::set<std::pair<core::Timestamp, Ticket>>                  m_wakes;    //!< What is due when
+    std::deque<Early>                                             m_early;    //!< In the order that they came
+    std::vector<Step>                                             m_steps;    //!< Decided, not taken
 };
 
 } // namespace sailpath::balance
--- a/include/sailpath/balance/Settings.hpp
+++ b/include/sailpath/balance/Settings.hpp
@@ -23,8 +23,9 @@
     core::Duration firstWork{std::chrono::milliseconds{100}};     //!< Assumed work before anything was measured
     core::Duration earlyWait{std::chrono::milliseconds{100}}; //!< Longest wait of a request for the first configuration
     core::Duration comeBackSoon{std::chrono::milliseconds{200}}; //!< When a lack of servers may be over
-    double         hopelessWorks{3}; //!< Expected times after which a send is taken for stuck
-    double         probeRate{20};    //!< Probes that a server may get a second, from all nodes
+    core::Duration denyWithin{core::Duration::max()}; //!< Age of the configuration up to which it denies a request
+    double         hopelessWorks{3};                  //!< Expected times after which a send is taken for stuck
+    double         probeRate{20};                     //!< Probes that a server may get a second, from all nodes
     core::Duration reportFresh{std::chrono::milliseconds{15}}; //!< Age up to which a report needs no probe
     core::Duration probeWait{std::chrono::milliseconds{15}};   //!< Longest wait for the probes of one round
     core::Duration roundPause{std::chrono::milliseconds{10}};  //!< Between rounds of probes that found nothing good
--- a/include/sailpath/balance/Step.hpp
+++ b/include/sailpath/balance/Step.hpp
@@ -22,6 +22,7 @@
 {
     NotConfigured, //!< This node has no configuration yet
     NoRoute,       //!< No route covers the request
+    OldRoutes,     //!< No route covers it as of the last that was heard, which is too long ago to deny it
     NoServer,      //!< No server may be given anything now
     Overloaded,    //!< It would be answered too late
     NotRun,        //!< The servers that it was offered to did not run it
--- a/include/sailpath/fleet/FleetThread.hpp
+++ b/include/sailpath/fleet/FleetThread.hpp
@@ -68,6 +68,11 @@
 
     [[nodiscard]] FleetStatus status() const; //!< From any thread
 
+    ////////////////////////////////////////////////////////////
+    /// \brief When the copy was last known to be the store's; null before the first time; from any thread
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] std::optional<core::Timestamp> provedAt() const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> m_impl; //!< Loop and thread
--- a/include/sailpath/gateway/Gateway.hpp
+++ b/include/sailpath/gateway/Gateway.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace asio
@@ -42,6 +43,13 @@
 
     void configure(const deployment::Declared& declared); //!< Put what is declared in force
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Say where to learn when the configuration in force was last known to be the operators'
+    ///
+    /// \param provedAt Called on the loop's thread; null when it never was
+    ////////////////////////////////////////////////////////////
+    void watchProof(std::function<std::optional<core::Timestamp>()> provedAt);
+
     void addMetrics(std::function<std::string()> further); //!< Text that the metrics page ends with
 
     void leave();     //!< Planned stop: not ready, connections end at the next answer
--- a/include/sailpath/replication/Replica.hpp
+++ b/include/sailpath/replication/Replica.hpp
@@ -121,15 +121,16 @@
     [[nodiscard]] std::vector<Item>          takeChanges();   //!< Items that changed here since the last call
     [[nodiscard]] core::Timestamp            nextDue() const; //!< When `tick` is to be called next
 
-    [[nodiscard]] const ItemTable& table() const;                     //!< The copy
-    [[nodiscard]] core::Duration   age(core::Timestamp now) const;    //!< Time since it was known to be the store's
-    [[nodiscard]] bool             known() const;                     //!< There is a copy
-    [[nodiscard]] bool             usable(core::Timestamp now) const; //!< It was proved, or nobody can prove it
-    [[nodiscard]] bool             storeIll(core::Timestamp now,
-                                            core::Duration  within) const; //!< The store failed somebody of late
-    [[nodiscard]] unsigned         nodes(core::Timestamp now) const;      //!< Nodes known of, this one included
-    [[nodiscard]] bool             watching() const;                      //!< This node calls the store
-    [[nodiscard]] std::size_t      followers() const;                     //!< Nodes that get updates from this one
+    [[nodiscard]] const ItemTable& table() const;                  //!< The copy
+    [[nodiscard]] core::Duration   age(core::Timestamp now) const; //!< Time since it was known to be the store's
+    [[nodiscard]] std::optional<core::Timestamp> provedAt() const; //!< When it was last known to be the store's
+    [[nodiscard]] bool                           known() const;    //!< There is a copy
+    [[nodiscard]] bool        usable(core::Timestamp now) const;   //!< It was proved, or nobody can prove it
+    [[nodiscard]] bool        storeIll(core::Timestamp now,
+                                       core::Duration  within) const; //!< The store failed somebody of late
+    [[nodiscard]] unsigned    nodes(core::Timestamp now) const;      //!< Nodes known of, this one included
+    [[nodiscard]] bool        watching() const;                      //!< This node calls the store
+    [[nodiscard]] std::size_t followers() const;                     //!< Nodes that get updates from this one
 
 private:
     struct Follower
--- a/src/programs/GatewayProgram.cpp
+++ b/src/programs/GatewayProgram.cpp
@@ -81,6 +81,8 @@
     gateway.balance.retryWindow = seconds(settings, "retry-window-s");
     gateway.balance.probeRate = settings.number("probe-rate");
     gateway.balance.seed = std::random_device{}();
+    // As long as changes may take to be heard of everywhere.
+    gateway.balance.denyWithin = seconds(settings, "drain-s");
     return gateway;
 }
 
@@ -246,6 +248,7 @@
         [&](deployment::Declared declared)
         { asio::post(context, [&gateway, declared = std::move(declared)] { gateway.configure(declared); }); },
         log);
+    gateway.watchProof([&] { return fleet.provedAt(); });
     gateway.addMetrics([&] { return controlMetrics(fleet.status(), log.leftOut()); });
     log.write(ports::Level::Info, "started", {{"dataCentre", settings.text("data-centre")}, {"port", gateway.port()}});
     context.run();
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -28,6 +28,8 @@
         return "not-configured";
     case RefusalReason::NoRoute:
         return "no-route";
+    case RefusalReason::OldRoutes:
+        return "old-routes";
     case RefusalReason::NoServer:
         return "no-server";
     case RefusalReason::Overloaded:
@@ -91,6 +93,21 @@
     admitEarly(now);
 }
 
+////////////////////////////////////////////////////////////
+void Balancer::proved(std::optional<core::Timestamp> at)
+{
+    m_provedAt = at;
+}
+
+////////////////////////////////////////////////////////////
+bool Balancer::mayDeny(core::Timestamp now) const
+{
+    // A caller does not come back after a denial, so an old configuration gives none.
+    if (m_settings.denyWithin == core::Duration::max())
+        return true;
+    return m_provedAt && now - *m_provedAt <= m_settings.denyWithin;
+}
+
 ////////////////////////////////////////////////////////////
 void Balancer::expectWork()
 {
@@ -111,8 +128,10 @@
     if (!configured())
         return hold(ticket, arrival, now);
     const deployment::HostRoute* route = m_routes.find(arrival.host, arrival.target);
-    if (!route)
+    if (!route && mayDeny(now))
         return refuse(ticket, {RefusalReason::NoRoute, false, {}});
+    if (!route)
+        return refuse(ticket, {RefusalReason::OldRoutes, false, m_settings.comeBackSoon});
 
     Request request;
     request.route = *route;
--- a/src/sailpath/fleet/FleetThread.cpp
+++ b/src/sailpath/fleet/FleetThread.cpp
@@ -282,6 +282,7 @@
             log.write(ports::Level::Info, "picture-regained", {{"ageMs", age}});
         }
         const std::lock_guard<std::mutex> lock(mutex);
+        proved = replica.provedAt();
         shown = {replica.table().at(),
                  deployment ? deployment->version : 0,
                  age,
@@ -308,6 +309,7 @@
     unsigned                                      toldNodes{0};
     mutable std::mutex                            mutex;
     FleetStatus                                   shown;
+    std::optional<core::Timestamp>                proved;
     std::thread                                   thread;
 };
 
@@ -321,6 +323,13 @@
 ////////////////////////////////////////////////////////////
 FleetThread::~FleetThread() = default;
 
+////////////////////////////////////////////////////////////
+std::optional<core::Timestamp> FleetThread::provedAt() const
+{
+    const std::lock_guard<std::mutex> lock(m_impl->mutex);
+    return m_impl->proved;
+}
+
 ////////////////////////////////////////////////////////////
 FleetStatus FleetThread::status() const
 {
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -91,30 +91,31 @@
     [[nodiscard]] bool                            configured() const override;
     [[nodiscard]] bool                            leaving() const override;
 
-    asio::io_context&                             context;
-    GatewaySettings                               settings;
-    const Dialect&                                dialect;
-    ports::EventLog&                              events;
-    balance::Balancer                             balancer;
-    priv::ServerConnections                       servers;
-    asio::ip::tcp::acceptor                       acceptor;
-    asio::steady_timer                            dueTimer;
-    asio::steady_timer                            sweepTimer;
-    std::optional<core::Timestamp>                armed;
-    std::set<std::shared_ptr<CallerConnection>>   callers;
-    std::unordered_map<balance::Ticket, Exchange> exchanges;
-    deployment::CallerLimits                      callerLimits;
-    Counters                                      counters;
-    balance::Ticket                               nextTicket{1};
-    priv::BodyMemory                              bodies;
-    std::uint64_t                                 version{0};
-    bool                                          ready{false};
-    bool                                          isLeaving{false};
-    bool                                          carrying{false};
-    metrics::TrafficMetrics                       latencies;
-    std::function<std::string()>                  furtherMetrics;
-    priv::StatusServer                            readiness;
-    std::optional<priv::StatusServer>             metricsPage;
+    asio::io_context&                               context;
+    GatewaySettings                                 settings;
+    const Dialect&                                  dialect;
+    ports::EventLog&                                events;
+    balance::Balancer                               balancer;
+    priv::ServerConnections                         servers;
+    asio::ip::tcp::acceptor                         acceptor;
+    asio::steady_timer                              dueTimer;
+    asio::steady_timer                              sweepTimer;
+    std::optional<core::Timestamp>                  armed;
+    std::set<std::shared_ptr<CallerConnection>>     callers;
+    std::unordered_map<balance::Ticket, Exchange>   exchanges;
+    deployment::CallerLimits                        callerLimits;
+    Counters                                        counters;
+    balance::Ticket                                 nextTicket{1};
+    priv::BodyMemory                                bodies;
+    std::uint64_t                                   version{0};
+    bool                                            ready{false};
+    bool                                            isLeaving{false};
+    bool                                            carrying{false};
+    metrics::TrafficMetrics                         latencies;
+    std::function<std::string()>                    furtherMetrics;
+    std::function<std::optional<core::Timestamp>()> provedAt;
+    priv::StatusServer                              readiness;
+    std::optional<priv::StatusServer>               metricsPage;
 };
 
 ////////////////////////////////////////////////////////////
@@ -203,6 +204,8 @@
     arrival.timeLeft = timeLeft(head.field(dialect.deadlineMs));
     if (balancer.hasRoute(arrival.host, arrival.target))
         exchange.host = arrival.host;
+    else if (provedAt)
+        balancer.proved(provedAt());
     balancer.admit(ticket, arrival, priv::now());
     carryOut();
 }
@@ -464,6 +467,9 @@
 ////////////////////////////////////////////////////////////
 void Gateway::configure(const deployment::Declared& declared)
 {
+    // Requests that were held for the first configuration are decided about with it.
+    if (m_impl->provedAt)
+        m_impl->balancer.proved(m_impl->provedAt());
     m_impl->balancer.configure(declared, priv::now());
     if (declared.deployment)
     {
@@ -478,6 +484,12 @@
     m_impl->carryOut();
 }
 
+////////////////////////////////////////////////////////////
+void Gateway::watchProof(std::function<std::optional<core::Timestamp>()> provedAt)
+{
+    m_impl->provedAt = std::move(provedAt);
+}
+
 ////////////////////////////////////////////////////////////
 void Gateway::addMetrics(std::function<std::string()> further)
 {
--- a/src/sailpath/replication/Replica.cpp
+++ b/src/sailpath/replication/Replica.cpp
@@ -387,6 +387,12 @@
     return m_asOf == core::Timestamp::min() ? core::Duration::max() : now - m_asOf;
 }
 
+////////////////////////////////////////////////////////////
+std::optional<core::Timestamp> Replica::provedAt() const
+{
+    return proved() ? std::optional(m_asOf) : std::nullopt;
+}
+
 ////////////////////////////////////////////////////////////
 bool Replica::known() const
 {
--- a/test/balance/Balancer.test.cpp
+++ b/test/balance/Balancer.test.cpp
@@ -197,6 +197,26 @@
     BOOST_TEST((only(admit(1, "/none/1"), StepKind::Refuse).refusal.reason == RefusalReason::NoRoute));
 }
 
+BOOST_AUTO_TEST_CASE(AnOldConfigurationDeniesNothing)
+{
+    auto settings = settingsOf();
+    settings.denyWithin = 2s;
+    Balancer   old(settings, now);
+    const auto refusal = [&](core::Timestamp at)
+    {
+        old.admit(1, {"a.example", "/none/1", at, {}}, at);
+        std::vector<Step> taken;
+        old.takeSteps(taken);
+        return only(taken, StepKind::Refuse).refusal;
+    };
+    old.configure(declared, now);
+    BOOST_TEST((refusal(now).reason == RefusalReason::OldRoutes));
+    BOOST_TEST((refusal(now).comeBack > 0ms));
+    old.proved(now);
+    BOOST_TEST((refusal(now + 2s).reason == RefusalReason::NoRoute));
+    BOOST_TEST((refusal(now + 2001ms).reason == RefusalReason::OldRoutes));
+}
+
 BOOST_AUTO_TEST_CASE(WithoutServersItSaysWhenToComeBack)
 {
     declared.instances.clear();
