Large configurations travel as differences, and patience counts from the last byte

Relays' and small nodes' links were full for seconds; a relay that was silent for 1.1 s in the midst of one message was given up and the message begun again elsewhere; store readings over 0.9 s failed in the midst of the answer; each of several versions was read in turn, at 20 ms of a full core each. Nodes in touch knew a change 3 to 9 s late (99 in 100) and answered 404 for routes that exist.

The test of peers that do not read used bytes that can be packed; it now uses such that cannot.

--- a/include/sailpath/adapters/links/LinkHub.hpp
+++ b/include/sailpath/adapters/links/LinkHub.hpp
@@ -23,6 +23,7 @@
     std::function<void(replication::LinkId)>                     opened;   //!< A link that this side opened is up
     std::function<void(replication::LinkId)>                     closed;   //!< A link ended or did not come up
     std::function<void(replication::LinkId, const LinkMessage&)> received; //!< A message arrived
+    std::function<void(replication::LinkId)>                     alive;    //!< A part of a message arrived
 };
 
 ////////////////////////////////////////////////////////////
--- a/include/sailpath/replication/ItemTable.hpp
+++ b/include/sailpath/replication/ItemTable.hpp
@@ -4,6 +4,7 @@
 #include <sailpath/replication/Item.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <span>
@@ -13,6 +14,8 @@
 
 namespace sailpath::replication
 {
+constexpr std::size_t largeValue = 4096; //!< Bytes from which a value is told as the difference from an earlier one
+
 ////////////////////////////////////////////////////////////
 /// \brief Items of another copy whose last change lies after a revision
 ////////////////////////////////////////////////////////////
@@ -102,6 +105,16 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] bool gapAfter(std::uint64_t revision) const;
 
+    ////////////////////////////////////////////////////////////
+    /// \brief A large value as another copy had it
+    ///
+    /// \param key Its key
+    /// \param at  Revision that the other copy is complete as of
+    ///
+    /// \return The item as of its last change up to then; null when that is not kept
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] const Item* asOf(std::string_view key, std::uint64_t at) const;
+
     [[nodiscard]] std::uint64_t at() const;    //!< Revision that the table is of; 0 before the first
     [[nodiscard]] bool          exact() const; //!< No gap is open
 
@@ -118,14 +131,16 @@
     void removeUnlisted(std::span<const Item> items, std::uint64_t after, std::uint64_t at, std::vector<Item>& changed);
     void advance(std::uint64_t at);
     void noteGap(std::uint64_t to);
+    void keepFormer(Item item);
     void forgetRemovals();
 
-    std::map<std::string, Item, std::less<>> m_items;        //!< By key; removals are kept for a while
-    std::uint64_t                            m_at{0};        //!< Revision that the table is of
-    std::uint64_t                            m_forgotten{0}; //!< Highest revision of a removal that was forgotten
-    std::size_t                              m_removals{0};  //!< Removals kept
-    std::vector<Gap>                         m_gaps;         //!< In order
-    bool                                     m_open{false};  //!< The last gap goes on
+    std::map<std::string, Item, std::less<>> m_items;              //!< By key; removals are kept for a while
+    std::uint64_t                            m_at{0};              //!< Revision that the table is of
+    std::uint64_t                            m_forgotten{0};       //!< Highest revision of a removal that was forgotten
+    std::size_t                              m_removals{0};        //!< Removals kept
+    std::map<std::string, std::deque<Item>, std::less<>> m_former; //!< Earlier large values by key, newest first
+    std::vector<Gap>                                     m_gaps;   //!< In order
+    bool                                                 m_open{false}; //!< The last gap goes on
 };
 
 } // namespace sailpath::replication
--- a/include/sailpath/replication/Message.hpp
+++ b/include/sailpath/replication/Message.hpp
@@ -30,6 +30,17 @@
     std::uint64_t at{0}; //!< Revision that it has
 };
 
+////////////////////////////////////////////////////////////
+/// \brief A large item, told as its difference from an earlier value that the other side has
+////////////////////////////////////////////////////////////
+struct PackedItem
+{
+    std::string   key;         //!< Whole key
+    std::uint64_t revision{0}; //!< The store's revision of the change
+    std::uint64_t base{0};     //!< Revision of the earlier value
+    std::string   packed;      //!< See `packValue`
+};
+
 ////////////////////////////////////////////////////////////
 /// \brief What a relay sends: changes since the last update, and how fresh its picture is
 ////////////////////////////////////////////////////////////
@@ -42,6 +53,7 @@
     bool                     full{false};   //!< All items; others do not exist as of `at`
     bool                     gapped{false}; //!< Keys may have come and gone after `after` that nobody tells of
     std::vector<Item>        items;         //!< Items as of `at` that changed after `after`, and known removals
+    std::vector<PackedItem>  packed;        //!< Of these items, the large ones
     std::vector<NodeAddress> nodes;         //!< Nodes known of; empty when left out
 };
 
--- a/include/sailpath/replication/Replica.hpp
+++ b/include/sailpath/replication/Replica.hpp
@@ -7,8 +7,10 @@
 #include <sailpath/replication/Message.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <variant>
@@ -113,6 +115,7 @@
     void storeFailed(core::Timestamp now);
 
     void linkOpened(LinkId link, core::Timestamp now);                           //!< An `OpenLink` succeeded
+    void linkAlive(LinkId link, core::Timestamp now);                            //!< A part of an update came
     void linkClosed(LinkId link, core::Timestamp now);                           //!< A link ended or did not come up
     void helloReceived(LinkId link, const Hello& hello, core::Timestamp now);    //!< A node wants updates
     void updateReceived(LinkId link, const Update& update, core::Timestamp now); //!< A relay sent one
@@ -172,28 +175,31 @@
         bool        watcher{false}; //!< It watches the store
     };
 
-    void                                   hear(const NodeAddress& node, core::Timestamp now);
-    void                                   avoid(const std::string& address, core::Timestamp now, std::string_view why);
-    void                                   manageUpstreams(core::Timestamp now);
-    void                                   manageStore(core::Timestamp now);
-    void                                   takeUpdate(const std::string& relay, const Update& update);
-    void                                   feedFollowers(core::Timestamp now);
-    void                                   feed(LinkId link, Follower& follower, core::Timestamp now);
-    void                                   startWatch(core::Timestamp now);
-    void                                   noteFresh(core::Timestamp asOf, core::Timestamp now);
-    void                                   noteLacking(core::Timestamp now);
-    void                                   rank(core::Timestamp now);
-    [[nodiscard]] std::vector<Relay>       rankRelays(core::Timestamp now) const;
-    [[nodiscard]] std::vector<std::string> chooseUpstreams(const std::vector<Relay>& relays) const;
-    [[nodiscard]] bool                     isSeed(const std::string& address) const;
-    [[nodiscard]] std::size_t              relaysWanted(std::size_t dataCentres, core::Timestamp now) const;
-    [[nodiscard]] bool                     proved() const;
-    [[nodiscard]] bool                     mayTell() const;
-    [[nodiscard]] bool                     hearsRelays() const;
-    [[nodiscard]] bool                     fedSteadily(core::Timestamp now) const;
-    [[nodiscard]] std::vector<NodeAddress> nodeList(core::Timestamp now) const;
-    [[nodiscard]] core::Timestamp          staleAt() const;
-    [[nodiscard]] bool                     shouldWatch(core::Timestamp now) const;
+    void       hear(const NodeAddress& node, core::Timestamp now);
+    void       avoid(const std::string& address, core::Timestamp now, std::string_view why);
+    void       manageUpstreams(core::Timestamp now);
+    void       manageStore(core::Timestamp now);
+    void       takeUpdate(const std::string& relay, const Update& update, std::span<const Item> items);
+    void       packLarge(Update& update, std::uint64_t sentAt);
+    PackedItem packed(const Item& item, const Item& base);
+    [[nodiscard]] std::optional<std::vector<Item>> unpackLarge(const Update& update) const;
+    void                                           feedFollowers(core::Timestamp now);
+    void                                           feed(LinkId link, Follower& follower, core::Timestamp now);
+    void                                           startWatch(core::Timestamp now);
+    void                                           noteFresh(core::Timestamp asOf, core::Timestamp now);
+    void                                           noteLacking(core::Timestamp now);
+    void                                           rank(core::Timestamp now);
+    [[nodiscard]] std::vector<Relay>               rankRelays(core::Timestamp now) const;
+    [[nodiscard]] std::vector<std::string>         chooseUpstreams(const std::vector<Relay>& relays) const;
+    [[nodiscard]] bool                             isSeed(const std::string& address) const;
+    [[nodiscard]] std::size_t                      relaysWanted(std::size_t dataCentres, core::Timestamp now) const;
+    [[nodiscard]] bool                             proved() const;
+    [[nodiscard]] bool                             mayTell() const;
+    [[nodiscard]] bool                             hearsRelays() const;
+    [[nodiscard]] bool                             fedSteadily(core::Timestamp now) const;
+    [[nodiscard]] std::vector<NodeAddress>         nodeList(core::Timestamp now) const;
+    [[nodiscard]] core::Timestamp                  staleAt() const;
+    [[nodiscard]] bool                             shouldWatch(core::Timestamp now) const;
 
     enum class StoreState
     {
@@ -206,6 +212,8 @@
     core::Random                 m_random;                             //!< For jitter
     core::Timestamp              m_born;                               //!< Start
     ItemTable                    m_table;                              //!< The copy
+    std::set<std::string>        m_wholeFrom;                          //!< Relays that are to begin with all items
+    std::deque<PackedItem>       m_packed;                             //!< Large values packed of late
     std::vector<Item>            m_changes;                            //!< Not taken yet
     std::vector<ReplicaAction>   m_actions;                            //!< Not taken yet
     std::map<std::string, Known> m_known;                              //!< Other nodes by address
--- a/src/sailpath/adapters/calls/HttpCaller.cpp
+++ b/src/sailpath/adapters/calls/HttpCaller.cpp
@@ -15,6 +15,7 @@
 {
 constexpr std::uint32_t headLimit = 16U * 1024;
 constexpr std::uint64_t bodyLimit = std::uint64_t{64} << 20U;
+constexpr auto          longestAnswer = std::chrono::seconds{5}; // From its first byte to its last
 
 } // namespace
 
@@ -33,13 +34,9 @@
         ++calls;
         const std::uint64_t number = calls;
         reader = std::make_unique<http::MessageReader>(http::MessageKind::Answer, headLimit, bodyLimit);
-        timer.expires_after(longest);
-        timer.async_wait(
-            [self = shared_from_this(), number](const asio::error_code& error)
-            {
-                if (!error && self->calls == number)
-                    self->fail();
-            });
+        silence = longest;
+        startedAt = std::chrono::steady_clock::now();
+        awaitBytes(number);
         if (connected)
             return write(number);
         asio::error_code error;
@@ -59,6 +56,18 @@
                              });
     }
 
+    // A long answer takes its time on a narrow link; what counts is that it goes on.
+    void awaitBytes(std::uint64_t number)
+    {
+        timer.expires_after(silence);
+        timer.async_wait(
+            [self = shared_from_this(), number](const asio::error_code& error)
+            {
+                if (!error && self->calls == number)
+                    self->fail();
+            });
+    }
+
     void write(std::uint64_t number)
     {
         asio::async_write(socket, asio::buffer(request),
@@ -88,8 +97,12 @@
         unread.append(buffer.data(), bytes);
         unread.erase(0, reader->read(unread));
         const http::ReadState state = reader->state();
-        if (state == http::ReadState::Head || state == http::ReadState::Body)
+        const bool            unfinished = state == http::ReadState::Head || state == http::ReadState::Body;
+        if (unfinished && std::chrono::steady_clock::now() - startedAt < silence + longestAnswer)
+        {
+            awaitBytes(number);
             return read(number);
+        }
         if (state != http::ReadState::Done)
             return fail();
         const bool keep = reader->head().keepAlive && unread.empty();
@@ -120,16 +133,18 @@
         unread.clear();
     }
 
-    settings::Endpoint                   service;          //!< Where
-    asio::ip::tcp::socket                socket;           //!< Connection
-    asio::steady_timer                   timer;            //!< Of the call
-    std::unique_ptr<http::MessageReader> reader;           //!< Of the answer
-    std::string                          request;          //!< Bytes
-    std::string                          unread;           //!< Bytes not taken yet
-    std::array<char, 16384>              buffer{};         //!< Bytes as they come
-    Answered                             answered;         //!< Of the call under way
-    std::uint64_t                        calls{0};         //!< Since the start
-    bool                                 connected{false}; //!< The connection is up
+    settings::Endpoint                    service;          //!< Where
+    asio::ip::tcp::socket                 socket;           //!< Connection
+    asio::steady_timer                    timer;            //!< Of the call
+    std::unique_ptr<http::MessageReader>  reader;           //!< Of the answer
+    std::string                           request;          //!< Bytes
+    std::string                           unread;           //!< Bytes not taken yet
+    std::array<char, 16384>               buffer{};         //!< Bytes as they come
+    Answered                              answered;         //!< Of the call under way
+    std::uint64_t                         calls{0};         //!< Since the start
+    bool                                  connected{false}; //!< The connection is up
+    core::Duration                        silence{};        //!< Longest time without a byte
+    std::chrono::steady_clock::time_point startedAt;        //!< Of the call under way
 };
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/adapters/links/Codec.cpp
+++ b/src/sailpath/adapters/links/Codec.cpp
@@ -1,6 +1,7 @@
 #include <sailpath/adapters/links/Codec.hpp>
 
 #include <sailpath/adapters/settings/Endpoint.hpp>
+#include <sailpath/replication/ValueDelta.hpp>
 
 #include "Links.capnp.h"
 
@@ -21,6 +22,20 @@
 constexpr std::size_t   prefixBytes = 4;
 constexpr std::size_t   packedBytes = 8; // Of a node
 constexpr std::uint32_t longestMessage = 64U << 20U;
+constexpr std::size_t   packFrom = 1024;        // Bytes of a message from which it is packed
+constexpr std::uint32_t packedMark = 1U << 31U; // In the length before a message: it is packed
+
+////////////////////////////////////////////////////////////
+kj::ArrayPtr<const kj::byte> toBytes(const std::string& text)
+{
+    return kj::arrayPtr(reinterpret_cast<const kj::byte*>(text.data()), text.size());
+}
+
+////////////////////////////////////////////////////////////
+std::string toText(capnp::Data::Reader bytes)
+{
+    return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
+}
 
 ////////////////////////////////////////////////////////////
 void put(wire::NodeAddress::Builder to, const replication::NodeAddress& from)
@@ -41,7 +56,7 @@
 void put(wire::Item::Builder to, const replication::Item& from)
 {
     to.setKey(from.key);
-    to.setValue(kj::arrayPtr(reinterpret_cast<const kj::byte*>(from.value.data()), from.value.size()));
+    to.setValue(toBytes(from.value));
     to.setRevision(from.revision);
     to.setGone(from.gone);
 }
@@ -49,9 +64,20 @@
 ////////////////////////////////////////////////////////////
 replication::Item get(wire::Item::Reader from)
 {
-    const auto value = from.getValue();
-    return {from.getKey().cStr(), std::string(reinterpret_cast<const char*>(value.begin()), value.size()),
-            from.getRevision(), from.getGone()};
+    return {from.getKey().cStr(), toText(from.getValue()), from.getRevision(), from.getGone()};
+}
+
+////////////////////////////////////////////////////////////
+void put(wire::Update::Builder to, const std::vector<replication::PackedItem>& items)
+{
+    auto list = to.initPacked(static_cast<unsigned>(items.size()));
+    for (unsigned i = 0; i < list.size(); ++i)
+    {
+        list[i].setKey(items[i].key);
+        list[i].setRevision(items[i].revision);
+        list[i].setBase(items[i].base);
+        list[i].setPacked(toBytes(items[i].packed));
+    }
 }
 
 ////////////////////////////////////////////////////////////
@@ -93,7 +119,7 @@
     for (const auto& [dataCentre, packed] : groups)
     {
         list[index].setDataCentre(dataCentre);
-        list[index].setPacked(kj::arrayPtr(reinterpret_cast<const kj::byte*>(packed.data()), packed.size()));
+        list[index].setPacked(toBytes(packed));
         ++index;
     }
 }
@@ -128,6 +154,7 @@
     auto items = update.initItems(static_cast<unsigned>(from.items.size()));
     for (unsigned i = 0; i < items.size(); ++i)
         put(items[i], from.items[i]);
+    put(update, from.packed);
     put(update, from.nodes);
 }
 
@@ -146,6 +173,8 @@
     to.full = update.getFull();
     for (const auto item : update.getItems())
         to.items.push_back(get(item));
+    for (const auto item : update.getPacked())
+        to.packed.push_back({item.getKey().cStr(), item.getRevision(), item.getBase(), toText(item.getPacked())});
     for (const auto node : update.getNodes())
         get(node, to.nodes);
     return to;
@@ -158,12 +187,15 @@
 {
     capnp::MallocMessageBuilder builder;
     std::visit([&](const auto& item) { put(builder.initRoot<wire::Message>(), item); }, message);
-    const auto  words = capnp::messageToFlatArray(builder);
-    const auto  payload = words.asChars();
-    const auto  size = static_cast<std::uint32_t>(payload.size());
-    std::string bytes(prefixBytes, '\0');
+    const auto             words = capnp::messageToFlatArray(builder);
+    const std::string_view payload(words.asChars().begin(), words.asChars().size());
+    const bool             pack = payload.size() >= packFrom;
+    const std::string      packed = pack ? replication::packValue(payload, {}) : std::string();
+    const std::string_view body = pack ? std::string_view(packed) : payload;
+    const std::uint32_t    size = static_cast<std::uint32_t>(body.size()) | (pack ? packedMark : 0U);
+    std::string            bytes(prefixBytes, '\0');
     std::memcpy(bytes.data(), &size, prefixBytes);
-    bytes.append(payload.begin(), payload.size());
+    bytes.append(body);
     return bytes;
 }
 
@@ -175,11 +207,20 @@
         return decoded;
     std::uint32_t size = 0;
     std::memcpy(&size, bytes.data(), prefixBytes);
-    decoded.malformed = size > longestMessage || size % sizeof(capnp::word) != 0;
+    const bool packed = (size & packedMark) != 0;
+    size &= ~packedMark;
+    decoded.malformed = size > longestMessage;
     if (decoded.malformed || bytes.size() < prefixBytes + size)
         return decoded;
-    std::vector<capnp::word> words(size / sizeof(capnp::word));
-    std::memcpy(words.data(), bytes.data() + prefixBytes, size);
+    std::string_view body = bytes.substr(prefixBytes, size);
+    const auto       unpacked = packed ? replication::unpackValue(body, {}) : std::nullopt;
+    if (packed)
+        body = unpacked ? std::string_view(*unpacked) : std::string_view();
+    decoded.malformed = body.empty() || body.size() % sizeof(capnp::word) != 0;
+    if (decoded.malformed)
+        return decoded;
+    std::vector<capnp::word> words(body.size() / sizeof(capnp::word));
+    std::memcpy(words.data(), body.data(), body.size());
     decoded.taken = prefixBytes + size;
     try
     {
--- a/src/sailpath/adapters/links/LinkHub.cpp
+++ b/src/sailpath/adapters/links/LinkHub.cpp
@@ -104,7 +104,11 @@
             if (decoded.malformed)
                 return false;
             if (!decoded.message)
+            {
+                if (!link->unread.empty() && events.alive)
+                    events.alive(id);
                 return true;
+            }
             link->unread.erase(0, decoded.taken);
             events.received(id, *decoded.message);
         }
--- a/src/sailpath/adapters/links/Links.capnp
+++ b/src/sailpath/adapters/links/Links.capnp
@@ -10,6 +10,14 @@
   gone @3 :Bool;
 }
 
+# A large item as its difference from the value at revision `base`; the format is zstd's.
+struct PackedItem {
+  key @0 :Text;
+  revision @1 :UInt64;
+  base @2 :UInt64;
+  packed @3 :Data;
+}
+
 struct NodeAddress {
   address @0 :Text;
   dataCentre @1 :Text;
@@ -37,6 +45,7 @@
   nodes @5 :List(NodeGroup);
   after @6 :UInt64;
   gapped @7 :Bool;
+  packed @8 :List(PackedItem);
 }
 
 struct Message {
--- a/src/sailpath/adapters/links/Links.capnp.h
+++ b/src/sailpath/adapters/links/Links.capnp.h
@@ -17,6 +17,7 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(ae5dbc8e26022706);
+CAPNP_DECLARE_SCHEMA(e9ce2af284a7c79d);
 CAPNP_DECLARE_SCHEMA(8932caab3aa656cc);
 CAPNP_DECLARE_SCHEMA(dbe059b79c2bc948);
 CAPNP_DECLARE_SCHEMA(c87b1e24730f6b78);
@@ -46,6 +47,21 @@
   };
 };
 
+struct PackedItem {
+  PackedItem() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e9ce2af284a7c79d, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NodeAddress {
   NodeAddress() = delete;
 
@@ -99,7 +115,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d66f6187d315db04, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(d66f6187d315db04, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -228,6 +244,107 @@
 };
 #endif  // !CAPNP_LITE
 
+class PackedItem::Reader {
+public:
+  typedef PackedItem Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey() const;
+  inline  ::capnp::Text::Reader getKey() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint64_t getBase() const;
+
+  inline bool hasPacked() const;
+  inline  ::capnp::Data::Reader getPacked() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class PackedItem::Builder {
+public:
+  typedef PackedItem Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasKey();
+  inline  ::capnp::Text::Builder getKey();
+  inline void setKey( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initKey(unsigned int size);
+  inline void adoptKey(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownKey();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getBase();
+  inline void setBase( ::uint64_t value);
+
+  inline bool hasPacked();
+  inline  ::capnp::Data::Builder getPacked();
+  inline void setPacked( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initPacked(unsigned int size);
+  inline void adoptPacked(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownPacked();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class PackedItem::Pipeline {
+public:
+  typedef PackedItem Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class NodeAddress::Reader {
 public:
   typedef NodeAddress Reads;
@@ -542,6 +659,9 @@
 
   inline bool getGapped() const;
 
+  inline bool hasPacked() const;
+  inline  ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>::Reader getPacked() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -602,6 +722,13 @@
   inline bool getGapped();
   inline void setGapped(bool value);
 
+  inline bool hasPacked();
+  inline  ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>::Builder getPacked();
+  inline void setPacked( ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>::Builder initPacked(unsigned int size);
+  inline void adoptPacked(::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>> disownPacked();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -823,6 +950,102 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PackedItem::Reader::hasKey() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PackedItem::Builder::hasKey() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader PackedItem::Reader::getKey() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder PackedItem::Builder::getKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PackedItem::Builder::setKey( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder PackedItem::Builder::initKey(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PackedItem::Builder::adoptKey(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> PackedItem::Builder::disownKey() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t PackedItem::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PackedItem::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void PackedItem::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t PackedItem::Reader::getBase() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t PackedItem::Builder::getBase() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PackedItem::Builder::setBase( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool PackedItem::Reader::hasPacked() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool PackedItem::Builder::hasPacked() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader PackedItem::Reader::getPacked() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder PackedItem::Builder::getPacked() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void PackedItem::Builder::setPacked( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder PackedItem::Builder::initPacked(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void PackedItem::Builder::adoptPacked(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> PackedItem::Builder::disownPacked() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool NodeAddress::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1192,6 +1415,40 @@
       ::capnp::bounded<129>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Update::Reader::hasPacked() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Update::Builder::hasPacked() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>::Reader Update::Reader::getPacked() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>::Builder Update::Builder::getPacked() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Update::Builder::setPacked( ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>::Builder Update::Builder::initPacked(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Update::Builder::adoptPacked(
+    ::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>> Update::Builder::disownPacked() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::sailpath::adapters::links::wire::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/sailpath/fleet/FleetThread.cpp
+++ b/src/sailpath/fleet/FleetThread.cpp
@@ -47,7 +47,8 @@
     hub(context, settings.listen,
         {[this](LinkId link) { step([&] { replica.linkOpened(link, now()); }); },
          [this](LinkId link) { step([&] { replica.linkClosed(link, now()); }); },
-         [this](LinkId link, const adapters::links::LinkMessage& message) { received(link, message); }})
+         [this](LinkId link, const adapters::links::LinkMessage& message) { received(link, message); },
+         [this](LinkId link) { replica.linkAlive(link, now()); }})
     {
         asio::post(context, [this] { step([] {}); });
         thread = std::thread([this] { context.run(); });
@@ -96,6 +97,8 @@
         auto next = replica.nextDue();
         if (const auto due = book.nextDue())
             next = std::min(next, *due);
+        if (awaited)
+            next = std::min(next, readNext);
         // A timer that fires early only looks again; setting it anew costs a system call.
         if (armed && armedFor <= next && armedFor + std::chrono::milliseconds{400} > next)
             return;
@@ -191,10 +194,12 @@
         for (const replication::Item& item : changes)
         {
             if (translator.isDeployment(item.key))
-                changed = applyDeployment(item) || changed;
+                awaitDeployment(item, at);
             else if (translator.isInstance(item.key))
                 changed = applyInstance(item, ill, oldAge, at) || changed;
         }
+        if (awaited && at >= readNext)
+            changed = readAwaited() || changed;
         const auto due = book.nextDue();
         if (changed || (due && *due <= at))
         {
@@ -207,10 +212,32 @@
         }
     }
 
-    bool applyDeployment(const replication::Item& item)
+    void awaitDeployment(const replication::Item& item, core::Timestamp at)
     {
         if (item.gone)
-            return false;
+            return;
+        if (!awaited)
+            awaitedSince = at;
+        awaited = item;
+    }
+
+    /// \brief Read the configuration that came last
+    ///
+    /// Reading a large one takes a small VM a good part of a second. Between two readings it has as long for
+    /// everything else; of what comes meanwhile only the last is read.
+    bool readAwaited()
+    {
+        const auto              begin = now();
+        const replication::Item item = std::move(*awaited);
+        awaited.reset();
+        const bool changed = applyDeployment(item);
+        const auto end = now();
+        readNext = end + (end - begin);
+        return changed;
+    }
+
+    bool applyDeployment(const replication::Item& item)
+    {
         core::Findings findings;
         auto           read = translator.deployment(item.value, findings);
         if (!read)
@@ -283,6 +310,8 @@
         }
         const std::lock_guard<std::mutex> lock(mutex);
         proved = replica.provedAt();
+        if (proved && awaited)
+            proved = std::min(*proved, awaitedSince);
         shown = {replica.table().at(),
                  deployment ? deployment->version : 0,
                  age,
@@ -309,7 +338,10 @@
     unsigned                                      toldNodes{0};
     mutable std::mutex                            mutex;
     FleetStatus                                   shown;
-    std::optional<core::Timestamp>                proved;
+    std::optional<core::Timestamp>                proved;         // Routes were the operators' then
+    std::optional<replication::Item>              awaited;        // A configuration that is not read yet
+    core::Timestamp                               awaitedSince{}; // Since then the one in force is not the last
+    core::Timestamp                               readNext{};     // Not before
     std::thread                                   thread;
 };
 
--- a/src/sailpath/replication/ItemTable.cpp
+++ b/src/sailpath/replication/ItemTable.cpp
@@ -8,6 +8,7 @@
 namespace
 {
 constexpr std::size_t mostRemovals = 512; // Kept, so that peers hear of them
+constexpr std::size_t mostFormer = 4;     // Earlier values kept of a key
 constexpr std::size_t mostGaps = 16;      // Kept apart; older ones are taken for one
 
 } // namespace
@@ -131,10 +132,37 @@
         return;
     m_removals += item.gone ? 1 : 0;
     m_removals -= known.gone ? 1 : 0;
+    if (known.value.size() >= largeValue)
+        keepFormer(std::move(known));
     known = item;
     changed.push_back(item);
 }
 
+////////////////////////////////////////////////////////////
+void ItemTable::keepFormer(Item item)
+{
+    auto& former = m_former[item.key];
+    former.push_front(std::move(item));
+    if (former.size() > mostFormer)
+        former.pop_back();
+}
+
+////////////////////////////////////////////////////////////
+const Item* ItemTable::asOf(std::string_view key, std::uint64_t at) const
+{
+    const auto known = m_items.find(key);
+    if (known == m_items.end())
+        return nullptr;
+    if (known->second.revision <= at)
+        return &known->second;
+    const auto former = m_former.find(key);
+    if (former == m_former.end())
+        return nullptr;
+    const auto found = std::find_if(former->second.begin(), former->second.end(),
+                                    [at](const Item& item) { return item.revision <= at; });
+    return found == former->second.end() ? nullptr : &*found;
+}
+
 ////////////////////////////////////////////////////////////
 void ItemTable::forgetRemovals()
 {
--- a/src/sailpath/replication/Replica.cpp
+++ b/src/sailpath/replication/Replica.cpp
@@ -1,5 +1,7 @@
 #include <sailpath/replication/Replica.hpp>
 
+#include <sailpath/replication/ValueDelta.hpp>
+
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -17,6 +19,7 @@
 constexpr double newNodesShare = 0.1;  // More nodes than were told, so that they are told at once
 constexpr int    followerPatience = 3; // Times as long between calls of a store that fails, when watchers are heard
 constexpr auto   worthTelling = std::chrono::milliseconds{400}; // A copy that is so much fresher than was told
+constexpr std::size_t   mostPacked = 8;                         // Packed values kept for the next follower
 constexpr std::uint32_t longestAge = std::numeric_limits<std::uint32_t>::max();
 
 ////////////////////////////////////////////////////////////
@@ -174,7 +177,16 @@
         return;
     found->second.open = true;
     found->second.heard = now;
-    m_actions.push_back(SendHello{link, {m_settings.self, m_table.at()}});
+    const bool whole = m_wholeFrom.erase(found->second.address) > 0;
+    m_actions.push_back(SendHello{link, {m_settings.self, whole ? 0 : m_table.at()}});
+}
+
+////////////////////////////////////////////////////////////
+void Replica::linkAlive(LinkId link, core::Timestamp now)
+{
+    const auto found = m_upstreams.find(link);
+    if (found != m_upstreams.end())
+        found->second.heard = now;
 }
 
 ////////////////////////////////////////////////////////////
@@ -231,16 +243,20 @@
         noteLacking(now);
         return tick(now);
     }
-    if (update.after > m_table.at())
+    auto large = unpackLarge(update);
+    if (update.after > m_table.at() || !large)
     {
-        // What came between is not known here: the relay is to begin from what this copy has.
+        // What came between, or the value that a large one differs from, is not known here: begin anew.
+        if (!large)
+            m_wholeFrom.insert(upstream->second.address);
         m_actions.push_back(Note{"update-missed", upstream->second.address, static_cast<double>(update.after)});
         m_actions.push_back(CloseLink{link});
         m_upstreams.erase(upstream);
         return tick(now);
     }
     upstream->second.fed = true;
-    takeUpdate(upstream->second.address, update);
+    large->insert(large->end(), update.items.begin(), update.items.end());
+    takeUpdate(upstream->second.address, update, *large);
     const core::Duration old = std::chrono::milliseconds{update.ageMs};
     noteFresh(now - old, now);
     // Updates take time on their way, so a little more than the time of the reading has to be covered.
@@ -264,14 +280,71 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Replica::takeUpdate(const std::string& relay, const Update& update)
+void Replica::packLarge(Update& update, std::uint64_t sentAt)
+{
+    const auto        small = std::stable_partition(update.items.begin(), update.items.end(),
+                                                    [](const Item& item) { return item.value.size() < largeValue; });
+    std::vector<Item> whole;
+    for (auto item = small; item != update.items.end(); ++item)
+    {
+        const Item* const base = m_table.asOf(item->key, sentAt);
+        if (base != nullptr && base->revision < item->revision && base->value.size() >= largeValue)
+            update.packed.push_back(packed(*item, *base));
+        else
+            whole.push_back(std::move(*item));
+    }
+    update.items.erase(small, update.items.end());
+    update.items.insert(update.items.end(), whole.begin(), whole.end());
+}
+
+////////////////////////////////////////////////////////////
+PackedItem Replica::packed(const Item& item, const Item& base)
+{
+    // Followers are told the same within moments of each other.
+    const auto known =
+        std::find_if(m_packed.begin(), m_packed.end(),
+                     [&](const PackedItem& one)
+                     { return one.key == item.key && one.revision == item.revision && one.base == base.revision; });
+    if (known != m_packed.end())
+        return *known;
+    m_packed.push_front({item.key, item.revision, base.revision, packValue(item.value, base.value)});
+    if (m_packed.size() > mostPacked)
+        m_packed.pop_back();
+    return m_packed.front();
+}
+
+////////////////////////////////////////////////////////////
+std::optional<std::vector<Item>> Replica::unpackLarge(const Update& update) const
+{
+    std::vector<Item> items;
+    for (const PackedItem& large : update.packed)
+    {
+        const Item* const newest = m_table.asOf(large.key, std::numeric_limits<std::uint64_t>::max());
+        if (newest != nullptr && newest->revision >= large.revision)
+        {
+            items.push_back(*newest);
+            continue;
+        }
+        const Item* const base = m_table.asOf(large.key, large.base);
+        if (base == nullptr || base->revision != large.base)
+            return std::nullopt;
+        auto value = unpackValue(large.packed, base->value);
+        if (!value)
+            return std::nullopt;
+        items.push_back({large.key, std::move(*value), large.revision, false});
+    }
+    return items;
+}
+
+////////////////////////////////////////////////////////////
+void Replica::takeUpdate(const std::string& relay, const Update& update, std::span<const Item> items)
 {
     // Nodes of former versions do not say after which revision they tell.
     if (!update.full && update.after == 0)
-        return m_table.take(update.items, update.at, m_changes);
+        return m_table.take(items, update.at, m_changes);
     if (!update.full)
-        return m_table.take({update.after, update.at, update.gapped, update.items}, m_changes);
-    m_table.takeSnapshot(update.items, update.at, m_changes);
+        return m_table.take({update.after, update.at, update.gapped, items}, m_changes);
+    m_table.takeSnapshot(items, update.at, m_changes);
     m_needRead = false;
     m_actions.push_back(Note{"whole-copy-from-relay", relay, static_cast<double>(update.at)});
 }
@@ -307,6 +380,8 @@
         update.full = update.after == 0;
         update.gapped = m_table.gapAfter(update.after);
         update.items = update.full ? m_table.all() : m_table.since(update.after);
+        if (!update.full)
+            packLarge(update, follower.sentAt);
         follower.wantsAll = false;
         follower.sentAt = update.at;
     }
--- a/test/adapters/LinkHub.test.cpp
+++ b/test/adapters/LinkHub.test.cpp
@@ -3,6 +3,8 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/write.hpp>
+#include <sailpath/core/Random.hpp>
+
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
@@ -102,7 +104,12 @@
     BOOST_TEST(runUntil(context, [&] { return relay.from.has_value(); }));
     replication::Update update;
     update.at = 1;
-    update.items = {{"k", std::string(500'000, 'x'), 1, false}};
+    // Not to be packed into fewer bytes.
+    core::Random random(1);
+    std::string  value;
+    while (value.size() < 500'000)
+        value += static_cast<char>(random.below(256));
+    update.items = {{"k", value, 1, false}};
     int sent = 0;
     while (!relay.closed && sent < 100)
     {
