Tests: late, partial and missing words between the store and the copies

The fleet in virtual time can have slow answers of the store, slow links (in order), readings of two moments and watches that are deaf before the history is dropped, and tells by how much a copy said that it is fresher than it was.

--- a/test/support/ReplicaGroup.cpp
+++ b/test/support/ReplicaGroup.cpp
@@ -14,14 +14,14 @@
 constexpr core::Duration storeWay = 2ms;
 constexpr core::Duration callPatience = 900ms;
 constexpr core::Duration oldest = 3s; // Of a reading that may be old
-constexpr std::size_t    dataCentres = 3;
 constexpr std::size_t    seeds = 3;
 
 } // namespace
 
 ////////////////////////////////////////////////////////////
-ReplicaGroup::ReplicaGroup(std::size_t nodes, std::uint64_t seed) :
+ReplicaGroup::ReplicaGroup(std::size_t nodes, std::uint64_t seed, std::size_t dataCentres) :
 m_random(seed),
+m_dataCentres(dataCentres),
 m_seed(seed),
 m_nodes(nodes)
 {
@@ -44,7 +44,7 @@
     ++node.life;
     node.seen.clear();
     replication::ReplicaSettings settings;
-    settings.self = {addressOf(index), "dc" + std::to_string(index % dataCentres), 0, 0};
+    settings.self = {addressOf(index), "dc" + std::to_string(index % m_dataCentres), 0, 0};
     for (std::size_t i = 0; i < std::min(seeds, m_nodes.size()); ++i)
         settings.seeds.push_back(addressOf(i));
     settings.seed = m_seed * 1000 + index;
@@ -106,6 +106,88 @@
 void ReplicaGroup::note(const Item& change)
 {
     m_history[change.key].push_back(change);
+    m_changedAt[change.revision] = m_now;
+}
+
+////////////////////////////////////////////////////////////
+void ReplicaGroup::checkFresh(std::size_t index)
+{
+    const replication::Replica& replica = *m_nodes[index].replica;
+    if (replica.age(m_now) == core::Duration::max())
+        return;
+    // The first change that the copy does not have bounds how fresh it can be.
+    const auto missed = m_changedAt.upper_bound(replica.table().at());
+    if (missed != m_changedAt.end())
+        m_overstated = std::max(m_overstated, m_now - replica.age(m_now) - missed->second);
+}
+
+////////////////////////////////////////////////////////////
+core::Duration ReplicaGroup::overstated() const
+{
+    return m_overstated;
+}
+
+////////////////////////////////////////////////////////////
+void ReplicaGroup::slowStore(core::Duration most)
+{
+    m_storeBack = most;
+}
+
+////////////////////////////////////////////////////////////
+void ReplicaGroup::slowLinks(core::Duration least, core::Duration most)
+{
+    m_leastWay = least;
+    m_linkWay = most;
+}
+
+////////////////////////////////////////////////////////////
+void ReplicaGroup::slowSender(std::size_t node)
+{
+    m_slowSenders.insert(node);
+}
+
+////////////////////////////////////////////////////////////
+void ReplicaGroup::deafen(core::Duration time, bool jumps)
+{
+    m_deafUntil = m_now + time;
+    m_deafJumps = jumps;
+}
+
+////////////////////////////////////////////////////////////
+void ReplicaGroup::readInPages(core::Duration apart)
+{
+    m_apart = apart;
+}
+
+////////////////////////////////////////////////////////////
+core::Duration ReplicaGroup::storeBack()
+{
+    if (m_storeBack.count() == 0)
+        return storeWay;
+    return storeWay + core::Duration(m_random.below(static_cast<std::uint64_t>(m_storeBack.count())));
+}
+
+////////////////////////////////////////////////////////////
+void ReplicaGroup::readPages(std::size_t index, std::uint64_t life)
+{
+    // Every second key comes with the second page, which is of a later moment.
+    const auto page = [this](std::size_t rest, std::vector<Item>& items)
+    {
+        for (const auto& [key, item] : m_store)
+        {
+            if (!item.gone && std::hash<std::string>{}(key) % 2 == rest)
+                items.push_back(item);
+        }
+    };
+    std::vector<Item> first;
+    page(0, first);
+    at(m_now + m_apart,
+       [this, index, life, page, items = std::move(first), revision = m_revision]() mutable
+       {
+           page(1, items);
+           at(m_now + storeWay, [this, index, life, items, revision]
+              { toNode(index, life, [&] { m_nodes[index].replica->storeRead(items, revision, {}, m_now); }); });
+       });
 }
 
 ////////////////////////////////////////////////////////////
@@ -221,6 +303,7 @@
     node.tickAt = node.replica->nextDue();
     if (m_incomplete.empty())
         checkComplete(index);
+    checkFresh(index);
 }
 
 ////////////////////////////////////////////////////////////
@@ -300,13 +383,15 @@
                [this, index, life] { toNode(index, life, [&] { m_nodes[index].replica->historyLost(m_now); }); });
             continue;
         }
-        auto items = since(watch.after);
+        const bool deaf = m_now < m_deafUntil;
+        auto       items = deaf ? std::vector<Item>{} : since(watch.after);
         if (items.empty() && m_now < watch.until)
         {
             left.push_back(watch);
             continue;
         }
-        at(m_now + storeWay, [this, index, life, items = std::move(items), revision = m_revision]
+        at(m_now + storeBack(),
+           [this, index, life, items = std::move(items), revision = deaf && !m_deafJumps ? watch.after : m_revision]
            { toNode(index, life, [&] { m_nodes[index].replica->storeChanged(items, revision, m_now); }); });
     }
     for (Watch& watch : left)
@@ -340,6 +425,8 @@
             index,
             [this, index, life, asked, lag]
             {
+                if (asked && m_apart.count() > 0)
+                    return readPages(index, life);
                 const Past        past = asked ? Past{m_now, m_revision, m_store} : asOf(m_now - lag);
                 std::vector<Item> items;
                 std::uint64_t     newest = 0;
@@ -352,7 +439,7 @@
                 }
                 // Of a reading that may be old only the latest revision among its items is known.
                 const std::uint64_t revision = asked ? past.revision : newest;
-                at(m_now + storeWay, [this, index, life, asked, items, revision]
+                at(m_now + storeBack(), [this, index, life, asked, items, revision]
                    { toNode(index, life, [&] { m_nodes[index].replica->storeRead(items, revision, asked, m_now); }); });
             });
     }
@@ -403,11 +490,20 @@
         if (end == m_nodes[index].ends.end())
             return;
         const auto far = end->second;
-        if (update != nullptr && index % dataCentres != far.first % dataCentres)
+        if (update != nullptr && index % m_dataCentres != far.first % m_dataCentres)
             m_itemsAcross += update->update.items.size();
         const std::uint64_t farLife = m_nodes[far.first].life;
         const auto          message = action;
-        at(m_now + way,
+        core::Timestamp     arrives = m_now + way;
+        if (m_linkWay.count() > 0 && (m_slowSenders.empty() || m_slowSenders.count(index) > 0))
+        {
+            core::Timestamp& last = m_lastOn[far];
+            arrives = m_now + m_leastWay +
+                      core::Duration(m_random.below(1 + static_cast<std::uint64_t>((m_linkWay - m_leastWay).count())));
+            arrives = std::max(arrives, last + 1ms);
+            last = arrives;
+        }
+        at(arrives,
            [this, index, far, farLife, message]
            {
                if (!reach(index, far.first))
--- a/test/support/ReplicaGroup.hpp
+++ b/test/support/ReplicaGroup.hpp
@@ -27,7 +27,7 @@
         Silent  //!< Says nothing
     };
 
-    ReplicaGroup(std::size_t nodes, std::uint64_t seed);
+    ReplicaGroup(std::size_t nodes, std::uint64_t seed, std::size_t dataCentres = 3);
 
     void start(std::size_t node);                               //!< Start or restart a node; its copy is gone
     void kill(std::size_t node);                                //!< End a node, its links reset
@@ -41,6 +41,12 @@
     void turnAway(std::size_t node, StoreMode mode);              //!< For one node
     void pass(core::Duration time);                               //!< Let time pass
 
+    void slowStore(core::Duration most); //!< Answers of the store take up to so long on their way back
+    void slowLinks(core::Duration least, core::Duration most); //!< What nodes tell each other takes so long, in order
+    void slowSender(std::size_t node);                         //!< From now on only such nodes' messages are slow
+    void deafen(core::Duration time, bool jumps); //!< Watches say nothing new; or that it is the latest revision
+    void readInPages(core::Duration apart);       //!< Readings are of two moments so far apart
+
     [[nodiscard]] bool                        running(std::size_t node) const;
     [[nodiscard]] const replication::Replica& replica(std::size_t node) const;
     [[nodiscard]] std::string     valueAt(std::size_t node, const std::string& key) const; //!< Empty when there is none
@@ -52,6 +58,7 @@
     [[nodiscard]] bool            wentBack() const;    //!< Some node took a lower revision of a key in one life
     [[nodiscard]] std::string     incomplete() const;  //!< First copy that lacked a change before its `at`; else empty
     [[nodiscard]] core::Timestamp now() const;
+    [[nodiscard]] core::Duration  overstated() const; //!< Most by which a copy said that it is fresher than it was
 
 private:
     struct Node
@@ -85,6 +92,9 @@
     void               remember();
     void               note(const replication::Item& change);
     void               checkComplete(std::size_t node);
+    void               checkFresh(std::size_t node);
+    void               readPages(std::size_t node, std::uint64_t life);
+    core::Duration     storeBack();
     [[nodiscard]] Past asOf(core::Timestamp time) const;
     void               act(std::size_t node);
     void               perform(std::size_t node, const replication::ReplicaAction& action);
@@ -99,6 +109,7 @@
 
     core::Timestamp                                       m_now{std::chrono::hours{1}};
     core::Random                                          m_random;
+    std::size_t                                           m_dataCentres;
     std::uint64_t                                         m_seed;
     std::vector<Node>                                     m_nodes;
     std::multimap<core::Timestamp, std::function<void()>> m_queue;
@@ -115,6 +126,17 @@
     bool                                                  m_wentBack{false};
     std::map<std::string, std::vector<replication::Item>> m_history;    //!< All changes ever, by key
     std::string                                           m_incomplete; //!< First copy that was not complete
+    std::map<std::uint64_t, core::Timestamp>              m_changedAt;  //!< Time of each revision
+    core::Duration                                        m_overstated{};
+    core::Duration                                        m_storeBack{}; //!< Longest way of an answer of the store
+    core::Duration                                        m_leastWay{};
+    core::Duration                                        m_linkWay{}; //!< Longest way between nodes; 0: as usual
+    core::Duration                                        m_apart{};   //!< Between the pages of a reading
+    std::set<std::size_t>                                 m_slowSenders;
+    core::Timestamp                                       m_deafUntil{};
+    bool                                                  m_deafJumps{false};
+    std::map<std::pair<std::size_t, replication::LinkId>, core::Timestamp>
+        m_lastOn; //!< Arrival of the last message to an end
 };
 
 } // namespace sailpath::support
