--- a/test/replication/removals/Interleavings.test.cpp
+++ b/test/replication/removals/Interleavings.test.cpp
@@ -282,6 +282,25 @@
     BOOST_TEST(other.since(5).size() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(WhatACopyTakesBackItsFollowersTakeBackToo)
+{
+    // Two relays say that they are complete as of 44, and one of them is not: it lacks what was removed later.
+    // The other believes it; its follower heard before that and is told nothing more of that key.
+    ItemTable               relay;
+    ItemTable               follower;
+    std::vector<Item>       changed;
+    const std::vector<Item> came{{brief, "ready", 43, false}};
+    relay.takeSnapshot(config, 42, changed);
+    relay.take(came, 44, changed);
+    follower.takeSnapshot(relay.all(), 44, changed);
+    const std::vector<Item> none;
+    relay.take({42, 44, true, none}, changed);
+    relay.takeSnapshot(config, 49, changed);
+    const auto told = relay.since(relay.tellAfter(44));
+    follower.take({relay.tellAfter(44), 49, relay.gapAfter(44), told}, changed);
+    BOOST_TEST(follower.all().size() == relay.all().size());
+}
+
 BOOST_AUTO_TEST_CASE(AnEmptyStoreIsAPictureToo)
 {
     ItemTable               table;
