--- a/include/sailpath/adapters/links/Codec.hpp
+++ b/include/sailpath/adapters/links/Codec.hpp
@@ -9,7 +9,8 @@
 
 namespace sailpath::adapters::links
 {
-using LinkMessage = std::variant<replication::Hello, replication::Update>; //!< What travels on a link
+//! What travels on a link
+using LinkMessage = std::variant<replication::Hello, replication::Update, replication::Report>;
 
 ////////////////////////////////////////////////////////////
 /// \brief Bytes of a message, its length in front
--- a/include/sailpath/replication/ItemSource.hpp
+++ b/include/sailpath/replication/ItemSource.hpp
@@ -36,6 +36,7 @@
     SourceStatus      status{SourceStatus::Failed}; //!< How it ended
     std::vector<Item> items;                        //!< All items, or changes
     std::uint64_t     at{0};                        //!< The store's revision; of a reading, the oldest of its parts
+    std::uint64_t     upTo{0};                      //!< Of a reading: revision that no part is newer than
     bool              snapshot{false};              //!< A reading, of one moment and of the time of the call at least
     std::string       why;                          //!< For the log, when it failed
 };
--- a/include/sailpath/replication/ItemTable.hpp
+++ b/include/sailpath/replication/ItemTable.hpp
@@ -72,19 +72,25 @@
     ///
     /// \param items   Items
     /// \param at      Revision that none of them is older than
+    /// \param upTo    Revision that none is newer than; the copy is exact again when it is of that
     /// \param changed Receives the items that changed here
     ////////////////////////////////////////////////////////////
-    void takeReading(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed);
+    void takeReading(std::span<const Item> items, std::uint64_t at, std::uint64_t upTo, std::vector<Item>& changed);
 
     ////////////////////////////////////////////////////////////
-    /// \brief All that happened before the last reading was answered is taken: its gap ends here
+    /// \brief Items that changed after a revision, known removals included
     ////////////////////////////////////////////////////////////
-    void settle();
+    [[nodiscard]] std::vector<Item> since(std::uint64_t revision) const;
 
     ////////////////////////////////////////////////////////////
-    /// \brief Items that changed after a revision, known removals included
+    /// \brief Items that changed here since a moment though they are not newer than a revision
+    ///
+    /// A reading of several moments may show removals that another copy tells of late.
+    ///
+    /// \param sequence Value of `sequence` at that moment
+    /// \param revision Items with higher revisions are left out
     ////////////////////////////////////////////////////////////
-    [[nodiscard]] std::vector<Item> since(std::uint64_t revision) const;
+    [[nodiscard]] std::vector<Item> late(std::uint64_t sequence, std::uint64_t revision) const;
 
     ////////////////////////////////////////////////////////////
     /// \brief All items that exist
@@ -115,8 +121,10 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] const Item* asOf(std::string_view key, std::uint64_t at) const;
 
-    [[nodiscard]] std::uint64_t at() const;    //!< Revision that the table is of; 0 before the first
-    [[nodiscard]] bool          exact() const; //!< No gap is open
+    [[nodiscard]] std::uint64_t at() const;             //!< Revision that the table is of; 0 before the first
+    [[nodiscard]] bool          exact() const;          //!< No gap is open
+    [[nodiscard]] std::uint64_t sequence() const;       //!< Counts changes of items here
+    [[nodiscard]] std::uint64_t oldestSequence() const; //!< `late` tells all since then
 
 private:
     /// \brief Changes from one revision to another were skipped
@@ -126,8 +134,9 @@
         std::uint64_t to;   //!< And again as of this one
     };
 
-    void takeAll(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed);
-    void put(const Item& item, std::vector<Item>& changed);
+    void               takeAll(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed);
+    [[nodiscard]] bool addsNothing(std::uint64_t at) const;
+    void               put(const Item& item, std::vector<Item>& changed);
     void removeUnlisted(std::span<const Item> items, std::uint64_t after, std::uint64_t at, std::vector<Item>& changed);
     void advance(std::uint64_t at);
     void noteGap(std::uint64_t to);
@@ -139,8 +148,11 @@
     std::uint64_t                            m_forgotten{0};       //!< Highest revision of a removal that was forgotten
     std::size_t                              m_removals{0};        //!< Removals kept
     std::map<std::string, std::deque<Item>, std::less<>> m_former; //!< Earlier large values by key, newest first
-    std::vector<Gap>                                     m_gaps;   //!< In order
+    std::deque<std::string>                              m_changedKeys; //!< Of the last changes here, newest last
+    std::uint64_t                                        m_sequence{0}; //!< Changes here so far
+    std::vector<Gap>                                     m_gaps;        //!< In order
     bool                                                 m_open{false}; //!< The last gap goes on
+    std::uint64_t                                        m_openUpTo{0}; //!< Until the copy is of this revision
 };
 
 } // namespace sailpath::replication
--- a/include/sailpath/replication/Message.hpp
+++ b/include/sailpath/replication/Message.hpp
@@ -50,6 +50,7 @@
     std::uint64_t            after{0};      //!< All that changed after this revision is told; 0 with the whole picture
     std::uint32_t            ageMs{0};      //!< Time since the picture was known to be the store's
     std::uint32_t            illAgeMs{0};   //!< Time since the store failed a call of the relay
+    std::uint64_t            sentMs{0};     //!< The relay's steady clock, for how long updates take on their way
     bool                     full{false};   //!< All items; others do not exist as of `at`
     bool                     gapped{false}; //!< Keys may have come and gone after `after` that nobody tells of
     std::vector<Item>        items;         //!< Items as of `at` that changed after `after`, and known removals
@@ -57,4 +58,12 @@
     std::vector<NodeAddress> nodes;         //!< Nodes known of; empty when left out
 };
 
+////////////////////////////////////////////////////////////
+/// \brief What a relay tells its own relays: who follows it, as lists of nodes travel to followers only
+////////////////////////////////////////////////////////////
+struct Report
+{
+    std::vector<NodeAddress> nodes; //!< Followers
+};
+
 } // namespace sailpath::replication
--- a/include/sailpath/replication/Replica.hpp
+++ b/include/sailpath/replication/Replica.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -76,6 +77,11 @@
     LinkId link{0};
     Update update;
 };
+struct SendReport
+{
+    LinkId link{0};
+    Report report;
+};
 struct Note //!< A change of what the node believes, for the log
 {
     std::string event;
@@ -83,7 +89,7 @@
     double      value{0};
 };
 
-using ReplicaAction = std::variant<ReadStore, WatchStore, OpenLink, CloseLink, SendHello, SendUpdate, Note>;
+using ReplicaAction = std::variant<ReadStore, WatchStore, OpenLink, CloseLink, SendHello, SendUpdate, SendReport, Note>;
 
 ////////////////////////////////////////////////////////////
 /// \brief One node's copy of the store, kept by few calls for the whole fleet
@@ -107,9 +113,10 @@
     ///
     /// \param asOf The items are a snapshot, the store's since then at the latest; null when they may be old or
     ///             of several moments
+    /// \param upTo Unless they are a snapshot: revision that none of them is newer than, if known
     ////////////////////////////////////////////////////////////
     void storeRead(std::span<const Item> items, std::uint64_t at, std::optional<core::Timestamp> asOf,
-                   core::Timestamp now);
+                   core::Timestamp now, std::uint64_t upTo = std::numeric_limits<std::uint64_t>::max());
     void storeChanged(std::span<const Item> items, std::uint64_t at, core::Timestamp now);
     void historyLost(core::Timestamp now);
     void storeFailed(core::Timestamp now);
@@ -119,6 +126,7 @@
     void linkClosed(LinkId link, core::Timestamp now);                           //!< A link ended or did not come up
     void helloReceived(LinkId link, const Hello& hello, core::Timestamp now);    //!< A node wants updates
     void updateReceived(LinkId link, const Update& update, core::Timestamp now); //!< A relay sent one
+    void reportReceived(const Report& report, core::Timestamp now);              //!< A relay told of its followers
 
     [[nodiscard]] std::vector<ReplicaAction> takeActions();   //!< What is to be done
     [[nodiscard]] std::vector<Item>          takeChanges();   //!< Items that changed here since the last call
@@ -138,24 +146,28 @@
 private:
     struct Follower
     {
-        NodeAddress     node;           //!< Who it is
-        std::uint64_t   sentAt{0};      //!< Revision sent
-        bool            wantsAll{true}; //!< Needs the whole picture
-        core::Timestamp nextBeat{};     //!< Next update without news
-        core::Timestamp fedAt{};        //!< Last update
-        core::Timestamp fedAsOf{};      //!< What it told was the store's then
-        core::Timestamp nextNodes{};    //!< Next telling of the nodes
-        core::Timestamp newNodesAt{};   //!< Not before, when there are many new ones
-        std::size_t     nodesTold{0};   //!< Nodes at the last telling
+        NodeAddress     node;            //!< Who it is
+        std::uint64_t   sentAt{0};       //!< Revision sent
+        std::uint64_t   sentSequence{0}; //!< Changes of the copy sent
+        bool            wantsAll{true};  //!< Needs the whole picture
+        core::Timestamp nextBeat{};      //!< Next update without news
+        core::Timestamp fedAt{};         //!< Last update
+        core::Timestamp fedAsOf{};       //!< What it told was the store's then
+        core::Timestamp nextNodes{};     //!< Next telling of the nodes
+        core::Timestamp newNodesAt{};    //!< Not before, when there are many new ones
+        std::size_t     nodesTold{0};    //!< Nodes at the last telling
     };
 
     struct Upstream
     {
-        std::string     address;     //!< Of the relay
-        bool            open{false}; //!< The link is up
-        core::Timestamp since{};     //!< Start
-        core::Timestamp heard{};     //!< Last update
-        bool            fed{false};  //!< Has sent an update
+        std::string                   address;     //!< Of the relay
+        bool                          open{false}; //!< The link is up
+        core::Timestamp               since{};     //!< Start
+        core::Timestamp               heard{};     //!< Last update
+        bool                          fed{false};  //!< Has sent an update
+        core::Timestamp               helloAt{};   //!< When it was greeted
+        core::Duration                roundTrip{}; //!< From then to its first update
+        std::optional<core::Duration> firstOffset; //!< Of the clocks, the first update's way included
     };
 
     struct Known
@@ -175,13 +187,15 @@
         bool        watcher{false}; //!< It watches the store
     };
 
-    void       hear(const NodeAddress& node, core::Timestamp now);
-    void       avoid(const std::string& address, core::Timestamp now, std::string_view why);
-    void       manageUpstreams(core::Timestamp now);
-    void       manageStore(core::Timestamp now);
-    void       takeUpdate(const std::string& relay, const Update& update, std::span<const Item> items);
-    void       packLarge(Update& update, std::uint64_t sentAt);
-    PackedItem packed(const Item& item, const Item& base);
+    void                  hear(const NodeAddress& node, core::Timestamp now);
+    void                  avoid(const std::string& address, core::Timestamp now, std::string_view why);
+    void                  manageUpstreams(core::Timestamp now);
+    void                  manageStore(core::Timestamp now);
+    void                  takeUpdate(const std::string& relay, const Update& update, std::span<const Item> items);
+    static core::Duration wayOf(const Update& update, Upstream& upstream, core::Timestamp now);
+    void                  report(core::Timestamp now);
+    void                  packLarge(Update& update, std::uint64_t sentAt);
+    PackedItem            packed(const Item& item, const Item& base);
     [[nodiscard]] std::optional<std::vector<Item>> unpackLarge(const Update& update) const;
     void                                           feedFollowers(core::Timestamp now);
     void                                           feed(LinkId link, Follower& follower, core::Timestamp now);
@@ -223,7 +237,9 @@
     StoreState                   m_store{StoreState::Idle};            //!< Call under way
     bool                         m_needRead{true};                     //!< The history is not usable
     bool                         m_booted{false};                      //!< The store was asked since the start
-    core::Timestamp              m_readAt{};                           //!< When a reading that is no snapshot came
+    core::Timestamp              m_watchedAt{};                        //!< When the store was asked for changes
+    core::Duration               m_watchedFor{};                       //!< How long it was to wait for them
+    core::Timestamp              m_nextReport{};                       //!< Next telling of the followers
     core::Timestamp              m_proveAt{};                          //!< When an old first reading is proved here
     unsigned                     m_relaysLacking{0};                   //!< Times that a relay could not be heard
     bool                         m_watchRole{false};                   //!< Ranks among the watchers
--- a/src/sailpath/adapters/links/Codec.cpp
+++ b/src/sailpath/adapters/links/Codec.cpp
@@ -109,7 +109,8 @@
 }
 
 ////////////////////////////////////////////////////////////
-void put(wire::Update::Builder to, const std::vector<replication::NodeAddress>& nodes)
+template <typename Builder>
+void putNodes(Builder to, const std::vector<replication::NodeAddress>& nodes)
 {
     std::map<std::string, std::string> groups;
     for (const replication::NodeAddress& node : nodes)
@@ -150,17 +151,35 @@
     update.setGapped(from.gapped);
     update.setAgeMs(from.ageMs);
     update.setIllAgeMs(from.illAgeMs);
+    update.setSentMs(from.sentMs);
     update.setFull(from.full);
     auto items = update.initItems(static_cast<unsigned>(from.items.size()));
     for (unsigned i = 0; i < items.size(); ++i)
         put(items[i], from.items[i]);
     put(update, from.packed);
-    put(update, from.nodes);
+    putNodes(update, from.nodes);
+}
+
+////////////////////////////////////////////////////////////
+void put(wire::Message::Builder to, const replication::Report& from)
+{
+    putNodes(to.initReport(), from.nodes);
+}
+
+////////////////////////////////////////////////////////////
+replication::Report get(wire::Report::Reader from)
+{
+    replication::Report report;
+    for (const auto group : from.getNodes())
+        get(group, report.nodes);
+    return report;
 }
 
 ////////////////////////////////////////////////////////////
 LinkMessage get(wire::Message::Reader from)
 {
+    if (from.isReport())
+        return get(from.getReport());
     if (from.isHello())
         return replication::Hello{get(from.getHello().getSelf()), from.getHello().getAt()};
     const auto          update = from.getUpdate();
@@ -170,6 +189,7 @@
     to.gapped = update.getGapped();
     to.ageMs = update.getAgeMs();
     to.illAgeMs = update.getIllAgeMs();
+    to.sentMs = update.getSentMs();
     to.full = update.getFull();
     for (const auto item : update.getItems())
         to.items.push_back(get(item));
--- a/src/sailpath/adapters/links/Links.capnp
+++ b/src/sailpath/adapters/links/Links.capnp
@@ -46,11 +46,17 @@
   after @6 :UInt64;
   gapped @7 :Bool;
   packed @8 :List(PackedItem);
+  sentMs @9 :UInt64;
+}
+
+struct Report {
+  nodes @0 :List(NodeGroup);
 }
 
 struct Message {
   union {
     hello @0 :Hello;
     update @1 :Update;
+    report @2 :Report;
   }
 }
--- a/src/sailpath/adapters/links/Links.capnp.h
+++ b/src/sailpath/adapters/links/Links.capnp.h
@@ -22,6 +22,7 @@
 CAPNP_DECLARE_SCHEMA(dbe059b79c2bc948);
 CAPNP_DECLARE_SCHEMA(c87b1e24730f6b78);
 CAPNP_DECLARE_SCHEMA(d66f6187d315db04);
+CAPNP_DECLARE_SCHEMA(805e3510d98b81cc);
 CAPNP_DECLARE_SCHEMA(b0cd7532b5aa38e9);
 
 }  // namespace schemas
@@ -115,7 +116,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d66f6187d315db04, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d66f6187d315db04, 5, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Report {
+  Report() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(805e3510d98b81cc, 0, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -131,6 +147,7 @@
   enum Which: uint16_t {
     HELLO,
     UPDATE,
+    REPORT,
   };
 
   struct _capnpPrivate {
@@ -662,6 +679,8 @@
   inline bool hasPacked() const;
   inline  ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>::Reader getPacked() const;
 
+  inline  ::uint64_t getSentMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -729,6 +748,9 @@
   inline void adoptPacked(::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::PackedItem,  ::capnp::Kind::STRUCT>> disownPacked();
 
+  inline  ::uint64_t getSentMs();
+  inline void setSentMs( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -755,6 +777,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class Report::Reader {
+public:
+  typedef Report Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNodes() const;
+  inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Reader getNodes() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Report::Builder {
+public:
+  typedef Report Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNodes();
+  inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Builder getNodes();
+  inline void setNodes( ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Builder initNodes(unsigned int size);
+  inline void adoptNodes(::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>> disownNodes();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Report::Pipeline {
+public:
+  typedef Report Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Message::Reader {
 public:
   typedef Message Reads;
@@ -781,6 +884,10 @@
   inline bool hasUpdate() const;
   inline  ::sailpath::adapters::links::wire::Update::Reader getUpdate() const;
 
+  inline bool isReport() const;
+  inline bool hasReport() const;
+  inline  ::sailpath::adapters::links::wire::Report::Reader getReport() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -826,6 +933,14 @@
   inline void adoptUpdate(::capnp::Orphan< ::sailpath::adapters::links::wire::Update>&& value);
   inline ::capnp::Orphan< ::sailpath::adapters::links::wire::Update> disownUpdate();
 
+  inline bool isReport();
+  inline bool hasReport();
+  inline  ::sailpath::adapters::links::wire::Report::Builder getReport();
+  inline void setReport( ::sailpath::adapters::links::wire::Report::Reader value);
+  inline  ::sailpath::adapters::links::wire::Report::Builder initReport();
+  inline void adoptReport(::capnp::Orphan< ::sailpath::adapters::links::wire::Report>&& value);
+  inline ::capnp::Orphan< ::sailpath::adapters::links::wire::Report> disownReport();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1449,6 +1564,54 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Update::Reader::getSentMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Update::Builder::getSentMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Update::Builder::setSentMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Report::Reader::hasNodes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Report::Builder::hasNodes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Reader Report::Reader::getNodes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Builder Report::Builder::getNodes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Report::Builder::setNodes( ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>::Builder Report::Builder::initNodes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Report::Builder::adoptNodes(
+    ::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>> Report::Builder::disownNodes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::sailpath::adapters::links::wire::NodeGroup,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::sailpath::adapters::links::wire::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1566,6 +1729,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isReport() const {
+  return which() == Message::REPORT;
+}
+inline bool Message::Builder::isReport() {
+  return which() == Message::REPORT;
+}
+inline bool Message::Reader::hasReport() const {
+  if (which() != Message::REPORT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasReport() {
+  if (which() != Message::REPORT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::sailpath::adapters::links::wire::Report::Reader Message::Reader::getReport() const {
+  KJ_IREQUIRE((which() == Message::REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sailpath::adapters::links::wire::Report>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::sailpath::adapters::links::wire::Report::Builder Message::Builder::getReport() {
+  KJ_IREQUIRE((which() == Message::REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sailpath::adapters::links::wire::Report>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setReport( ::sailpath::adapters::links::wire::Report::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::REPORT);
+  ::capnp::_::PointerHelpers< ::sailpath::adapters::links::wire::Report>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::sailpath::adapters::links::wire::Report::Builder Message::Builder::initReport() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::REPORT);
+  return ::capnp::_::PointerHelpers< ::sailpath::adapters::links::wire::Report>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptReport(
+    ::capnp::Orphan< ::sailpath::adapters::links::wire::Report>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::REPORT);
+  ::capnp::_::PointerHelpers< ::sailpath::adapters::links::wire::Report>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::sailpath::adapters::links::wire::Report> Message::Builder::disownReport() {
+  KJ_IREQUIRE((which() == Message::REPORT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sailpath::adapters::links::wire::Report>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/sailpath/fleet/FleetThread.cpp
+++ b/src/sailpath/fleet/FleetThread.cpp
@@ -70,6 +70,8 @@
             {
                 if (const auto* hello = std::get_if<replication::Hello>(&message))
                     replica.helloReceived(link, *hello, now());
+                else if (const auto* report = std::get_if<replication::Report>(&message))
+                    replica.reportReceived(*report, now());
                 else
                     replica.updateReceived(link, std::get<replication::Update>(message), now());
             });
@@ -126,7 +128,7 @@
                              [&]
                              {
                                  if (answer.status == SourceStatus::Ok)
-                                     replica.storeRead(answer.items, answer.at, asOf, now());
+                                     replica.storeRead(answer.items, answer.at, asOf, now(), answer.upTo);
                                  else
                                      failed(answer);
                              });
@@ -174,6 +176,11 @@
         hub.send(action.link, action.hello);
     }
 
+    void perform(const replication::SendReport& action)
+    {
+        hub.send(action.link, action.report);
+    }
+
     void perform(const replication::SendUpdate& action)
     {
         hub.send(action.link, action.update);
--- a/src/sailpath/replication/ItemTable.cpp
+++ b/src/sailpath/replication/ItemTable.cpp
@@ -7,15 +7,19 @@
 {
 namespace
 {
-constexpr std::size_t mostRemovals = 512; // Kept, so that peers hear of them
-constexpr std::size_t mostFormer = 4;     // Earlier values kept of a key
-constexpr std::size_t mostGaps = 16;      // Kept apart; older ones are taken for one
+constexpr std::size_t mostRemovals = 512;     // Kept, so that peers hear of them
+constexpr std::size_t mostFormer = 4;         // Earlier values kept of a key
+constexpr std::size_t mostChangedKeys = 4096; // Kept, so that what changed late is told
+constexpr std::size_t mostGaps = 16;          // Kept apart; older ones are taken for one
 
 } // namespace
 
 ////////////////////////////////////////////////////////////
 void ItemTable::take(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed)
 {
+    // A newer word that overtook it may have left out what came and went meanwhile.
+    if (at < m_at)
+        return;
     for (const Item& item : items)
         put(item, changed);
     advance(at);
@@ -24,7 +28,7 @@
 ////////////////////////////////////////////////////////////
 void ItemTable::take(const Changes& changes, std::vector<Item>& changed)
 {
-    if (changes.at < m_at)
+    if (addsNothing(changes.at))
         return;
     if (changes.gapped)
         noteGap(changes.at);
@@ -35,33 +39,35 @@
 ////////////////////////////////////////////////////////////
 void ItemTable::takeSnapshot(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed)
 {
-    if (at < m_at)
+    if (addsNothing(at))
         return;
     takeAll(items, at, changed);
-    settle();
+    m_open = false;
 }
 
 ////////////////////////////////////////////////////////////
-void ItemTable::takeReading(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed)
+void ItemTable::takeReading(std::span<const Item> items, std::uint64_t at, std::uint64_t upTo,
+                            std::vector<Item>& changed)
 {
     if (at <= m_at)
         return;
     takeAll(items, at, changed);
-    m_open = true;
+    m_open = upTo > at;
+    m_openUpTo = upTo;
 }
 
 ////////////////////////////////////////////////////////////
-void ItemTable::takeAll(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed)
+bool ItemTable::addsNothing(std::uint64_t at) const
 {
-    noteGap(at);
-    removeUnlisted(items, 0, at, changed);
-    take(items, at, changed);
+    return at < m_at || (at == m_at && at > 0 && !m_open);
 }
 
 ////////////////////////////////////////////////////////////
-void ItemTable::settle()
+void ItemTable::takeAll(std::span<const Item> items, std::uint64_t at, std::vector<Item>& changed)
 {
-    m_open = false;
+    noteGap(at);
+    removeUnlisted(items, 0, at, changed);
+    take(items, at, changed);
 }
 
 ////////////////////////////////////////////////////////////
@@ -70,6 +76,7 @@
     m_at = std::max(m_at, at);
     if (m_open)
         m_gaps.back().to = m_at;
+    m_open = m_open && m_at < m_openUpTo;
     forgetRemovals();
 }
 
@@ -89,15 +96,16 @@
 ////////////////////////////////////////////////////////////
 std::uint64_t ItemTable::tellAfter(std::uint64_t revision) const
 {
-    if (revision < m_forgotten)
-        return 0;
     for (auto gap = m_gaps.rbegin(); gap != m_gaps.rend(); ++gap)
     {
         const bool within = revision > gap->from && revision < gap->to;
         if (within || (m_open && gap == m_gaps.rbegin() && revision >= gap->to))
-            return gap->from;
+        {
+            revision = gap->from;
+            break;
+        }
     }
-    return revision;
+    return revision < m_forgotten ? 0 : revision;
 }
 
 ////////////////////////////////////////////////////////////
@@ -111,8 +119,12 @@
                                std::vector<Item>& changed)
 {
     std::set<std::string_view> listed;
+    // A removal that is older than the item here says as well that the key does not exist now.
     for (const Item& item : items)
-        listed.insert(item.key);
+    {
+        if (!item.gone)
+            listed.insert(item.key);
+    }
     std::vector<Item> removals;
     for (const auto& [key, item] : m_items)
     {
@@ -136,6 +148,39 @@
         keepFormer(std::move(known));
     known = item;
     changed.push_back(item);
+    ++m_sequence;
+    m_changedKeys.push_back(item.key);
+    if (m_changedKeys.size() > mostChangedKeys)
+        m_changedKeys.pop_front();
+}
+
+////////////////////////////////////////////////////////////
+std::vector<Item> ItemTable::late(std::uint64_t sequence, std::uint64_t revision) const
+{
+    std::set<std::string_view> keys;
+    const std::uint64_t        since = std::max(sequence, oldestSequence());
+    for (std::uint64_t change = since; change < m_sequence; ++change)
+        keys.insert(m_changedKeys[change - oldestSequence()]);
+    std::vector<Item> items;
+    for (const std::string_view key : keys)
+    {
+        const auto found = m_items.find(key);
+        if (found != m_items.end() && found->second.revision <= revision)
+            items.push_back(found->second);
+    }
+    return items;
+}
+
+////////////////////////////////////////////////////////////
+std::uint64_t ItemTable::sequence() const
+{
+    return m_sequence;
+}
+
+////////////////////////////////////////////////////////////
+std::uint64_t ItemTable::oldestSequence() const
+{
+    return m_sequence - m_changedKeys.size();
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/replication/Replica.cpp
+++ b/src/sailpath/replication/Replica.cpp
@@ -19,6 +19,7 @@
 constexpr double newNodesShare = 0.1;  // More nodes than were told, so that they are told at once
 constexpr int    followerPatience = 3; // Times as long between calls of a store that fails, when watchers are heard
 constexpr auto   worthTelling = std::chrono::milliseconds{400}; // A copy that is so much fresher than was told
+constexpr auto   reportEvery = std::chrono::seconds{3};         // Of a relay's followers, to its own relays
 constexpr std::size_t   mostPacked = 8;                         // Packed values kept for the next follower
 constexpr std::uint32_t longestAge = std::numeric_limits<std::uint32_t>::max();
 
@@ -56,6 +57,7 @@
     manageUpstreams(now);
     manageStore(now);
     feedFollowers(now);
+    report(now);
 }
 
 ////////////////////////////////////////////////////////////
@@ -96,7 +98,9 @@
     m_store = StoreState::Watching;
     // A picture that is old already is proved at once; a watch proves it at its end only.
     m_proving = age(now) > m_settings.staleAfter / 2 || !m_table.exact();
-    m_actions.push_back(WatchStore{m_table.at(), m_proving ? core::Duration(atOnce) : m_settings.watchWait});
+    m_watchedAt = now;
+    m_watchedFor = m_proving ? core::Duration(atOnce) : m_settings.watchWait;
+    m_actions.push_back(WatchStore{m_table.at(), m_watchedFor});
 }
 
 ////////////////////////////////////////////////////////////
@@ -109,7 +113,7 @@
 
 ////////////////////////////////////////////////////////////
 void Replica::storeRead(std::span<const Item> items, std::uint64_t at, std::optional<core::Timestamp> asOf,
-                        core::Timestamp now)
+                        core::Timestamp now, std::uint64_t upTo)
 {
     m_store = StoreState::Idle;
     m_storeFailures = 0;
@@ -121,10 +125,7 @@
         noteFresh(*asOf, now);
     }
     else
-    {
-        m_table.takeReading(items, at, m_changes);
-        m_readAt = now;
-    }
+        m_table.takeReading(items, at, upTo, m_changes);
     if (!proved())
         m_proveAt = m_relaysLacking >= m_settings.upstreams ? now : now + m_settings.proofWait;
     tick(now);
@@ -135,10 +136,17 @@
 {
     m_store = StoreState::Idle;
     m_storeFailures = 0;
-    m_table.take(items, at, m_changes);
-    m_table.settle();
-    noteFresh(now, now);
+    // All keys are watched, so the copy is of the last change that was told, whatever revision is named.
+    std::uint64_t told = 0;
+    for (const Item& item : items)
+        told = std::max(told, item.revision);
     if (!items.empty())
+        m_table.take(items, std::min(told, at), m_changes);
+    // The store waited for all of the time asked for, or answered some time since.
+    const core::Timestamp given = items.empty() ? m_watchedAt + m_watchedFor : m_watchedAt;
+    noteFresh(std::min(given, now), now);
+    m_needRead = m_needRead || (items.empty() && !m_followers.empty() && !m_table.exact());
+    if (!items.empty() && age(now) <= m_settings.staleAfter / 2)
         m_nextStore = now + m_settings.watchPause;
     tick(now);
 }
@@ -177,6 +185,7 @@
         return;
     found->second.open = true;
     found->second.heard = now;
+    found->second.helloAt = now;
     const bool whole = m_wholeFrom.erase(found->second.address) > 0;
     m_actions.push_back(SendHello{link, {m_settings.self, whole ? 0 : m_table.at()}});
 }
@@ -220,6 +229,7 @@
     Follower follower;
     follower.node = hello.self;
     follower.sentAt = hello.at;
+    follower.sentSequence = m_table.sequence();
     follower.wantsAll = hello.at == 0 || hello.at > m_table.at();
     m_followers[link] = follower;
     tick(now);
@@ -234,7 +244,8 @@
     for (const NodeAddress& node : update.nodes)
         hear(node, now);
     upstream->second.heard = now;
-    Known& relay = m_known[upstream->second.address];
+    const core::Duration way = wayOf(update, upstream->second, now);
+    Known&               relay = m_known[upstream->second.address];
     relay.heard = now;
     if (update.illAgeMs != longestAge)
         m_ill = std::max(m_ill, now - core::Duration(std::chrono::milliseconds{update.illAgeMs}));
@@ -257,11 +268,8 @@
     upstream->second.fed = true;
     large->insert(large->end(), update.items.begin(), update.items.end());
     takeUpdate(upstream->second.address, update, *large);
-    const core::Duration old = std::chrono::milliseconds{update.ageMs};
+    const core::Duration old = core::Duration(std::chrono::milliseconds{update.ageMs}) + way;
     noteFresh(now - old, now);
-    // Updates take time on their way, so a little more than the time of the reading has to be covered.
-    if (now - old > m_readAt + m_settings.linkSilence)
-        m_table.settle();
     if (old < m_settings.staleAfter)
     {
         relay.failures = 0;
@@ -279,6 +287,50 @@
     tick(now);
 }
 
+////////////////////////////////////////////////////////////
+core::Duration Replica::wayOf(const Update& update, Upstream& upstream, core::Timestamp now)
+{
+    if (update.sentMs == 0)
+        return {}; // Of a former version
+    // The clocks differ by something that stays; the first update took no longer than hello and update together.
+    const auto offset = now.time_since_epoch() - core::fromMilliseconds(static_cast<double>(update.sentMs));
+    if (!upstream.firstOffset)
+    {
+        upstream.firstOffset = offset;
+        upstream.roundTrip = now - upstream.helloAt;
+    }
+    return std::max<core::Duration>(upstream.roundTrip + offset - *upstream.firstOffset, {});
+}
+
+////////////////////////////////////////////////////////////
+void Replica::report(core::Timestamp now)
+{
+    if (m_followers.empty() || now < m_nextReport)
+        return;
+    m_nextReport = now + reportEvery;
+    std::vector<NodeAddress> nodes;
+    for (const auto& [link, follower] : m_followers)
+    {
+        const auto known = m_known.find(follower.node.address);
+        if (known != m_known.end())
+            nodes.push_back(
+                {known->first, known->second.dataCentre, ageMs(known->second.heard, now), known->second.capacity});
+    }
+    for (const auto& [link, upstream] : m_upstreams)
+    {
+        if (upstream.open)
+            m_actions.push_back(SendReport{link, {nodes}});
+    }
+}
+
+////////////////////////////////////////////////////////////
+void Replica::reportReceived(const Report& report, core::Timestamp now)
+{
+    for (const NodeAddress& node : report.nodes)
+        hear(node, now);
+    tick(now);
+}
+
 ////////////////////////////////////////////////////////////
 void Replica::packLarge(Update& update, std::uint64_t sentAt)
 {
@@ -360,7 +412,8 @@
             known->second.heard = now;
         // News are told at once, and so is that the copy was proved anew: it grows old again at each hop.
         const bool fresher = m_asOf - follower.fedAsOf > worthTelling;
-        if (mayTell() && (m_table.at() > follower.sentAt || fresher))
+        const bool news = m_table.at() > follower.sentAt || m_table.sequence() != follower.sentSequence;
+        if (mayTell() && (news || fresher))
             follower.nextBeat = std::min(follower.nextBeat, follower.fedAt + m_settings.gather);
         if (now >= follower.nextBeat)
             feed(link, follower, now);
@@ -374,14 +427,21 @@
     update.at = mayTell() ? m_table.at() : 0;
     update.ageMs = ageMs(m_asOf, now);
     update.illAgeMs = ageMs(m_ill, now);
+    update.sentMs = static_cast<std::uint64_t>(core::toMilliseconds(now.time_since_epoch()));
     if (update.at > 0)
     {
-        update.after = follower.wantsAll ? 0 : m_table.tellAfter(follower.sentAt);
+        const bool lost = follower.sentSequence < m_table.oldestSequence();
+        update.after = follower.wantsAll || lost ? 0 : m_table.tellAfter(follower.sentAt);
         update.full = update.after == 0;
         update.gapped = m_table.gapAfter(update.after);
         update.items = update.full ? m_table.all() : m_table.since(update.after);
         if (!update.full)
+        {
+            const auto late = m_table.late(follower.sentSequence, update.after);
+            update.items.insert(update.items.end(), late.begin(), late.end());
             packLarge(update, follower.sentAt);
+        }
+        follower.sentSequence = m_table.sequence();
         follower.wantsAll = false;
         follower.sentAt = update.at;
     }
--- a/test/platform/Platform.test.cpp
+++ b/test/platform/Platform.test.cpp
@@ -202,7 +202,8 @@
     BOOST_REQUIRE_EQUAL(answer.items.size(), 8U);
     BOOST_TEST(answer.items[7].value == "value 7");
     BOOST_TEST(answer.at == 9U);
-    BOOST_TEST(!answer.snapshot); // Keys may have come and gone between the pages
+    BOOST_TEST(answer.snapshot); // The store stood still between the pages
+    BOOST_TEST(answer.upTo == 9U);
     BOOST_TEST(store.calls() == 3U);
 }
 
--- a/test/replication/ItemTable.test.cpp
+++ b/test/replication/ItemTable.test.cpp
@@ -75,7 +75,7 @@
     table.takeSnapshot(whole, 10, changed);
     changed.clear();
     const std::vector<Item> old{{"left", "x", 3, false}, {"stays", "z", 4, false}};
-    table.takeReading(old, 4, changed);
+    table.takeReading(old, 4, 6, changed);
     table.takeSnapshot(old, 8, changed);
     BOOST_TEST(changed.empty());
     BOOST_TEST(table.all().size() == 1U);
@@ -101,19 +101,20 @@
     BOOST_TEST(!table.gapAfter(30));
 }
 
-BOOST_AUTO_TEST_CASE(AReadingThatIsNoSnapshotLeavesItsGapOpenUntilItIsSettled)
+BOOST_AUTO_TEST_CASE(AReadingThatIsNoSnapshotLeavesItsGapOpenUntilAllOfItsTimeIsTaken)
 {
     ItemTable               table;
     std::vector<Item>       changed;
     const std::vector<Item> items{{"k", "x", 3, false}};
-    table.takeReading(items, 3, changed);
+    table.takeReading(items, 3, 10, changed);
     BOOST_TEST(!table.exact());
     table.take(items, 9, changed);
+    BOOST_TEST(!table.exact());
     BOOST_TEST(table.tellAfter(9) == 0U);
-    table.settle();
+    table.take(items, 10, changed);
     BOOST_TEST(table.exact());
-    BOOST_TEST(table.tellAfter(8) == 0U);
-    BOOST_TEST(table.tellAfter(9) == 9U);
+    BOOST_TEST(table.tellAfter(9) == 0U);
+    BOOST_TEST(table.tellAfter(10) == 10U);
 }
 
 BOOST_AUTO_TEST_CASE(WhatAnotherCopyDoesNotListOfItsChangesIsGone)
--- a/test/replication/removals/Interleavings.test.cpp
+++ b/test/replication/removals/Interleavings.test.cpp
@@ -364,7 +364,7 @@
                         newest = std::max(newest, item.revision);
                     table = ItemTable();
                     if (newest > 0)
-                        table.takeReading(all(old->second), newest, changed);
+                        table.takeReading(all(old->second), newest, old->first, changed);
                 }
                 break;
             case 2: // The whole history, as a watch tells it
@@ -394,7 +394,6 @@
                             items.push_back(item);
                     }
                     table.take(items, revision, changed);
-                    table.settle();
                 }
                 break;
             case 3:
--- a/test/support/ReplicaGroup.cpp
+++ b/test/support/ReplicaGroup.cpp
@@ -185,8 +185,8 @@
        [this, index, life, page, items = std::move(first), revision = m_revision]() mutable
        {
            page(1, items);
-           at(m_now + storeWay, [this, index, life, items, revision]
-              { toNode(index, life, [&] { m_nodes[index].replica->storeRead(items, revision, {}, m_now); }); });
+           at(m_now + storeWay, [this, index, life, items, revision, upTo = m_revision]
+              { toNode(index, life, [&] { m_nodes[index].replica->storeRead(items, revision, {}, m_now, upTo); }); });
        });
 }
 
@@ -421,27 +421,29 @@
         else
             lag = core::Duration(m_random.below(static_cast<std::uint64_t>(oldest.count())));
         m_oldReads += asked ? 0 : 1;
-        storeCall(
-            index,
-            [this, index, life, asked, lag]
-            {
-                if (asked && m_apart.count() > 0)
-                    return readPages(index, life);
-                const Past        past = asked ? Past{m_now, m_revision, m_store} : asOf(m_now - lag);
-                std::vector<Item> items;
-                std::uint64_t     newest = 0;
-                for (const auto& [key, item] : past.items)
-                {
-                    if (item.gone)
-                        continue;
-                    items.push_back(item);
-                    newest = std::max(newest, item.revision);
-                }
-                // Of a reading that may be old only the latest revision among its items is known.
-                const std::uint64_t revision = asked ? past.revision : newest;
-                at(m_now + storeBack(), [this, index, life, asked, items, revision]
-                   { toNode(index, life, [&] { m_nodes[index].replica->storeRead(items, revision, asked, m_now); }); });
-            });
+        storeCall(index,
+                  [this, index, life, asked, lag]
+                  {
+                      if (asked && m_apart.count() > 0)
+                          return readPages(index, life);
+                      const Past        past = asked ? Past{m_now, m_revision, m_store} : asOf(m_now - lag);
+                      std::vector<Item> items;
+                      std::uint64_t     newest = 0;
+                      for (const auto& [key, item] : past.items)
+                      {
+                          if (item.gone)
+                              continue;
+                          items.push_back(item);
+                          newest = std::max(newest, item.revision);
+                      }
+                      // Of a reading that may be old only the latest revision among its items is known.
+                      const std::uint64_t revision = asked ? past.revision : newest;
+                      at(m_now + storeBack(),
+                         [this, index, life, asked, items, revision, upTo = past.revision] {
+                             toNode(index, life,
+                                    [&] { m_nodes[index].replica->storeRead(items, revision, asked, m_now, upTo); });
+                         });
+                  });
     }
     else if (const auto* watch = std::get_if<replication::WatchStore>(&action))
     {
@@ -486,7 +488,9 @@
     {
         const auto* hello = std::get_if<replication::SendHello>(&action);
         const auto* update = std::get_if<replication::SendUpdate>(&action);
-        const auto  end = m_nodes[index].ends.find(hello != nullptr ? hello->link : update->link);
+        const auto* report = std::get_if<replication::SendReport>(&action);
+        const auto  linkId = hello != nullptr ? hello->link : report != nullptr ? report->link : update->link;
+        const auto  end = m_nodes[index].ends.find(linkId);
         if (end == m_nodes[index].ends.end())
             return;
         const auto far = end->second;
@@ -514,6 +518,8 @@
                           auto& replica = *m_nodes[far.first].replica;
                           if (const auto* said = std::get_if<replication::SendHello>(&message))
                               replica.helloReceived(far.second, said->hello, m_now);
+                          else if (const auto* told = std::get_if<replication::SendReport>(&message))
+                              replica.reportReceived(told->report, m_now);
                           else
                               replica.updateReceived(far.second, std::get<replication::SendUpdate>(message).update,
                                                      m_now);
