--- a/test/balance/Balancer.test.cpp
+++ b/test/balance/Balancer.test.cpp
@@ -684,4 +684,152 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(WhatIsUnderWayOutlivesItsServersEntryAndItsRoute)
+{
+    for (const char* target : {"/read/1", "/pay/1"})
+    {
+        for (int change = 0; change < 3; ++change)
+        {
+            const Ticket ticket = 10 * static_cast<Ticket>(change + 1) + (target[1] == 'r' ? 1 : 2);
+            const auto   before = declared;
+            const auto   sent = admit(ticket, target);
+            const Step   first = only(sent, StepKind::Forward);
+            for (std::size_t i = 0; i < declared.instances.size(); ++i)
+            {
+                if (declared.instances[i].id != first.instance->id)
+                    continue;
+                declared.instances[i].draining = change == 0;
+                if (change > 0)
+                    declared.instances.erase(declared.instances.begin() + static_cast<std::ptrdiff_t>(i));
+                break;
+            }
+            declared.suspect = change == 1;
+            if (change == 2)
+            {
+                auto without = deploymentOf();
+                without->version = 2;
+                without->routes.clear();
+                declared.deployment = without;
+            }
+            configure();
+            BOOST_TEST(steps().empty());
+            now += 30ms;
+            const auto ended = end(first, AttemptEnd::Answered);
+            BOOST_TEST(only(ended, StepKind::Answer).attempt == 1U);
+            BOOST_TEST(count(ended, StepKind::Abandon) == 0U);
+            declared = before;
+            configure();
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ASecondSendDoesNotGoToAServerThatLeftMeanwhile)
+{
+    for (Ticket ticket = 1; ticket <= 30; ++ticket)
+    {
+        const auto  sent = admit(ticket);
+        const auto  before = declared;
+        // Of the three that could get the second send, one stays.
+        std::string stays;
+        for (auto& instance : declared.instances)
+        {
+            if (instance.id != sent[0].instance->id && stays.empty())
+                stays = instance.id;
+            else
+                instance.draining = true;
+        }
+        configure();
+        BOOST_TEST(only(end(sent[0], AttemptEnd::NotRun, 503), StepKind::Forward).instance->id == stays);
+        balancer.callerLeft(ticket, now);
+        (void)steps();
+        declared = before;
+        configure();
+        now += 2s;
+    }
+}
+
+BOOST_AUTO_TEST_CASE(ASearchUnderWayDoesNotEndAtAServerThatLeft)
+{
+    learnLoad(1);
+    const auto asked = admit(2);
+    BOOST_REQUIRE_EQUAL(count(asked, StepKind::Probe), 3U);
+    const std::string best = asked[0].instance->id;
+    std::erase_if(declared.instances, [&](const deployment::Instance& instance) { return instance.id == best; });
+    configure();
+    auto taken = answerProbe(asked[0], Load{0, 0, 3, 1});
+    for (const Step& probe : {asked[1], asked[2]})
+    {
+        for (Step& step : answerProbe(probe, Load{3, 4, 3, 5}))
+            taken.push_back(std::move(step));
+    }
+    for (Step& step : pass(700ms))
+        taken.push_back(std::move(step));
+    BOOST_TEST(count(taken, StepKind::Forward) >= 1U);
+    for (const Step& step : taken)
+    {
+        if (step.kind == StepKind::Forward || step.kind == StepKind::Probe)
+            BOOST_TEST(step.instance->id != best);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerIsPassedOnAlsoWhileASecondSendIsUnderWay)
+{
+    for (Ticket ticket = 1; ticket < 60; ++ticket)
+    {
+        const auto next = admit(ticket);
+        now += 20ms;
+        (void)end(only(next, StepKind::Forward), AttemptEnd::Answered);
+    }
+    const auto slow = admit(100);
+    const auto later = pass(199ms);
+    BOOST_REQUIRE_EQUAL(count(later, StepKind::Forward), 1U);
+    const auto won = end(slow[0], AttemptEnd::Answered);
+    BOOST_TEST(only(won, StepKind::Answer).attempt == 1U);
+    BOOST_TEST(count(won, StepKind::Refuse) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatIsWrittenAnewUnchangedKeepsWhatWasLearnedOfIt)
+{
+    // One that fails stays avoided when entries are told anew.
+    std::map<std::string, int> got;
+    for (Ticket ticket = 1; ticket <= 200; ++ticket)
+    {
+        configure();
+        auto sent = admit(ticket);
+        now += 10ms;
+        ++got[only(sent, StepKind::Forward).instance->id];
+        const bool bad = sent[0].instance->id == "s2";
+        for (const Step& step : end(sent[0], bad ? AttemptEnd::Lost : AttemptEnd::Answered))
+        {
+            if (step.kind == StepKind::Forward)
+                (void)end(step, AttemptEnd::Answered);
+        }
+    }
+    BOOST_TEST(got["s2"] < 20);
+}
+
+BOOST_AUTO_TEST_CASE(WhatAPartOfASplitCannotTakeIsRefusedAndSaysWhenToComeBack)
+{
+    auto changed = deploymentOf();
+    changed->routes[0].parts = {{"portal", 50}, {"other", 50}};
+    declared.deployment = changed;
+    configure();
+    int refused = 0;
+    for (Ticket ticket = 1; ticket <= 200; ++ticket)
+    {
+        const auto sent = admit(ticket);
+        if (count(sent, StepKind::Refuse) == 1)
+        {
+            ++refused;
+            BOOST_TEST(!sent[0].refusal.mayHaveRun);
+            BOOST_TEST(sent[0].refusal.comeBack.count() > 0);
+        }
+        else
+            (void)end(only(sent, StepKind::Forward), AttemptEnd::Answered);
+        now += 5ms;
+    }
+    BOOST_TEST(refused >= 95);
+    BOOST_TEST(refused <= 105);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/balance/Overload.test.cpp
@@ -0,0 +1,123 @@
+#include <support/ServiceModel.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <iostream>
+
+namespace
+{
+using namespace sailpath;
+using namespace std::chrono_literals;
+using support::KindOfRequest;
+using support::ModelServer;
+using support::ModelSettings;
+using support::ServiceModel;
+
+constexpr double servedSlack = 0.05; // A more urgent kind may be served this much less often
+constexpr double creditSlack = 0.15; // And earn this much less of its credit
+
+////////////////////////////////////////////////////////////
+std::vector<ModelServer> serversOf(unsigned count, unsigned queue)
+{
+    std::vector<ModelServer> servers;
+    for (unsigned i = 0; i < count; ++i)
+    {
+        ModelServer server;
+        server.id = "s" + std::to_string(i);
+        server.dataCentre = "dc" + std::to_string(i % 3);
+        server.queue = queue;
+        servers.push_back(server);
+    }
+    return servers;
+}
+
+////////////////////////////////////////////////////////////
+KindOfRequest kindOf(const std::string& name, unsigned priority, core::Duration target, core::Duration timeout,
+                     core::Duration patience, double workMs, bool repeatable)
+{
+    KindOfRequest kind;
+    kind.name = name;
+    kind.priority = priority;
+    kind.target = target;
+    kind.timeout = timeout;
+    kind.patience = patience;
+    kind.workMs = workMs;
+    kind.repeatable = repeatable;
+    return kind;
+}
+
+////////////////////////////////////////////////////////////
+/// \brief Offer the kinds of request, in these parts of the work, at so many times of what the servers can do
+///
+/// \param works Of the work that is offered, one for each kind
+////////////////////////////////////////////////////////////
+std::vector<ServiceModel::Tally> play(std::vector<KindOfRequest> kinds, const std::vector<double>& works, double load,
+                                      std::uint64_t seed, unsigned servers = 14)
+{
+    ModelSettings settings;
+    settings.seed = seed;
+    const double pace = 1 - settings.noiseShare + settings.noiseShare / settings.noisePace;
+    for (std::size_t i = 0; i < kinds.size(); ++i)
+        kinds[i].perSecond = load * works[i] * servers * 3 * pace * 1000 / kinds[i].workMs;
+    ServiceModel model(settings, kinds, serversOf(servers, 12));
+    model.run(6s);
+    model.beginCount();
+    model.run(20s);
+    std::vector<ServiceModel::Tally> tallies;
+    for (std::size_t i = 0; i < kinds.size(); ++i)
+        tallies.push_back(model.tally(i));
+    return tallies;
+}
+
+////////////////////////////////////////////////////////////
+/// \brief Hold every pair of kinds against the order of their ranks
+////////////////////////////////////////////////////////////
+void checkRanks(const std::string& name, const std::vector<KindOfRequest>& kinds, const std::vector<double>& works,
+                double load)
+{
+    const auto tallies = play(kinds, works, load, 1);
+    for (std::size_t i = 0; i < kinds.size(); ++i)
+    {
+        std::cout << name << " load " << load << ' ' << kinds[i].name << " rank " << kinds[i].priority << " target "
+                  << kinds[i].target.count() / 1000 << " ms: owed " << tallies[i].owed << " served "
+                  << tallies[i].servedShare() << " in target " << tallies[i].targetShare() << " credit "
+                  << tallies[i].creditShare(kinds[i].lateWorth) << '\n';
+    }
+    for (std::size_t i = 0; i < kinds.size(); ++i)
+    {
+        for (std::size_t j = 0; j < kinds.size(); ++j)
+        {
+            if (kinds[i].priority >= kinds[j].priority)
+                continue;
+            BOOST_TEST_CONTEXT(name << " load " << load << ": " << kinds[i].name << " against " << kinds[j].name)
+            {
+                BOOST_TEST(tallies[i].servedShare() >= tallies[j].servedShare() - servedSlack);
+                BOOST_TEST(tallies[i].creditShare(kinds[i].lateWorth) >=
+                           tallies[j].creditShare(kinds[j].lateWorth) - creditSlack);
+            }
+        }
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(OverloadTest)
+
+BOOST_AUTO_TEST_CASE(AnUrgentKindWithAsLongATargetIsServedNoLessOften)
+{
+    for (const double load : {0.7, 1.0, 1.3, 1.7, 2.5})
+        checkRanks("equal targets",
+                   {kindOf("urgent", 0, 400ms, 1s, 2s, 100, true), kindOf("later", 2, 400ms, 1s, 2s, 100, true)},
+                   {0.5, 0.5}, load);
+}
+
+BOOST_AUTO_TEST_CASE(AnUrgentKindWithALongTargetIsServedNoLessOften)
+{
+    for (const double load : {0.7, 1.0, 1.3, 1.7, 2.5})
+        checkRanks(
+            "long urgent",
+            {kindOf("urgent", 0, 600ms, 1200ms, 2500ms, 240, true), kindOf("later", 2, 200ms, 800ms, 1s, 60, true)},
+            {0.5, 0.5}, load);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/deployment/InstanceBook.test.cpp
+++ b/test/deployment/InstanceBook.test.cpp
@@ -1,3 +1,4 @@
+#include <sailpath/core/Random.hpp>
 #include <sailpath/deployment/InstanceBook.hpp>
 
 #include <boost/test/unit_test.hpp>
@@ -165,4 +166,101 @@
     BOOST_TEST(!takesRequests(book, "a"));
 }
 
+BOOST_AUTO_TEST_CASE(AnEntryWrittenAnewWithAnotherSequenceOnlyChangesNothing)
+{
+    const auto before = book.list();
+    for (std::uint64_t sequence = 2; sequence < 20; ++sequence)
+        book.announced(announcementOf("b", sequence));
+    BOOST_TEST((book.list() == before));
+    BOOST_TEST(!book.nextDue());
+}
+
+BOOST_AUTO_TEST_CASE(OnceDrainingNothingThatTheStoreDoesBringsAnInstanceBack)
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed)
+    {
+        InstanceBook    tried{{belief, outage, reannounce}};
+        core::Random    random(seed);
+        core::Timestamp now = start;
+        const char*     names[] = {"a", "b", "c", "d"};
+        for (const char* id : names)
+            tried.announced(announcementOf(id, 5));
+        tried.announced(announcementOf("a", 6, true));
+        // Within the time that instances are remembered after they left.
+        while (now < start + 50s)
+        {
+            now += core::Duration(random.below(900'000));
+            const char* id = names[random.below(4)];
+            switch (random.below(4))
+            {
+            case 0:
+                tried.renewed(core::Duration(random.below(9'000'000)), now);
+                break;
+            case 1:
+                tried.vanished(id, now - core::Duration(random.below(5'000'000)));
+                break;
+            case 2:
+                tried.announced(announcementOf(id, random.below(12)));
+                break;
+            default:
+                break;
+            }
+            tried.settle(random.unit() < 0.5, now);
+            BOOST_REQUIRE_MESSAGE(!takesRequests(tried, "a"), "seed " << seed);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(OnceGivenUpOnlyItsOwnNewEntryBringsAnInstanceBack)
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed)
+    {
+        InstanceBook    tried{{belief, outage, reannounce}};
+        core::Random    random(seed);
+        core::Timestamp now = start;
+        const char*     names[] = {"a", "b", "c", "d"};
+        for (const char* id : names)
+            tried.announced(announcementOf(id, 5));
+        bool givenUp = false;
+        while (now < start + 200s)
+        {
+            now += core::Duration(random.below(900'000));
+            const char* id = names[random.below(4)];
+            switch (random.below(4))
+            {
+            case 0:
+                tried.renewed(core::Duration(random.below(9'000'000)), now);
+                break;
+            case 1:
+                tried.vanished(id, now - core::Duration(random.below(5'000'000)));
+                break;
+            case 2:
+                if (id != names[0])
+                    tried.announced(announcementOf(id, random.below(12)));
+                break;
+            default:
+                break;
+            }
+            tried.settle(random.unit() < 0.5, now);
+            givenUp = givenUp || !takesRequests(tried, "a");
+            BOOST_REQUIRE_MESSAGE(givenUp != takesRequests(tried, "a"), "seed " << seed);
+        }
+        BOOST_TEST(givenUp);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(FurtherRenewalsDoNotProlongTheTimeForLapsedEntries)
+{
+    book.renewed(4500ms, start);
+    for (const char* id : {"a", "b", "c"})
+        book.vanished(id, start - 4500ms);
+    book.renewed(4300ms, start + 300ms);
+    book.renewed(400ms, start + 1500ms);
+    book.settle(true, start + reannounce - 1ms);
+    BOOST_TEST(takesRequests(book, "a"));
+    book.settle(true, start + reannounce);
+    BOOST_TEST(!takesRequests(book, "a"));
+    BOOST_TEST(takesRequests(book, "d"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/gateway/Gateway.test.cpp
+++ b/test/gateway/Gateway.test.cpp
@@ -452,6 +452,47 @@
     BOOST_TEST(idle.ended());
 }
 
+BOOST_AUTO_TEST_CASE(WhatIsUnderWayOutlivesItsServersEntryAndItsRoute)
+{
+    for (const char* path : {"/pay/x", "/read/x"})
+    {
+        for (int change = 0; change < 3; ++change)
+        {
+            Fixture setup(
+                [](const std::string& request)
+                {
+                    Script script = Fixture::echo(request);
+                    script.delay = 200ms;
+                    return script;
+                });
+            TestCaller caller(setup.gateway->port());
+            caller.write(Fixture::request(path, "a1"));
+            while (setup.server.requests().empty())
+                std::this_thread::sleep_for(1ms);
+            if (change == 0)
+                setup.declared.instances[0].draining = true;
+            else
+                setup.declared.instances.clear();
+            setup.declared.suspect = change == 1;
+            if (change == 2)
+            {
+                auto without = std::make_shared<deployment::Deployment>(*setup.declared.deployment);
+                without->version = 2;
+                without->routes.clear();
+                setup.declared.deployment = without;
+            }
+            setup.onLoop([&] { setup.gateway->configure(setup.declared); });
+            BOOST_TEST(statusOf(caller.readAnswer()) == 200, path << " change " << change);
+            BOOST_TEST(setup.server.requests().size() == 1U);
+            // The caller's connection is kept, and the next request finds no server.
+            caller.write(Fixture::request(path, "a2"));
+            const std::string next = caller.readAnswer();
+            BOOST_TEST(statusOf(next) == (change == 2 ? 404 : 503));
+            BOOST_TEST(fieldOf(next, "Retry-After").empty() == (change == 2));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(GarbageFromAServerIsNoAnswer)
 {
     Fixture    setup([](const std::string&) { return Script{std::string("\x01\x02\x03\r\n\r\nxx"), 0ms, true}; });
--- a/test/platform/Platform.test.cpp
+++ b/test/platform/Platform.test.cpp
@@ -75,6 +75,65 @@
     platform::KvSource source{context, {"127.0.0.1", store.port()}};
 };
 
+////////////////////////////////////////////////////////////
+/// \brief A fleet thread before a stand-in of the store, and what it told last
+////////////////////////////////////////////////////////////
+struct Watched
+{
+    static std::string entry(const std::string& state, int sequence)
+    {
+        return R"({"Service":"s1","Address":"10.1.2.3:80","Slots":3,"State":")" + state + R"(","Seq":)" +
+               std::to_string(sequence) + "}";
+    }
+
+    static fleet::FleetSettings settingsOf()
+    {
+        fleet::FleetSettings settings;
+        settings.listen = {"127.0.0.1", 0};
+        settings.replica.self = {"127.0.0.1:1", "dc", 0, 0};
+        settings.replica.watchWait = 100ms;
+        settings.belief = {200ms, 300ms, 300ms};
+        return settings;
+    }
+
+    /// \brief Wait until what was told last is as wanted
+    bool reaches(const std::function<bool(const deployment::Declared&)>& condition)
+    {
+        std::unique_lock<std::mutex> lock(mutex);
+        return changed.wait_for(lock, 10s, [&] { return condition(last); });
+    }
+
+    /// \brief Whether an instance takes requests, by what was told last
+    static bool takes(const deployment::Declared& declared, const std::string& id)
+    {
+        return std::any_of(declared.instances.begin(), declared.instances.end(),
+                           [&](const deployment::Instance& instance)
+                           { return instance.id == id && !instance.draining; });
+    }
+
+    StoreStandIn                      store;
+    platform::JsonTranslator          translator;
+    QuietLog                          log;
+    std::mutex                        mutex;
+    deployment::Declared              last;
+    std::vector<deployment::Declared> all;
+    std::condition_variable           changed;
+    fleet::FleetThread                thread{
+        settingsOf(),
+        [this](asio::io_context& loop) {
+            return std::make_unique<platform::KvSource>(loop, adapters::settings::Endpoint{"127.0.0.1", store.port()});
+        },
+        translator,
+        [this](const deployment::Declared& declared)
+        {
+            const std::lock_guard<std::mutex> lock(mutex);
+            last = declared;
+            all.push_back(declared);
+            changed.notify_all();
+        },
+        log};
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(JsonTranslatorTest)
@@ -179,6 +238,23 @@
     BOOST_TEST(!findings.empty());
 }
 
+BOOST_AUTO_TEST_CASE(EveryFieldOfAnEntryIsRead)
+{
+    constexpr std::string_view value =
+        R"({"Service":"s1","Address":"10.1.2.3:8080","Zone":"z-1","Version":"2.4.1","Slots":7,"State":"ready","WarmupLeftS":0,"Seq":12,"New":{"x":[1]}})";
+    core::Findings findings;
+    const auto     read = platform::JsonTranslator().announcement("servers/i-1", value, findings);
+    BOOST_REQUIRE_MESSAGE(read, findings.text());
+    BOOST_TEST(read->instance.service == "s1");
+    BOOST_TEST(read->instance.address == "10.1.2.3");
+    BOOST_TEST(read->instance.port == 8080);
+    BOOST_TEST(read->instance.dataCentre == "z-1");
+    BOOST_TEST(read->instance.slots == 7U);
+    BOOST_TEST(!read->instance.draining);
+    BOOST_TEST((read->instance.warmUp == 0ms));
+    BOOST_TEST(read->sequence == 12U);
+}
+
 BOOST_AUTO_TEST_CASE(LoadReportsOfThreeOrFourFigures)
 {
     const auto parse = platform::dialect().parseLoad;
@@ -314,4 +390,69 @@
     BOOST_TEST(last.deployment->version == 7U);
 }
 
+BOOST_FIXTURE_TEST_CASE(AnEntryWithAnotherSequenceOnlyIsToldUnchanged, Watched)
+{
+    store.put("op/config", std::string(configuration));
+    store.put("servers/i-1", entry("ready", 1));
+    BOOST_REQUIRE(reaches([](const auto& told) { return told.instances.size() == 1; }));
+    const auto before = last.instances;
+    store.put("servers/i-1", entry("ready", 2));
+    store.put("servers/i-2", entry("ready", 1));
+    BOOST_REQUIRE(reaches([](const auto& told) { return told.instances.size() == 2; }));
+    const std::lock_guard<std::mutex> lock(mutex);
+    BOOST_TEST((last.instances[0] == before[0]));
+}
+
+BOOST_FIXTURE_TEST_CASE(OnceDrainingAServerIsNeverToldAsReadyWhateverTheStoreDoes, Watched)
+{
+    store.put("op/config", std::string(configuration));
+    for (const char* id : {"i-1", "i-2", "i-3", "i-4"})
+        store.put(std::string("servers/") + id, entry("ready", 5));
+    store.put("servers/i-1", entry("draining", 6));
+    BOOST_REQUIRE(reaches([](const auto& told) { return told.instances.size() == 4 && !takes(told, "i-1"); }));
+    std::size_t from = 0;
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        from = all.size();
+    }
+    int servers = 5;
+    for (const StoreFault fault :
+         {StoreFault::Refuse, StoreFault::LostAnswer, StoreFault::Garbled, StoreFault::TooMany})
+    {
+        store.setFault(fault);
+        std::this_thread::sleep_for(400ms);
+        // The entry is lost, and so are others; then an old word of the server appears.
+        for (const char* id : {"i-1", "i-2"})
+            store.remove(std::string("servers/") + id);
+        store.forgetHistory();
+        store.setFault(StoreFault::None);
+        std::this_thread::sleep_for(50ms);
+        store.put("servers/i-1", entry("ready", 4));
+        store.put("servers/i-2", entry("ready", 5));
+        store.put("servers/i-" + std::to_string(servers), entry("ready", 1));
+        const std::string added = "i-" + std::to_string(servers++);
+        BOOST_REQUIRE(reaches([&](const auto& told) { return takes(told, added) && takes(told, "i-2"); }));
+    }
+    const std::lock_guard<std::mutex> lock(mutex);
+    for (std::size_t i = from; i < all.size(); ++i)
+        BOOST_TEST(!takes(all[i], "i-1"));
+}
+
+BOOST_FIXTURE_TEST_CASE(AfterAnOutageWhatIsMissingIsGoneAndWhatComesBackTakesRequests, Watched)
+{
+    store.put("op/config", std::string(configuration));
+    for (const char* id : {"i-1", "i-2", "i-3", "i-4"})
+        store.put(std::string("servers/") + id, entry("ready", 5));
+    BOOST_REQUIRE(reaches([](const auto& told) { return told.instances.size() == 4; }));
+    store.setFault(StoreFault::Refuse);
+    std::this_thread::sleep_for(500ms);
+    for (const char* id : {"i-1", "i-2", "i-3"})
+        store.remove(std::string("servers/") + id);
+    store.setFault(StoreFault::None);
+    store.put("servers/i-2", entry("ready", 6));
+    BOOST_TEST(
+        reaches([](const auto& told)
+                { return !takes(told, "i-1") && takes(told, "i-2") && !takes(told, "i-3") && takes(told, "i-4"); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/replication/ItemTable.test.cpp
+++ b/test/replication/ItemTable.test.cpp
@@ -134,4 +134,18 @@
     BOOST_TEST(table.tellAfter(10) == 8U);
 }
 
+BOOST_AUTO_TEST_CASE(AnOldPictureBringsBackNothingThatWasRemoved)
+{
+    ItemTable               table;
+    std::vector<Item>       changed;
+    const std::vector<Item> one{{"k", "ready", 3, false}, {"other", "x", 4, false}};
+    const std::vector<Item> none{{"k", "", 5, true}};
+    table.take(one, 4, changed);
+    table.take(none, 5, changed);
+    changed.clear();
+    table.takeAll(one, 4, changed);
+    BOOST_TEST(changed.empty());
+    BOOST_TEST(table.all().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/support/ServiceModel.hpp
@@ -0,0 +1,660 @@
+#pragma once
+
+#include <sailpath/balance/Balancer.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace sailpath::support
+{
+////////////////////////////////////////////////////////////
+/// \brief A kind of request that callers of the model make
+////////////////////////////////////////////////////////////
+struct KindOfRequest
+{
+    std::string                        name;                 //!< Of its route
+    unsigned                           priority{0};          //!< Rank; 0 goes first
+    core::Duration                     target{};             //!< Time within which an answer is wanted
+    core::Duration                     timeout{};            //!< Of its route
+    core::Duration                     patience{};           //!< How long a caller tries
+    double                             workMs{100};          //!< Mean work at a pace of 1
+    double                             perSecond{10};        //!< From all callers
+    unsigned                           retries{1};           //!< Further tries of a caller
+    bool                               repeatable{true};     //!< May run more than once
+    std::vector<deployment::SplitPart> parts{{"portal", 1}}; //!< Services
+    double                             lateWorth{0.1};       //!< Of an answer after the target
+};
+
+////////////////////////////////////////////////////////////
+/// \brief A server of the model
+////////////////////////////////////////////////////////////
+struct ModelServer
+{
+    std::string     id;                //!< Its name
+    std::string     service{"portal"}; //!< What it belongs to
+    std::string     dataCentre{"dc0"}; //!< Where it runs
+    unsigned        slots{3};          //!< Requests it works on at once
+    unsigned        queue{12};         //!< Requests it keeps waiting
+    bool            failing{false};    //!< Loses what it is sent
+    core::Timestamp joined{};          //!< When its entry was first written
+};
+
+////////////////////////////////////////////////////////////
+/// \brief What the model's surroundings are like
+////////////////////////////////////////////////////////////
+struct ModelSettings
+{
+    unsigned       nodes{12};                                 //!< Balancers
+    unsigned       dataCentres{3};                            //!< That nodes and servers are spread over
+    double         noiseShare{0.35};                          //!< Of the time a server works slower
+    double         noisePace{5};                              //!< How much slower
+    core::Duration noiseSpan{std::chrono::milliseconds{150}}; //!< Between changes of its pace
+    core::Duration coldTime{std::chrono::seconds{3}};         //!< A server is slow from its start
+    double         coldPace{2};                               //!< How much slower
+    core::Duration nearTrip{std::chrono::microseconds{100}};  //!< One way within a data centre
+    core::Duration farTrip{std::chrono::microseconds{1400}};  //!< One way between data centres
+    core::Duration clientTrip{std::chrono::milliseconds{1}};  //!< One way from a caller
+    core::Duration handshake{std::chrono::milliseconds{1}};   //!< Of a new connection
+    core::Duration connectionRest{std::chrono::seconds{6}};   //!< Until a connection at rest is closed
+    double         probeRate{60};                             //!< Probes a server may get a second
+    double         retryRatio{0.1};                           //!< Of the fleet's retry budget
+    double         retryExtra{56};                            //!< Of the fleet's retry budget
+    bool           nearFirst{true};                           //!< As in the balancer's settings
+    std::uint64_t  seed{1};                                   //!< Of everything random
+};
+
+////////////////////////////////////////////////////////////
+/// \brief Balancers of many nodes before the same servers, with callers, in virtual time
+////////////////////////////////////////////////////////////
+class ServiceModel
+{
+public:
+    /// \brief One try of a caller
+    struct Try
+    {
+        std::size_t     kind{0};       //!< Index of its kind
+        core::Timestamp at{};          //!< When it was made
+        std::string     firstService;  //!< Service that it was first sent to; empty when refused unsent
+        bool            second{false}; //!< Its caller had tried before
+        bool            moved{false};  //!< It was sent to a second service
+    };
+
+    /// \brief What came of a kind of request
+    struct Tally
+    {
+        std::size_t owed{0};     //!< Requests, each with all its tries
+        std::size_t served{0};   //!< In the caller's time
+        std::size_t inTarget{0}; //!< Within the target from the first try on
+
+        [[nodiscard]] double servedShare() const
+        {
+            return owed == 0 ? 0 : static_cast<double>(served) / static_cast<double>(owed);
+        }
+        [[nodiscard]] double creditShare(double late) const
+        {
+            const auto inTime = static_cast<double>(inTarget);
+            return owed == 0 ? 0 : (inTime + late * (static_cast<double>(served) - inTime)) / static_cast<double>(owed);
+        }
+        [[nodiscard]] double targetShare() const
+        {
+            return owed == 0 ? 0 : static_cast<double>(inTarget) / static_cast<double>(owed);
+        }
+    };
+
+    ServiceModel(ModelSettings settings, std::vector<KindOfRequest> kinds, std::vector<ModelServer> servers) :
+    m_settings(settings),
+    m_kinds(std::move(kinds)),
+    m_random(settings.seed),
+    m_tallies(m_kinds.size())
+    {
+        for (ModelServer& server : servers)
+            addServer(std::move(server));
+        declare();
+        for (unsigned i = 0; i < m_settings.nodes; ++i)
+            startNode(i);
+        for (std::size_t kind = 0; kind < m_kinds.size(); ++kind)
+            nextArrival(kind);
+    }
+
+    ServiceModel(const ServiceModel&) = delete;
+    ServiceModel& operator=(const ServiceModel&) = delete;
+
+    void run(core::Duration time)
+    {
+        const core::Timestamp until = m_now + time;
+        while (!m_events.empty() && m_events.top().at <= until)
+        {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_now = event.at;
+            event.work();
+        }
+        m_now = until;
+    }
+
+    /// \brief Let a server's first entry be known everywhere now
+    void join(ModelServer server)
+    {
+        server.joined = m_now;
+        addServer(std::move(server));
+        declare();
+        for (Node& node : m_nodes)
+        {
+            node.balancer->configure(m_declared, m_now);
+            take(node);
+        }
+    }
+
+    /// \brief Forget what was counted so far
+    void beginCount()
+    {
+        m_tallies.assign(m_kinds.size(), {});
+        m_tries.clear();
+        m_countFrom = m_now;
+    }
+
+    void setRate(std::size_t kind, double perSecond)
+    {
+        m_kinds[kind].perSecond = perSecond;
+    }
+
+    [[nodiscard]] core::Timestamp now() const
+    {
+        return m_now;
+    }
+    [[nodiscard]] const Tally& tally(std::size_t kind) const
+    {
+        return m_tallies[kind];
+    }
+    [[nodiscard]] const std::vector<Try>& tries() const
+    {
+        return m_tries;
+    }
+    [[nodiscard]] std::size_t got(const std::string& server) const
+    {
+        return m_servers.at(server)->got;
+    }
+    [[nodiscard]] core::Timestamp firstGot(const std::string& server) const
+    {
+        return m_servers.at(server)->firstGot;
+    }
+
+private:
+    struct Event
+    {
+        core::Timestamp       at{};
+        std::uint64_t         number{0};
+        std::function<void()> work;
+
+        bool operator<(const Event& other) const
+        {
+            return at != other.at ? at > other.at : number > other.number;
+        }
+    };
+
+    struct Work
+    {
+        std::size_t     node{0};
+        std::string     server;
+        balance::Ticket ticket{0};
+        unsigned        attempt{0};
+        double          workMs{0};
+        core::Timestamp deadline{};
+        bool            running{false};
+        bool            dropped{false};
+    };
+
+    struct Server
+    {
+        ModelServer                       model;
+        std::uint64_t                     salt{0};
+        unsigned                          running{0};
+        std::deque<std::shared_ptr<Work>> waiting;
+        std::size_t                       got{0};
+        core::Timestamp                   firstGot{core::Timestamp::max()};
+    };
+
+    struct Connections
+    {
+        std::vector<core::Timestamp> idle; //!< Since when
+        unsigned                     busy{0};
+    };
+
+    struct Call
+    {
+        std::size_t     kind{0};
+        core::Timestamp first{};
+        unsigned        tries{0};
+        double          workMs{0};
+        std::size_t     tryAt{0};
+        std::uint64_t   countedIn{0};
+    };
+
+    struct Node
+    {
+        std::size_t                                                           index{0};
+        std::string                                                           dataCentre;
+        std::unique_ptr<balance::Balancer>                                    balancer;
+        std::map<std::string, Connections>                                    connections;
+        std::map<std::pair<balance::Ticket, unsigned>, std::shared_ptr<Work>> sent;
+        std::map<balance::Ticket, Call>                                       calls;
+        std::set<std::pair<balance::Ticket, unsigned>>                        failed; //!< Answers that are no success
+        core::Timestamp                                                       wake{core::Timestamp::max()};
+    };
+
+    void at(core::Timestamp time, std::function<void()> work)
+    {
+        m_events.push({time, ++m_number, std::move(work)});
+    }
+
+    void addServer(ModelServer model)
+    {
+        auto server = std::make_unique<Server>();
+        server->salt = m_random.below(1'000'000'000);
+        server->model = std::move(model);
+        m_servers[server->model.id] = std::move(server);
+    }
+
+    void declare()
+    {
+        auto deployment = std::make_shared<deployment::Deployment>();
+        deployment->version = 1;
+        std::set<std::string> services;
+        for (const KindOfRequest& kind : m_kinds)
+        {
+            deployment::HostRoute route;
+            route.name = kind.name;
+            route.host = "a.example";
+            route.pathPrefix = "/" + kind.name + "/";
+            route.repeatable = kind.repeatable;
+            route.timeout = kind.timeout;
+            route.targetLatency = kind.target;
+            route.priority = kind.priority;
+            route.attempts = 2;
+            route.parts = kind.parts;
+            for (const auto& part : kind.parts)
+                services.insert(part.service);
+            deployment->routes.push_back(route);
+        }
+        for (const std::string& service : services)
+            deployment->services.push_back({service, "/health", 220});
+        if (!m_declared.deployment)
+            m_declared.deployment = deployment;
+        m_declared.nodes = m_settings.nodes;
+        m_declared.instances.clear();
+        for (const auto& [id, server] : m_servers)
+        {
+            const core::Duration cold = server->model.joined + m_settings.coldTime - m_now;
+            const bool           isNew = server->model.joined != core::Timestamp{} && cold.count() > 0;
+            m_declared.instances.push_back({id, server->model.service, "10.0.0.1", 80, server->model.dataCentre,
+                                            server->model.slots, false,
+                                            isNew ? m_settings.coldTime : core::Duration{}});
+        }
+    }
+
+    void startNode(unsigned index)
+    {
+        Node& node = m_nodes.emplace_back();
+        node.index = index;
+        node.dataCentre = "dc" + std::to_string(index % m_settings.dataCentres);
+        balance::Settings settings;
+        settings.dataCentre = node.dataCentre;
+        settings.retryRatio = m_settings.retryRatio;
+        settings.retryExtra = m_settings.retryExtra;
+        settings.probeRate = m_settings.probeRate;
+        settings.nearFirst = m_settings.nearFirst;
+        settings.seed = m_random.below(1'000'000'000);
+        node.balancer = std::make_unique<balance::Balancer>(settings, m_now);
+        node.balancer->configure(m_declared, m_now);
+    }
+
+    void nextArrival(std::size_t kind)
+    {
+        const double gapMs = m_random.exponential(1000 / m_kinds[kind].perSecond);
+        at(m_now + core::fromMilliseconds(gapMs),
+           [this, kind]
+           {
+               Call call;
+               call.kind = kind;
+               call.first = m_now;
+               call.workMs = m_kinds[kind].workMs * std::exp(0.3 * gauss() - 0.045);
+               call.countedIn = static_cast<std::uint64_t>(m_countFrom.time_since_epoch().count());
+               ++m_tallies[kind].owed;
+               attempt(call);
+               nextArrival(kind);
+           });
+    }
+
+    double gauss()
+    {
+        double sum = -6;
+        for (int i = 0; i < 12; ++i)
+            sum += m_random.unit();
+        return sum;
+    }
+
+    void attempt(Call call)
+    {
+        const std::size_t node = m_random.below(m_nodes.size());
+        at(m_now + m_settings.clientTrip, [this, call, node] { arrive(m_nodes[node], call); });
+    }
+
+    void arrive(Node& node, Call call)
+    {
+        const KindOfRequest&  kind = m_kinds[call.kind];
+        const balance::Ticket ticket = ++m_ticket;
+        const auto            target = "/" + kind.name + "/1";
+        call.tryAt = m_tries.size();
+        m_tries.push_back({call.kind, m_now, {}, call.tries > 0, false});
+        ++call.tries;
+        node.calls[ticket] = call;
+        node.balancer->admit(ticket, {"a.example", target, m_now, kind.patience - (m_now - call.first)}, m_now);
+        take(node);
+    }
+
+    void finished(Node& node, balance::Ticket ticket, bool success, const balance::Refusal* refusal)
+    {
+        const auto found = node.calls.find(ticket);
+        if (found == node.calls.end())
+            return;
+        Call call = found->second;
+        node.calls.erase(found);
+        const KindOfRequest& kind = m_kinds[call.kind];
+        const auto           heard = m_now + m_settings.clientTrip;
+        const bool counts = call.countedIn == static_cast<std::uint64_t>(m_countFrom.time_since_epoch().count());
+        if (success)
+        {
+            if (counts && heard <= call.first + kind.patience)
+                ++m_tallies[call.kind].served;
+            if (counts && heard <= call.first + kind.target)
+                ++m_tallies[call.kind].inTarget;
+            return;
+        }
+        const bool promised = refusal != nullptr && !refusal->mayHaveRun;
+        if (call.tries > kind.retries || (!promised && !kind.repeatable))
+            return;
+        const core::Duration left = call.first + kind.patience - heard;
+        const core::Duration wait = refusal != nullptr ? std::min(refusal->comeBack, left / 3) : core::Duration{};
+        if (left.count() > 0)
+            at(heard + wait, [this, call] { attempt(call); });
+    }
+
+    void take(Node& node)
+    {
+        std::vector<balance::Step> steps;
+        node.balancer->takeSteps(steps);
+        for (const balance::Step& step : steps)
+        {
+            switch (step.kind)
+            {
+            case balance::StepKind::Probe:
+                probe(node, step);
+                break;
+            case balance::StepKind::Forward:
+                forward(node, step);
+                break;
+            case balance::StepKind::Abandon:
+                abandon(node, step);
+                break;
+            case balance::StepKind::Answer:
+                finished(node, step.ticket, node.failed.erase({step.ticket, step.attempt}) == 0, nullptr);
+                break;
+            case balance::StepKind::Refuse:
+                finished(node, step.ticket, false, &step.refusal);
+                break;
+            }
+        }
+        const auto due = node.balancer->nextDue();
+        if (due && *due < node.wake)
+        {
+            node.wake = std::max(*due, m_now);
+            at(node.wake,
+               [this, &node, wake = node.wake]
+               {
+                   if (node.wake == wake)
+                       node.wake = core::Timestamp::max();
+                   node.balancer->due(m_now);
+                   take(node);
+               });
+        }
+    }
+
+    [[nodiscard]] core::Duration trip(const Node& node, const Server& server) const
+    {
+        return node.dataCentre == server.model.dataCentre ? m_settings.nearTrip : m_settings.farTrip;
+    }
+
+    /// \brief Take a connection to a server; the time until a request sent on it arrives
+    core::Duration connect(Node& node, const Server& server)
+    {
+        Connections& list = node.connections[server.model.id];
+        prune(list);
+        core::Duration time = trip(node, server);
+        if (list.idle.empty())
+            time = 3 * time + m_settings.handshake;
+        else
+            list.idle.pop_back();
+        ++list.busy;
+        tell(node, server, list);
+        return time;
+    }
+
+    void release(Node& node, const Server& server, bool keep)
+    {
+        Connections& list = node.connections[server.model.id];
+        --list.busy;
+        prune(list);
+        if (keep)
+        {
+            list.idle.push_back(m_now);
+            at(m_now + m_settings.connectionRest,
+               [this, &node, &server, &list]
+               {
+                   prune(list);
+                   tell(node, server, list);
+               });
+        }
+        tell(node, server, list);
+    }
+
+    void prune(Connections& list) const
+    {
+        std::erase_if(list.idle, [this](core::Timestamp since) { return since + m_settings.connectionRest <= m_now; });
+    }
+
+    void tell(Node& node, const Server& server, const Connections& list)
+    {
+        const auto idle = static_cast<unsigned>(list.idle.size());
+        for (const auto& instance : m_declared.instances)
+        {
+            if (instance.id == server.model.id)
+                node.balancer->connections(instance, idle, idle + list.busy);
+        }
+    }
+
+    [[nodiscard]] balance::Load loadOf(const Server& server) const
+    {
+        return {server.running, static_cast<unsigned>(server.waiting.size()), server.model.slots,
+                paceOf(server, m_now)};
+    }
+
+    [[nodiscard]] double paceOf(const Server& server, core::Timestamp when) const
+    {
+        const auto    span = static_cast<std::uint64_t>(when.time_since_epoch() / m_settings.noiseSpan);
+        std::uint64_t mixed = (span + 1) * 0x9E3779B97F4A7C15ULL + server.salt * 0xBF58476D1CE4E5B9ULL;
+        mixed ^= mixed >> 31U;
+        mixed *= 0x94D049BB133111EBULL;
+        mixed ^= mixed >> 29U;
+        const double unit = static_cast<double>(mixed >> 11U) / 9007199254740992.0;
+        const bool cold = server.model.joined != core::Timestamp{} && when < server.model.joined + m_settings.coldTime;
+        return (unit < m_settings.noiseShare ? m_settings.noisePace : 1.0) * (cold ? m_settings.coldPace : 1.0);
+    }
+
+    /// \brief When work that begins now is done, with the pace changing under way
+    [[nodiscard]] core::Timestamp endOf(const Server& server, double workMs) const
+    {
+        core::Timestamp when = m_now;
+        while (true)
+        {
+            const double pace = paceOf(server, when);
+            const auto   next =
+                core::Timestamp((when.time_since_epoch() / m_settings.noiseSpan + 1) * m_settings.noiseSpan);
+            const double possible = core::toMilliseconds(next - when) / pace;
+            if (workMs <= possible)
+                return when + core::fromMilliseconds(workMs * pace);
+            workMs -= possible;
+            when = next;
+        }
+    }
+
+    void probe(Node& node, const balance::Step& step)
+    {
+        Server&    server = *m_servers.at(step.instance->id);
+        const auto there = m_now + connect(node, server);
+        at(there + std::chrono::milliseconds{1},
+           [this, &node, &server, ticket = step.ticket, number = step.attempt]
+           {
+               const auto load = loadOf(server);
+               at(m_now + trip(node, server),
+                  [this, &node, &server, ticket, number, load]
+                  {
+                      release(node, server, true);
+                      balance::Outcome outcome;
+                      outcome.end = balance::AttemptEnd::Answered;
+                      outcome.status = 200;
+                      outcome.load = load;
+                      node.balancer->probed(ticket, number, outcome, m_now);
+                      take(node);
+                  });
+           });
+    }
+
+    void forward(Node& node, const balance::Step& step)
+    {
+        Server&    server = *m_servers.at(step.instance->id);
+        const auto call = node.calls.find(step.ticket);
+        if (call != node.calls.end() && call->second.tryAt < m_tries.size())
+        {
+            Try& made = m_tries[call->second.tryAt];
+            made.moved = made.moved || (!made.firstService.empty() && made.firstService != server.model.service);
+            if (made.firstService.empty())
+                made.firstService = server.model.service;
+        }
+        auto work = std::make_shared<Work>();
+        work->node = node.index;
+        work->server = server.model.id;
+        work->ticket = step.ticket;
+        work->attempt = step.attempt;
+        work->workMs = call == node.calls.end() ? 0 : call->second.workMs;
+        work->deadline = step.deadline;
+        node.sent[{step.ticket, step.attempt}] = work;
+        at(m_now + connect(node, server), [this, &server, work] { reach(server, work); });
+    }
+
+    void reach(Server& server, const std::shared_ptr<Work>& work)
+    {
+        if (work->dropped)
+            return;
+        ++server.got;
+        server.firstGot = std::min(server.firstGot, m_now);
+        if (server.model.failing)
+            return answer(server, work, balance::AttemptEnd::Lost, 0);
+        if (server.running < server.model.slots)
+            return begin(server, work);
+        if (server.waiting.size() >= server.model.queue)
+            return answer(server, work, balance::AttemptEnd::NotRun, 503);
+        server.waiting.push_back(work);
+    }
+
+    void begin(Server& server, const std::shared_ptr<Work>& work)
+    {
+        ++server.running;
+        work->running = true;
+        const auto done = endOf(server, work->workMs);
+        const bool inTime = done <= work->deadline;
+        at(inTime ? done : std::max(m_now, work->deadline),
+           [this, &server, work, inTime]
+           {
+               if (work->dropped)
+                   return;
+               leave(server, work);
+               answer(server, work, balance::AttemptEnd::Answered, inTime ? 200 : 504);
+           });
+    }
+
+    void leave(Server& server, const std::shared_ptr<Work>& work)
+    {
+        work->running = false;
+        --server.running;
+        while (!server.waiting.empty() && server.running < server.model.slots)
+        {
+            const auto next = server.waiting.front();
+            server.waiting.pop_front();
+            if (next->deadline <= m_now)
+                answer(server, next, balance::AttemptEnd::NotRun, 503);
+            else
+                begin(server, next);
+        }
+    }
+
+    void answer(Server& server, const std::shared_ptr<Work>& work, balance::AttemptEnd end, unsigned status)
+    {
+        Node&      node = m_nodes[work->node];
+        const auto load = loadOf(server);
+        at(m_now + trip(node, server),
+           [this, &node, &server, work, end, status, load]
+           {
+               if (node.sent.erase({work->ticket, work->attempt}) == 0)
+                   return;
+               release(node, server, end != balance::AttemptEnd::Lost);
+               balance::Outcome outcome;
+               outcome.end = end;
+               outcome.status = status;
+               if (end != balance::AttemptEnd::Lost)
+                   outcome.load = load;
+               if (end == balance::AttemptEnd::Answered && status >= 500)
+                   node.failed.insert({work->ticket, work->attempt});
+               node.balancer->attemptEnded(work->ticket, work->attempt, outcome, m_now);
+               take(node);
+           });
+    }
+
+    void abandon(Node& node, const balance::Step& step)
+    {
+        const auto found = node.sent.find({step.ticket, step.attempt});
+        if (found == node.sent.end())
+            return;
+        const auto work = found->second;
+        node.sent.erase(found);
+        Server& server = *m_servers.at(work->server);
+        release(node, server, false);
+        const bool running = work->running;
+        work->dropped = true;
+        std::erase(server.waiting, work);
+        if (running)
+            leave(server, work);
+    }
+
+    ModelSettings                                  m_settings;
+    std::vector<KindOfRequest>                     m_kinds;
+    core::Random                                   m_random;
+    core::Timestamp                                m_now{std::chrono::hours{1}};
+    deployment::Declared                           m_declared;
+    std::map<std::string, std::unique_ptr<Server>> m_servers;
+    std::deque<Node>                               m_nodes;
+    std::priority_queue<Event>                     m_events;
+    std::vector<Tally>                             m_tallies;
+    std::vector<Try>                               m_tries;
+    core::Timestamp                                m_countFrom{};
+    balance::Ticket                                m_ticket{0};
+    std::uint64_t                                  m_number{0};
+};
+
+} // namespace sailpath::support
