Ranks: what would delay a more urgent route of the service is refused

Cause: every kind of request was held against its own target only. Under overload the queues grew to what the longest target allows, so a less urgent kind was served while urgent kinds with short targets were refused.

Change: a pool remembers its routes' rank, target and last request. A request is refused, too, when a more urgent route of the service, seen in the last 5 s and whose work is known, would be late at the chosen server: by 1.05 targets, less a tenth for each rank between, but not below twice its own usual work.

--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -36,6 +36,16 @@
     double                      crowding{0}; //!< How nearly all its slots are taken with the request, 0 to 1
 };
 
+////////////////////////////////////////////////////////////
+/// \brief A route that sent requests to a service
+////////////////////////////////////////////////////////////
+struct RouteSeen
+{
+    unsigned        rank{0};  //!< Lower ones go first
+    core::Duration  target{}; //!< Time within which an answer is wanted
+    core::Timestamp at{};     //!< Its last request
+};
+
 ////////////////////////////////////////////////////////////
 /// \brief One service on one node: its instances, their load, its retry budget
 ////////////////////////////////////////////////////////////
@@ -77,6 +87,14 @@
     [[nodiscard]] bool takeProbe(core::Timestamp now); //!< Count a probe, if the budget allows one
     [[nodiscard]] bool mayProbe() const;               //!< Servers tell their load at a known path
 
+    void arrived(const deployment::HostRoute& route, core::Timestamp now);          //!< A request for the service came
+    [[nodiscard]] const std::unordered_map<std::string, RouteSeen>& routes() const; //!< That sent requests, by name
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Estimated milliseconds until a server would have answered a request of a route sent now
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] double finishMs(const ServerView& server, std::string_view route, core::Timestamp now) const;
+
     void expectWork(std::string_view route, double ms); //!< A guess, until answers tell
     void learnOthers(double others);                    //!< A report told of others' requests
     void learnPace(double pace);                        //!< A report told a pace
@@ -128,6 +146,7 @@
     unsigned                                   m_crowdedAnswers{0};            //!< Seen so far
     double                                     m_roomy{1};  //!< Observed over expected time at instances with room
     std::unordered_map<std::string, RouteWork> m_routeWork; //!< Usual work by route
+    std::unordered_map<std::string, RouteSeen> m_routes;    //!< Those that sent requests, by name
 };
 
 } // namespace sailpath::balance
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -14,9 +14,20 @@
 constexpr unsigned mostUnsent = 4;        // Connections that may fail to come up before a request is refused
 constexpr double   retryExtraShare = 0.6; // Of the extra; the rest covers nodes not known of
 constexpr double   lateFactor = 1.05;     // Targets that a request may be expected to take and still be let in
-constexpr double   worksInTarget = 0.35;  // Usual work as a part of its target latency, until answers tell
+constexpr double   rankStep = 0.1;        // Of its time that a request gives up for each rank, so that ranks part
+constexpr double   ownWorks = 2;          // Usual works an urgent request may take here before others are in its way
+constexpr auto     urgentFor = std::chrono::seconds{5}; // After its last request a route counts as under way; assumed
+constexpr double   worksInTarget = 0.35; // Usual work as a part of its target latency, until answers tell
 constexpr unsigned statusServerFailed = 500;
 
+////////////////////////////////////////////////////////////
+/// \brief Milliseconds that a request may be expected to take and still be let in; later ranks give way sooner
+////////////////////////////////////////////////////////////
+double mostMs(double targetMs, unsigned rank)
+{
+    return lateFactor * targetMs / (1 + rankStep * rank);
+}
+
 } // namespace
 
 ////////////////////////////////////////////////////////////
@@ -140,6 +151,7 @@
     request.callerDeadline = arrival.timeLeft ? arrival.since + *arrival.timeLeft : never;
     request.deadline = std::min(arrival.since + route->timeout - m_settings.wayBack, request.callerDeadline);
     request.pool->retries().requested(now);
+    request.pool->arrived(*route, now);
     seek(ticket, m_requests.emplace(ticket, std::move(request)).first->second, now);
 }
 
@@ -152,9 +164,27 @@
     const double target = core::toMilliseconds(request.route.targetLatency);
     const double passed = core::toMilliseconds(now - request.since);
     const double left = core::toMilliseconds(request.deadline - request.since);
-    // Ranks beyond the first give way a little sooner.
-    const double factor = lateFactor / (1 + 0.1 * request.route.priority);
-    return passed + choice.finishMs > std::min(factor * target, left);
+    if (passed + choice.finishMs > std::min(mostMs(target, request.route.priority), left))
+        return true;
+    return delaysMoreUrgent(request, *choice.server, now);
+}
+
+////////////////////////////////////////////////////////////
+bool Balancer::delaysMoreUrgent(const Request& request, const ServerView& server, core::Timestamp now)
+{
+    const ServicePool& pool = *request.pool;
+    const double       passed = core::toMilliseconds(now - request.since);
+    const auto         delayed = [&](const std::string& name, const RouteSeen& route)
+    {
+        if (route.rank >= request.route.priority || now - route.at > urgentFor || !pool.knowsWork(name))
+            return false;
+        const double between = 1 + rankStep * (request.route.priority - route.rank);
+        const double limit = mostMs(core::toMilliseconds(route.target), route.rank) / between;
+        // What takes most of its target by its own work is not helped by others giving way.
+        return passed + pool.finishMs(server, name, now) > std::max(ownWorks * pool.workMs(name), limit);
+    };
+    return std::any_of(pool.routes().begin(), pool.routes().end(),
+                       [&](const auto& route) { return delayed(route.first, route.second); });
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -176,6 +176,24 @@
     return server.finishMs(work, m_usual, now) + crowd * work + (risk + absence) * work * m_usual.pace;
 }
 
+////////////////////////////////////////////////////////////
+void ServicePool::arrived(const deployment::HostRoute& route, core::Timestamp now)
+{
+    m_routes[route.name] = {route.priority, route.targetLatency, now};
+}
+
+////////////////////////////////////////////////////////////
+const std::unordered_map<std::string, RouteSeen>& ServicePool::routes() const
+{
+    return m_routes;
+}
+
+////////////////////////////////////////////////////////////
+double ServicePool::finishMs(const ServerView& server, std::string_view route, core::Timestamp now) const
+{
+    return server.finishMs(workMs(route), m_usual, now);
+}
+
 ////////////////////////////////////////////////////////////
 void ServicePool::expectWork(std::string_view route, double ms)
 {
--- a/test/balance/Balancer.test.cpp
+++ b/test/balance/Balancer.test.cpp
@@ -585,6 +585,43 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(WhatWouldDelayAMoreUrgentRouteIsRefused)
+{
+    const auto letIn = [](unsigned rankOfRead, bool known, core::Duration sinceRead)
+    {
+        Fixture setup;
+        auto    deployment = deploymentOf();
+        deployment->routes[0].priority = rankOfRead;
+        deployment->routes[1].priority = 2;
+        deployment->routes[1].targetLatency = 800ms;
+        setup.declared.deployment = deployment;
+        setup.configure();
+        Ticket ticket = 1;
+        for (const char* target : {"/pay/1", "/read/1"})
+        {
+            const int answers = known || target[1] == 'p' ? 40 : 2;
+            for (int i = 0; i < answers; ++i)
+            {
+                const auto sent = setup.admit(++ticket, target);
+                setup.now += 60ms;
+                (void)setup.end(only(sent, StepKind::Forward), AttemptEnd::Answered);
+            }
+        }
+        setup.now += sinceRead;
+        unsigned paid = 0;
+        while (count(setup.admit(++ticket, "/pay/1", 3s), StepKind::Forward) == 1)
+            BOOST_REQUIRE(++paid < 1000);
+        if (sinceRead < 5s && known && rankOfRead < 2)
+            BOOST_TEST(count(setup.admit(++ticket), StepKind::Forward) == 1U);
+        return paid;
+    };
+    BOOST_TEST(letIn(0, true, 1s) < letIn(0, true, 6s) / 2);
+    BOOST_TEST(letIn(1, true, 1s) < letIn(1, true, 6s) / 2);
+    BOOST_TEST(letIn(0, false, 1s) == letIn(0, false, 6s)); // Its work is not known
+    BOOST_TEST(letIn(2, true, 1s) == letIn(2, true, 6s));   // No more urgent
+    BOOST_TEST(letIn(3, true, 1s) == letIn(3, true, 6s));
+}
+
 BOOST_AUTO_TEST_CASE(ProbesKeepTheirBudget)
 {
     learnLoad(1);
