Joining servers: one that has told nothing yet is asked now and then

Cause: servers with an open connection are asked first. One that joins has none, so in a calm service it was hardly ever asked and may have waited for its first request for as long as the service stayed calm.

Change: a server that joined a service known before and has told no load yet takes the last place of the first servers asked in a quarter of the searches, when it is of the own data centre and not left alone for failures. After its first word it is ranked as all others are.

--- a/include/sailpath/balance/ServerView.hpp
+++ b/include/sailpath/balance/ServerView.hpp
@@ -22,6 +22,7 @@
     ////////////////////////////////////////////////////////////
     ServerView(deployment::Instance instance, const Settings& settings, core::Timestamp now);
 
+    void joined();                              //!< Its service had servers before it
     void update(deployment::Instance instance); //!< Take over a newer announcement of the same instance
 
     void sent(core::Timestamp now);                       //!< A request was sent
@@ -49,6 +50,7 @@
 
     [[nodiscard]] double occupancy(double others, core::Timestamp now) const; //!< Estimated requests of all nodes there
     [[nodiscard]] double failureShare(core::Timestamp now) const;             //!< Share of recent attempts that failed
+    [[nodiscard]] bool   newcomer() const;                                    //!< It joined and has told nothing yet
     [[nodiscard]] bool   ejected(core::Timestamp now) const;     //!< Whether it is to be left alone for now
     [[nodiscard]] double reportAgeMs(core::Timestamp now) const; //!< Age of the last report; negative without one
     [[nodiscard]] std::optional<double> reportedOthers() const;  //!< Others' requests as of the last report
@@ -79,6 +81,7 @@
     double                                      m_ratio{1};    //!< Observed over expected latency
     double          m_failures{0};    //!< Share of recent attempts that failed, as of `m_failuresAt`
     core::Timestamp m_failuresAt{};   //!< Time of the last failure
+    bool            m_joined{false};  //!< Its service had servers before it
     unsigned        m_inRow{0};       //!< Failures in a row
     core::Timestamp m_ejectedUntil{}; //!< Left alone until then
     core::Timestamp m_shedUntil{};    //!< Taken for full until then
--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace sailpath::balance
@@ -22,6 +23,7 @@
     std::string_view             route;             //!< Name of the route, for its usual work
     bool                         repeatable{false}; //!< A failure may be mended by another send
     std::span<ServerView* const> tried;             //!< Servers that had it already
+    bool                         first{false};      //!< Nothing was asked for this request yet
     bool                         nearFirst{false};  //!< Ask servers of the own data centre before all others
     core::Duration               freshest{core::Duration::max()}; //!< Only servers that told their load this lately
 };
@@ -125,6 +127,11 @@
         unsigned answers{0}; //!< It was learned from
     };
 
+    using Ranking = std::vector<std::pair<double, std::shared_ptr<ServerView>>>; //!< By cost
+
+    /// \brief Let a server that joined and was never heard of take the last place among the first now and then
+    void                      placeNewcomer(Ranking& ranked, const Wish& wish, std::size_t most, core::Timestamp now,
+                                            core::Random& random) const;
     [[nodiscard]] bool        mayBeGiven(const ServerView& server, const Wish& wish) const;
     [[nodiscard]] static bool toldWithin(const ServerView& server, core::Duration age, core::Timestamp now);
     [[nodiscard]] bool        near(const ServerView& server) const;
--- a/src/sailpath/balance/BalancerSearch.cpp
+++ b/src/sailpath/balance/BalancerSearch.cpp
@@ -29,7 +29,8 @@
 {
     Search& search = request.search;
     Wish    wish = wishOf(request);
-    wish.nearFirst = m_settings.nearFirst && search.probes.empty();
+    wish.first = search.probes.empty();
+    wish.nearFirst = m_settings.nearFirst && wish.first;
     const unsigned most = search.probes.empty() ? m_settings.probesAtFirst : m_settings.probesPerRound;
     auto           servers = request.pool->worthProbing(wish, search.asked, most, now, m_random);
     if (servers.empty())
--- a/src/sailpath/balance/ServerView.cpp
+++ b/src/sailpath/balance/ServerView.cpp
@@ -30,6 +30,12 @@
 {
 }
 
+////////////////////////////////////////////////////////////
+void ServerView::joined()
+{
+    m_joined = true;
+}
+
 ////////////////////////////////////////////////////////////
 void ServerView::update(deployment::Instance instance)
 {
@@ -168,6 +174,12 @@
     return now < m_ejectedUntil;
 }
 
+////////////////////////////////////////////////////////////
+bool ServerView::newcomer() const
+{
+    return m_joined && !m_report;
+}
+
 ////////////////////////////////////////////////////////////
 double ServerView::reportAgeMs(core::Timestamp now) const
 {
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -18,9 +18,10 @@
 constexpr double   slowdownGain = 0.03;  // Share of one answer in the slowdown of crowded instances
 constexpr double   firstSlowdown = 1.4;  // Of crowded instances, until answers tell
 constexpr double   mostSlowdown = 4;
-constexpr double   spread = 0.08;      // Random part of a cost, so that nodes with equal views part
-constexpr double   probeSpread = 0.25; // Random part when servers to be probed are ranked
-constexpr double   probeShare = 0.8;   // Of the budget for probes that is used
+constexpr double   spread = 0.08;        // Random part of a cost, so that nodes with equal views part
+constexpr double   probeSpread = 0.25;   // Random part when servers to be probed are ranked
+constexpr double   newcomerShare = 0.25; // Of the searches that ask a server which joined unheard of; assumed
+constexpr double   probeShare = 0.8;     // Of the budget for probes that is used
 constexpr double   probeBurstSeconds = 2;
 constexpr unsigned leastConnections = 2;
 constexpr unsigned answersToKnow = 3; // Of a route, before its usual work is relied on
@@ -69,8 +70,8 @@
                                                                    std::size_t most, core::Timestamp now,
                                                                    core::Random& random) const
 {
-    const double                                                work = workMs(wish.route);
-    std::vector<std::pair<double, std::shared_ptr<ServerView>>> ranked;
+    const double work = workMs(wish.route);
+    Ranking      ranked;
     for (const auto& server : m_servers)
     {
         if (!mayBeGiven(*server, wish) || std::find(asked.begin(), asked.end(), server.get()) != asked.end())
@@ -81,12 +82,30 @@
     }
     std::sort(ranked.begin(), ranked.end(),
               [](const auto& left, const auto& right) { return left.first < right.first; });
+    if (wish.first)
+        placeNewcomer(ranked, wish, most, now, random);
     std::vector<std::shared_ptr<ServerView>> chosen;
     for (std::size_t i = 0; i < std::min(most, ranked.size()); ++i)
         chosen.push_back(std::move(ranked[i].second));
     return chosen;
 }
 
+////////////////////////////////////////////////////////////
+void ServicePool::placeNewcomer(Ranking& ranked, const Wish& wish, std::size_t most, core::Timestamp now,
+                                core::Random& random) const
+{
+    std::vector<std::size_t> newcomers;
+    for (std::size_t i = most; i < ranked.size(); ++i)
+    {
+        const ServerView& server = *ranked[i].second;
+        if (server.newcomer() && !server.ejected(now) && (!wish.nearFirst || near(server)))
+            newcomers.push_back(i);
+    }
+    // Another server is asked beside it, as the newcomer may be slow.
+    if (most > 1 && !newcomers.empty() && random.unit() < newcomerShare)
+        std::swap(ranked[most - 1], ranked[newcomers[random.below(newcomers.size())]]);
+}
+
 ////////////////////////////////////////////////////////////
 const std::string& ServicePool::healthPath() const
 {
@@ -113,7 +132,11 @@
         if (known && *known->instance() != instance)
             known->update(std::move(instance));
         else if (!known)
+        {
             known = std::make_shared<ServerView>(std::move(instance), m_settings, now);
+            if (!m_servers.empty())
+                known->joined();
+        }
         byId.emplace(id, known);
         servers.push_back(std::move(known));
     }
--- a/test/balance/Balancer.test.cpp
+++ b/test/balance/Balancer.test.cpp
@@ -521,6 +521,40 @@
     BOOST_TEST(known >= 50U);
 }
 
+BOOST_AUTO_TEST_CASE(AServerThatJoinedIsAskedNowAndThenUntilItTells)
+{
+    learnLoad(1);
+    for (const char* id : {"s1", "s2", "s3", "s4"})
+        balancer.connections(instanceOf(id), 1, 1);
+    declared.instances.push_back(instanceOf("new"));
+    configure();
+    const auto asked = [&](Ticket from, bool answering)
+    {
+        unsigned count = 0;
+        for (Ticket ticket = from; ticket < from + 100; ++ticket)
+        {
+            const auto probes = admit(ticket);
+            for (const Step& probe : probes)
+            {
+                const bool joined = probe.kind == StepKind::Probe && probe.instance->id == "new";
+                count += joined ? 1 : 0;
+                if (joined && answering)
+                    (void)answerProbe(probe, Load{3, 9, 3, 5});
+            }
+            balancer.callerLeft(ticket, now);
+            (void)steps();
+            now += 400ms;
+        }
+        return count;
+    };
+    const unsigned before = asked(100, false);
+    BOOST_TEST(before >= 15U);
+    BOOST_TEST(before <= 60U);
+    BOOST_TEST(asked(300, true) >= 1U);
+    // Having told how busy it is, it is asked when it looks promising only.
+    BOOST_TEST(asked(500, false) < before);
+}
+
 BOOST_AUTO_TEST_CASE(WhenNearServersAreBusyFarOnesAreAsked)
 {
     declared.instances.push_back(instanceOf("far"));
