Lapsed entries: a service that is missing for the most part may come back

Cause: after an outage of the store lapsed entries were believed in only when they were over a quarter of all. A small service that lapsed whole, while the entries of the others outlived the outage, was dropped at once and its callers were refused until its servers had announced themselves again.

Change: over half of a service missing is a reason to wait as well, as it is without an outage. The wait ends 1.8 s after the end of the outage as before, so nothing that left is believed in longer in a stable store; what said that it drains is not believed in at all.

Three more cases hold what must not change: a sole server that vanishes without an outage, one missing of a small service, one that drained.

--- a/include/sailpath/deployment/InstanceBook.hpp
+++ b/include/sailpath/deployment/InstanceBook.hpp
@@ -29,8 +29,9 @@
 /// vanishes is taken for leaving, unless the store failed callers shortly
 /// before or most of its service vanished with it: then it is believed in
 /// a little longer, as the store may have lost entries of live instances.
-/// When many entries are missing after an outage, live servers get the time
-/// to announce themselves again; what is missing after it is gone.
+/// When many entries, or most of a service, are missing after an outage, live
+/// servers get the time to announce themselves again; what is missing after it
+/// is gone.
 ////////////////////////////////////////////////////////////
 class InstanceBook
 {
--- a/src/sailpath/deployment/InstanceBook.cpp
+++ b/src/sailpath/deployment/InstanceBook.cpp
@@ -85,12 +85,12 @@
     if (m_lapseUntil && now >= *m_lapseUntil)
         m_lapseUntil.reset();
     const bool                  sparesLapsed = manyLapsed();
-    std::map<std::string, bool> spared;
+    std::map<std::string, bool> mostGone; // By service
     for (const auto& [id, entry] : m_entries)
     {
         const std::string& service = entry.last.instance.service;
-        if (entry.believeUntil && spared.find(service) == spared.end())
-            spared[service] = storeIll || mostVanished(service);
+        if (entry.believeUntil && mostGone.find(service) == mostGone.end())
+            mostGone[service] = mostVanished(service);
     }
     for (auto item = m_entries.begin(); item != m_entries.end();)
     {
@@ -100,7 +100,7 @@
             item = m_entries.erase(item);
             continue;
         }
-        const bool reason = entry.lapsed ? sparesLapsed : spared[entry.last.instance.service];
+        const bool reason = mostGone[entry.last.instance.service] || (entry.lapsed ? sparesLapsed : storeIll);
         const bool believed = entry.believeUntil && !entry.drained && reason && now < *entry.believeUntil;
         if (entry.believeUntil && !believed)
         {
--- a/test/deployment/InstanceBook.test.cpp
+++ b/test/deployment/InstanceBook.test.cpp
@@ -263,6 +263,49 @@
     BOOST_TEST(takesRequests(book, "d"));
 }
 
+BOOST_AUTO_TEST_CASE(WithoutAnOutageASoleServerThatVanishesIsBelievedInNoLonger)
+{
+    Announcement sole = announcementOf("sole");
+    sole.instance.service = "small";
+    book.announced(sole);
+    book.renewed(outage - 1ms, start);
+    book.vanished("sole", start - 200ms);
+    book.settle(false, start);
+    BOOST_TEST(takesRequests(book, "sole"));
+    book.settle(false, start + belief - 200ms);
+    BOOST_TEST(!takesRequests(book, "sole"));
+}
+
+BOOST_AUTO_TEST_CASE(AfterAnOutageOneMissingOfASmallServiceIsALeavingServer)
+{
+    for (int i = 0; i < 40; ++i)
+    {
+        Announcement other = announcementOf("other" + std::to_string(i));
+        other.instance.service = "other";
+        book.announced(other);
+    }
+    book.renewed(4500ms, start);
+    book.vanished("a", start - 4500ms);
+    book.settle(true, start);
+    BOOST_TEST(!takesRequests(book, "a"));
+    BOOST_TEST(takesRequests(book, "b"));
+}
+
+BOOST_AUTO_TEST_CASE(OneOfASmallServiceThatDrainedDoesNotComeBackAfterAnOutage)
+{
+    Announcement sole = announcementOf("sole", 1, true);
+    sole.instance.service = "small";
+    book.announced(sole);
+    book.renewed(4500ms, start);
+    book.vanished("sole", start - 4500ms);
+    book.settle(true, start);
+    BOOST_TEST(!takesRequests(book, "sole"));
+    sole.sequence = 2;
+    sole.instance.draining = false;
+    book.announced(sole);
+    BOOST_TEST(!takesRequests(book, "sole"));
+}
+
 BOOST_AUTO_TEST_CASE(AfterAnOutageAWholeSmallServiceThatLapsedMayComeBack)
 {
     // The other services' entries outlived the outage, so few of all are missing, but nothing of this one is left.
