--- a/test/replication/ItemTable.test.cpp
+++ b/test/replication/ItemTable.test.cpp
@@ -13,7 +13,7 @@
 void takeOld(ItemTable& table, const std::vector<Item>& picture, std::uint64_t at, std::vector<Item>& changed)
 {
     table.takeSnapshot(picture, at, changed);
-    table.takeReading(picture, at, changed);
+    table.takeReading(picture, at, at, changed);
     for (const bool gapped : {false, true})
         table.take({0, at, gapped, picture}, changed);
 }
