--- a/include/sailpath/replication/Replica.hpp
+++ b/include/sailpath/replication/Replica.hpp
@@ -195,6 +195,9 @@
     static core::Duration wayOf(const Update& update, Upstream& upstream, core::Timestamp now);
     void                  report(core::Timestamp now);
     void                  packLarge(Update& update, std::uint64_t sentAt);
+    void                  dropUpstream(LinkId link);
+    void                  tellItems(Update& update, Follower& follower);
+    void                  tellNodes(Update& update, Follower& follower, core::Timestamp now) const;
     PackedItem            packed(const Item& item, const Item& base);
     [[nodiscard]] std::optional<std::vector<Item>> unpackLarge(const Update& update) const;
     void                                           feedFollowers(core::Timestamp now);
@@ -245,7 +248,6 @@
     bool                         m_watchRole{false};                   //!< Ranks among the watchers
     std::vector<std::string>     m_wanted;                             //!< Relays to follow
     core::Timestamp              m_rankAt{};                           //!< Next ranking of the relays
-    bool                         m_proving{false};                     //!< The watch under way returns at once
     core::Timestamp              m_nextStore{};                        //!< Next call, after failures
     unsigned                     m_storeFailures{0};                   //!< In a row
     core::Timestamp              m_asOf{core::Timestamp::min()};       //!< The copy was the store's then
--- a/src/sailpath/replication/Replica.cpp
+++ b/src/sailpath/replication/Replica.cpp
@@ -1,36 +1,17 @@
 #include <sailpath/replication/Replica.hpp>
 
-#include <sailpath/replication/ValueDelta.hpp>
-
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace sailpath::replication
 {
 namespace
 {
-constexpr auto   longestRest = std::chrono::milliseconds{500};
-constexpr auto   leastRest = std::chrono::milliseconds{5};
-constexpr auto   longestBackoff = std::chrono::milliseconds{1500};
-constexpr auto   atOnce = std::chrono::milliseconds{1};
-constexpr auto   nodesEvery = std::chrono::milliseconds{50}; // For each node known, between tellings of them
-constexpr auto   newNodesAfter = std::chrono::milliseconds{300};
-constexpr double newNodesShare = 0.1;  // More nodes than were told, so that they are told at once
-constexpr int    followerPatience = 3; // Times as long between calls of a store that fails, when watchers are heard
-constexpr auto   worthTelling = std::chrono::milliseconds{400}; // A copy that is so much fresher than was told
-constexpr auto   reportEvery = std::chrono::seconds{3};         // Of a relay's followers, to its own relays
-constexpr std::size_t   mostPacked = 8;                         // Packed values kept for the next follower
-constexpr std::uint32_t longestAge = std::numeric_limits<std::uint32_t>::max();
-
-////////////////////////////////////////////////////////////
-std::uint32_t ageMs(core::Timestamp since, core::Timestamp now)
-{
-    if (since == core::Timestamp::min())
-        return longestAge;
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, longestAge));
-}
+constexpr auto longestRest = std::chrono::milliseconds{500};
+constexpr auto leastRest = std::chrono::milliseconds{5};
+constexpr auto longestBackoff = std::chrono::milliseconds{1500};
+constexpr auto atOnce = std::chrono::milliseconds{1};
+constexpr int  followerPatience = 3; // Times as long between calls of a store that fails, when watchers are heard
 
 } // namespace
 
@@ -97,9 +78,9 @@
 {
     m_store = StoreState::Watching;
     // A picture that is old already is proved at once; a watch proves it at its end only.
-    m_proving = age(now) > m_settings.staleAfter / 2 || !m_table.exact();
+    const bool prove = age(now) > m_settings.staleAfter / 2 || !m_table.exact();
     m_watchedAt = now;
-    m_watchedFor = m_proving ? core::Duration(atOnce) : m_settings.watchWait;
+    m_watchedFor = prove ? core::Duration(atOnce) : m_settings.watchWait;
     m_actions.push_back(WatchStore{m_table.at(), m_watchedFor});
 }
 
@@ -222,256 +203,6 @@
         m_proveAt = std::min(m_proveAt, now);
 }
 
-////////////////////////////////////////////////////////////
-void Replica::helloReceived(LinkId link, const Hello& hello, core::Timestamp now)
-{
-    hear(hello.self, now);
-    Follower follower;
-    follower.node = hello.self;
-    follower.sentAt = hello.at;
-    follower.sentSequence = m_table.sequence();
-    follower.wantsAll = hello.at == 0 || hello.at > m_table.at();
-    m_followers[link] = follower;
-    tick(now);
-}
-
-////////////////////////////////////////////////////////////
-void Replica::updateReceived(LinkId link, const Update& update, core::Timestamp now)
-{
-    const auto upstream = m_upstreams.find(link);
-    if (upstream == m_upstreams.end())
-        return;
-    for (const NodeAddress& node : update.nodes)
-        hear(node, now);
-    upstream->second.heard = now;
-    const core::Duration way = wayOf(update, upstream->second, now);
-    Known&               relay = m_known[upstream->second.address];
-    relay.heard = now;
-    if (update.illAgeMs != longestAge)
-        m_ill = std::max(m_ill, now - core::Duration(std::chrono::milliseconds{update.illAgeMs}));
-    if (update.at == 0)
-    {
-        noteLacking(now);
-        return tick(now);
-    }
-    auto large = unpackLarge(update);
-    if (update.after > m_table.at() || !large)
-    {
-        // What came between, or the value that a large one differs from, is not known here: begin anew.
-        if (!large)
-            m_wholeFrom.insert(upstream->second.address);
-        m_actions.push_back(Note{"update-missed", upstream->second.address, static_cast<double>(update.after)});
-        m_actions.push_back(CloseLink{link});
-        m_upstreams.erase(upstream);
-        return tick(now);
-    }
-    upstream->second.fed = true;
-    large->insert(large->end(), update.items.begin(), update.items.end());
-    takeUpdate(upstream->second.address, update, *large);
-    const core::Duration old = core::Duration(std::chrono::milliseconds{update.ageMs}) + way;
-    noteFresh(now - old, now);
-    if (old < m_settings.staleAfter)
-    {
-        relay.failures = 0;
-        m_relayFresh = now;
-    }
-    else if (age(now) < m_settings.staleAfter || m_relayFresh < now - m_settings.avoidance)
-    {
-        // Others are fresher, or nobody was for long: look elsewhere.
-        const std::string address = upstream->second.address;
-        m_relayFresh = std::max(m_relayFresh, now - m_settings.avoidance + m_settings.linkSilence);
-        m_actions.push_back(CloseLink{link});
-        m_upstreams.erase(upstream);
-        avoid(address, now, "relay-stale");
-    }
-    tick(now);
-}
-
-////////////////////////////////////////////////////////////
-core::Duration Replica::wayOf(const Update& update, Upstream& upstream, core::Timestamp now)
-{
-    if (update.sentMs == 0)
-        return {}; // Of a former version
-    // The clocks differ by something that stays; the first update took no longer than hello and update together.
-    const auto offset = now.time_since_epoch() - core::fromMilliseconds(static_cast<double>(update.sentMs));
-    if (!upstream.firstOffset)
-    {
-        upstream.firstOffset = offset;
-        upstream.roundTrip = now - upstream.helloAt;
-    }
-    return std::max<core::Duration>(upstream.roundTrip + offset - *upstream.firstOffset, {});
-}
-
-////////////////////////////////////////////////////////////
-void Replica::report(core::Timestamp now)
-{
-    if (m_followers.empty() || now < m_nextReport)
-        return;
-    m_nextReport = now + reportEvery;
-    std::vector<NodeAddress> nodes;
-    for (const auto& [link, follower] : m_followers)
-    {
-        const auto known = m_known.find(follower.node.address);
-        if (known != m_known.end())
-            nodes.push_back(
-                {known->first, known->second.dataCentre, ageMs(known->second.heard, now), known->second.capacity});
-    }
-    for (const auto& [link, upstream] : m_upstreams)
-    {
-        if (upstream.open)
-            m_actions.push_back(SendReport{link, {nodes}});
-    }
-}
-
-////////////////////////////////////////////////////////////
-void Replica::reportReceived(const Report& report, core::Timestamp now)
-{
-    for (const NodeAddress& node : report.nodes)
-        hear(node, now);
-    tick(now);
-}
-
-////////////////////////////////////////////////////////////
-void Replica::packLarge(Update& update, std::uint64_t sentAt)
-{
-    const auto        small = std::stable_partition(update.items.begin(), update.items.end(),
-                                                    [](const Item& item) { return item.value.size() < largeValue; });
-    std::vector<Item> whole;
-    for (auto item = small; item != update.items.end(); ++item)
-    {
-        const Item* const base = m_table.asOf(item->key, sentAt);
-        if (base != nullptr && base->revision < item->revision && base->value.size() >= largeValue)
-            update.packed.push_back(packed(*item, *base));
-        else
-            whole.push_back(std::move(*item));
-    }
-    update.items.erase(small, update.items.end());
-    update.items.insert(update.items.end(), whole.begin(), whole.end());
-}
-
-////////////////////////////////////////////////////////////
-PackedItem Replica::packed(const Item& item, const Item& base)
-{
-    // Followers are told the same within moments of each other.
-    const auto known =
-        std::find_if(m_packed.begin(), m_packed.end(),
-                     [&](const PackedItem& one)
-                     { return one.key == item.key && one.revision == item.revision && one.base == base.revision; });
-    if (known != m_packed.end())
-        return *known;
-    m_packed.push_front({item.key, item.revision, base.revision, packValue(item.value, base.value)});
-    if (m_packed.size() > mostPacked)
-        m_packed.pop_back();
-    return m_packed.front();
-}
-
-////////////////////////////////////////////////////////////
-std::optional<std::vector<Item>> Replica::unpackLarge(const Update& update) const
-{
-    std::vector<Item> items;
-    for (const PackedItem& large : update.packed)
-    {
-        const Item* const newest = m_table.asOf(large.key, std::numeric_limits<std::uint64_t>::max());
-        if (newest != nullptr && newest->revision >= large.revision)
-        {
-            items.push_back(*newest);
-            continue;
-        }
-        const Item* const base = m_table.asOf(large.key, large.base);
-        if (base == nullptr || base->revision != large.base)
-            return std::nullopt;
-        auto value = unpackValue(large.packed, base->value);
-        if (!value)
-            return std::nullopt;
-        items.push_back({large.key, std::move(*value), large.revision, false});
-    }
-    return items;
-}
-
-////////////////////////////////////////////////////////////
-void Replica::takeUpdate(const std::string& relay, const Update& update, std::span<const Item> items)
-{
-    // Nodes of former versions do not say after which revision they tell.
-    if (!update.full && update.after == 0)
-        return m_table.take(items, update.at, m_changes);
-    if (!update.full)
-        return m_table.take({update.after, update.at, update.gapped, items}, m_changes);
-    m_table.takeSnapshot(items, update.at, m_changes);
-    m_needRead = false;
-    m_actions.push_back(Note{"whole-copy-from-relay", relay, static_cast<double>(update.at)});
-}
-
-////////////////////////////////////////////////////////////
-void Replica::feedFollowers(core::Timestamp now)
-{
-    for (auto& [link, follower] : m_followers)
-    {
-        // A follower that listens is a node alive.
-        const auto known = m_known.find(follower.node.address);
-        if (known != m_known.end())
-            known->second.heard = now;
-        // News are told at once, and so is that the copy was proved anew: it grows old again at each hop.
-        const bool fresher = m_asOf - follower.fedAsOf > worthTelling;
-        const bool news = m_table.at() > follower.sentAt || m_table.sequence() != follower.sentSequence;
-        if (mayTell() && (news || fresher))
-            follower.nextBeat = std::min(follower.nextBeat, follower.fedAt + m_settings.gather);
-        if (now >= follower.nextBeat)
-            feed(link, follower, now);
-    }
-}
-
-////////////////////////////////////////////////////////////
-void Replica::feed(LinkId link, Follower& follower, core::Timestamp now)
-{
-    Update update;
-    update.at = mayTell() ? m_table.at() : 0;
-    update.ageMs = ageMs(m_asOf, now);
-    update.illAgeMs = ageMs(m_ill, now);
-    update.sentMs = static_cast<std::uint64_t>(core::toMilliseconds(now.time_since_epoch()));
-    if (update.at > 0)
-    {
-        const bool lost = follower.sentSequence < m_table.oldestSequence();
-        update.after = follower.wantsAll || lost ? 0 : m_table.tellAfter(follower.sentAt);
-        update.full = update.after == 0;
-        update.gapped = m_table.gapAfter(update.after);
-        update.items = update.full ? m_table.all() : m_table.since(update.after);
-        if (!update.full)
-        {
-            const auto late = m_table.late(follower.sentSequence, update.after);
-            update.items.insert(update.items.end(), late.begin(), late.end());
-            packLarge(update, follower.sentAt);
-        }
-        follower.sentSequence = m_table.sequence();
-        follower.wantsAll = false;
-        follower.sentAt = update.at;
-    }
-    const std::size_t known = m_known.size() + 1;
-    const bool        many = static_cast<double>(known) > (1 + newNodesShare) * static_cast<double>(follower.nodesTold);
-    if (now >= follower.nextNodes || (many && now >= follower.newNodesAt))
-    {
-        update.nodes = nodeList(now);
-        follower.nodesTold = known;
-        follower.newNodesAt = now + newNodesAfter;
-        follower.nextNodes = now + std::max<core::Duration>(std::chrono::seconds{1}, nodesEvery * known);
-    }
-    follower.fedAt = now;
-    follower.fedAsOf = m_asOf;
-    follower.nextBeat = now + m_settings.beat;
-    m_actions.push_back(SendUpdate{link, std::move(update)});
-}
-
-////////////////////////////////////////////////////////////
-std::vector<NodeAddress> Replica::nodeList(core::Timestamp now) const
-{
-    std::vector<NodeAddress> nodes{m_settings.self};
-    for (const auto& [address, known] : m_known)
-    {
-        if (now - known.heard < m_settings.nodeLife && !known.dataCentre.empty())
-            nodes.push_back({address, known.dataCentre, ageMs(known.heard, now), known.capacity});
-    }
-    return nodes;
-}
-
 ////////////////////////////////////////////////////////////
 std::vector<ReplicaAction> Replica::takeActions()
 {
@@ -540,12 +271,6 @@
     return m_asOf != core::Timestamp::min();
 }
 
-////////////////////////////////////////////////////////////
-bool Replica::mayTell() const
-{
-    return proved() && m_table.exact();
-}
-
 ////////////////////////////////////////////////////////////
 bool Replica::usable(core::Timestamp now) const
 {
