A revision that a watch names without telling its change is read anew; ports of the soak

Since the copy no longer believes such a revision, a store that goes on naming it would have been asked without pause.

Listeners now have ports below that range.

--- a/src/sailpath/replication/Replica.cpp
+++ b/src/sailpath/replication/Replica.cpp
@@ -121,6 +121,14 @@
     std::uint64_t told = 0;
     for (const Item& item : items)
         told = std::max(told, item.revision);
+    if (items.empty() && at > m_table.at())
+    {
+        // Something changed that was not told: only a reading shows it.
+        m_actions.push_back(Note{"change-not-told", "", static_cast<double>(at)});
+        m_needRead = true;
+        m_nextStore = now + m_settings.firstBackoff;
+        return tick(now);
+    }
     if (!items.empty())
         m_table.take(items, std::min(told, at), m_changes);
     // The store waited for all of the time asked for, or answered some time since.
--- a/test/platform/soak/fleet.py
+++ b/test/platform/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import signal
 import socket
 import subprocess
@@ -18,11 +19,17 @@
 GRACE_S = 6.0
 
 
+# Below the ports that the system gives to outgoing connections, which could take one before its gateway listens.
+LISTENER_PORTS = range(15000, 32000)
+
+
 def free_port() -> int:
-    """A port that nobody listens on now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port that nobody listens on now and that no outgoing connection is given."""
+    while True:
+        port = random.SystemRandom().choice(LISTENER_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 @dataclass
--- a/test/replication/removals/Interleavings.test.cpp
+++ b/test/replication/removals/Interleavings.test.cpp
@@ -226,8 +226,21 @@
     // All keys are watched: a revision without a word of what changed leaves something out.
     Replica node = makeReplica(relayAddress, {});
     node.storeRead(config, 100, start, start);
+    (void)node.takeActions();
     node.storeChanged({}, 110, start + 10ms);
     BOOST_TEST(node.table().at() == 100U);
+    // It reads anew, and not at once: a store that goes on so is not asked without pause.
+    const auto reads = [&]
+    {
+        const auto actions = node.takeActions();
+        return std::any_of(actions.begin(), actions.end(),
+                           [](const auto& action) { return std::holds_alternative<replication::ReadStore>(action); });
+    };
+    BOOST_TEST(!reads());
+    node.tick(start + 100ms);
+    BOOST_TEST(!reads());
+    node.tick(start + 300ms);
+    BOOST_TEST(reads());
 }
 
 BOOST_AUTO_TEST_CASE(AWordOlderThanAReadingInPartsDoesNotSettleIt)
