--- a/test/platform/soak/fleet.py
+++ b/test/platform/soak/fleet.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-import random
+import itertools
+import os
 import signal
 import socket
 import subprocess
@@ -21,15 +22,19 @@
 
 # Below the ports that the system gives to outgoing connections, which could take one before its gateway listens.
 LISTENER_PORTS = range(15000, 32000)
+PORTS_PER_RUN = 50
+# Runs beside each other have process numbers close to each other, and so different ports.
+_ports = itertools.islice(itertools.cycle(LISTENER_PORTS),
+                          os.getpid() * PORTS_PER_RUN % len(LISTENER_PORTS), None)
 
 
 def free_port() -> int:
-    """A port that nobody listens on now and that no outgoing connection is given."""
-    while True:
-        port = random.SystemRandom().choice(LISTENER_PORTS)
+    """A port that nobody listens on now, that no outgoing connection is given, and each one once."""
+    for port in _ports:
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
             return port
+    raise AssertionError("an endless series ended")
 
 
 @dataclass
