--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -110,7 +110,11 @@
     ////////////////////////////////////////////////////////////
     void takeSteps(std::vector<Step>& steps);
 
-    [[nodiscard]] bool        hasRoute(std::string_view host, std::string_view target) const; //!< A route covers it
+    ////////////////////////////////////////////////////////////
+    /// \brief The route in force that covers a request; null when there is none
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] const deployment::HostRoute* findRoute(std::string_view host, std::string_view target) const;
+
     [[nodiscard]] bool        configured() const; //!< Requests can be decided about
     [[nodiscard]] std::size_t unfinished() const; //!< Requests held or at servers
 
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -470,9 +470,9 @@
 }
 
 ////////////////////////////////////////////////////////////
-bool Balancer::hasRoute(std::string_view host, std::string_view target) const
+const deployment::HostRoute* Balancer::findRoute(std::string_view host, std::string_view target) const
 {
-    return m_routes.find(host, target) != nullptr;
+    return m_routes.find(host, target);
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/BodyMemory.hpp
+++ b/src/sailpath/gateway/BodyMemory.hpp
@@ -7,7 +7,7 @@
 namespace sailpath::gateway::priv
 {
 ////////////////////////////////////////////////////////////
-/// \brief Memory for request bodies, shared between workspaces
+/// \brief Memory for request bodies and for answers that wait for their turn, shared between workspaces
 ///
 /// Anybody may use most of it. The rest is for workspaces that hold less
 /// than an equal share, so that the bodies of one never keep out those of
@@ -19,11 +19,15 @@
     explicit BodyMemory(std::int64_t total); //!< Bytes for all together
 
     [[nodiscard]] bool take(const std::string& workspace, std::int64_t bytes);     //!< False when there is none for it
-    void               giveBack(const std::string& workspace, std::int64_t bytes); //!< What was taken
+    void               count(const std::string& workspace, std::int64_t bytes);    //!< What is held already
+    void               giveBack(const std::string& workspace, std::int64_t bytes); //!< What was taken or counted
 
-    [[nodiscard]] std::int64_t used() const; //!< Bytes taken
+    [[nodiscard]] std::int64_t used() const;   //!< Bytes taken
+    [[nodiscard]] bool         scarce() const; //!< What anybody may use is used up
 
 private:
+    [[nodiscard]] std::int64_t commonBytes() const; //!< That anybody may use
+
     std::int64_t                        m_total;   //!< Bytes for all together
     std::int64_t                        m_used{0}; //!< Bytes taken
     std::map<std::string, std::int64_t> m_held;    //!< Of these, by workspace
--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -4,48 +4,19 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdio>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace sailpath::gateway::priv
 {
 namespace
 {
 constexpr auto        comeBackLater = std::chrono::seconds{1};
-constexpr std::size_t mostReadAhead = 64UL * 1024; // Bytes kept of requests that follow the one under way
-
-////////////////////////////////////////////////////////////
-std::string_view reasonOf(unsigned status)
-{
-    switch (status)
-    {
-    case 400:
-        return "Bad Request";
-    case 404:
-        return "Not Found";
-    case 408:
-        return "Request Timeout";
-    case 413:
-        return "Content Too Large";
-    case 431:
-        return "Request Header Fields Too Large";
-    case 429:
-        return "Too Many Requests";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Status";
-    }
-}
-
-////////////////////////////////////////////////////////////
-void appendField(std::string& out, std::string_view name, std::string_view value)
-{
-    out.append(name).append(": ").append(value).append("\r\n");
-}
+constexpr auto        lingerTime = std::chrono::seconds{1};      // For a caller to close after the last answer
+constexpr auto        endCheck = std::chrono::milliseconds{200}; // Between looks for a caller's end, see below
+constexpr std::size_t mostReadAhead = 64UL * 1024;               // Bytes kept of requests not taken yet
+constexpr std::size_t mostSideBySide = 16; // Requests of one connection at servers at once; a few round trips' worth,
+                                           // and little beside what a node serves, so that one caller cannot take all
 
 } // namespace
 
@@ -57,10 +28,12 @@
 }
 
 ////////////////////////////////////////////////////////////
-CallerConnection::CallerConnection(asio::ip::tcp::socket socket, CallerEvents& events, BodyMemory& bodies) :
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket, CallerEvents& events,
+                                   std::shared_ptr<BodyMemory> bodies) :
 m_socket(std::move(socket)),
+m_endTimer(m_socket.get_executor()),
 m_events(events),
-m_bodies(bodies),
+m_bodies(std::move(bodies)),
 m_activity(now())
 {
 }
@@ -74,8 +47,10 @@
 ////////////////////////////////////////////////////////////
 void CallerConnection::read()
 {
-    if (m_reading || m_state == State::Closed || m_unread.size() > mostReadAhead)
+    if (m_reading || m_state == State::Closed)
         return;
+    if (m_reader.unread() > mostReadAhead)
+        return watchForEnd();
     m_reading = true;
     auto self = shared_from_this();
     m_socket.async_read_some(asio::buffer(m_buffer),
@@ -94,237 +69,264 @@
 void CallerConnection::received(std::size_t bytes)
 {
     m_activity = now();
-    m_unread.append(m_buffer.data(), bytes);
-    if (m_lastOne)
-        m_unread.clear();
-    else if (m_state == State::Reading)
-        parse();
+    m_reader.received({m_buffer.data(), bytes}, m_activity);
+    takeRequests();
     read();
 }
 
 ////////////////////////////////////////////////////////////
-void CallerConnection::parse()
+void CallerConnection::watchForEnd()
 {
-    // Empty lines before a request are no part of it.
-    if (!m_reader)
-        m_unread.erase(0, m_unread.find_first_not_of("\r\n"));
-    if (m_unread.empty())
+    // While reading is held up the end of the connection does not show by a read, but in the socket's state.
+    if (m_watching)
         return;
-    if (!m_reader)
-    {
-        const deployment::CallerLimits& limits = m_events.limits();
-        m_reader =
-            std::make_unique<http::MessageReader>(http::MessageKind::Request, limits.headBytes, limits.bodyBytes);
-        m_since = m_activity;
-        m_headSeen = false;
-    }
-    m_unread.erase(0, m_reader->read(m_unread));
-    switch (m_reader->state())
+    m_watching = true;
+    auto self = shared_from_this();
+    m_endTimer.expires_after(endCheck);
+    m_endTimer.async_wait(
+        [self](const asio::error_code& error)
+        {
+            self->m_watching = false;
+            if (error || self->m_state == State::Closed)
+                return;
+            tcp_info   info{};
+            socklen_t  size = sizeof(info);
+            const bool known = ::getsockopt(self->m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+            if (known && (info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE))
+                return self->close();
+            self->read();
+        });
+}
+
+////////////////////////////////////////////////////////////
+bool CallerConnection::mayTakeRequest() const
+{
+    if (m_state != State::Open || m_lastRead || m_waiting)
+        return false;
+    if (m_turns.empty())
+        return true;
+    return m_turns.size() < mostSideBySide && !m_events.leaving() && !m_bodies->scarce();
+}
+
+////////////////////////////////////////////////////////////
+bool CallerConnection::nothingOwed() const
+{
+    return m_turns.empty() && !m_writing;
+}
+
+////////////////////////////////////////////////////////////
+void CallerConnection::takeRequests()
+{
+    while (mayTakeRequest())
     {
-    case http::ReadState::Head:
-        return;
-    case http::ReadState::Body:
-        if (!reserveBody())
-            return refuse(503, "no memory for another body");
-        return headRead();
-    case http::ReadState::HeadTooLarge:
-        return m_events.configured() ? refuse(431, "the head is too large") : refuse(503, "not-configured");
-    case http::ReadState::BodyTooLarge:
-        return m_events.configured() ? refuse(413, "the body is too large") : refuse(503, "not-configured");
-    case http::ReadState::Malformed:
-        return refuse(400, "no request of the protocol");
-    case http::ReadState::Done:
-        if (!reserveBody())
-            return refuse(503, "no memory for another body");
-        break;
+        switch (m_reader.read(m_events.limits()))
+        {
+        case http::ReadState::Head:
+            return;
+        case http::ReadState::Body:
+            if (!claimBody())
+                return refuse(503, "no memory for another body");
+            return sayContinue();
+        case http::ReadState::HeadTooLarge:
+            return m_events.configured() ? refuse(431, "the head is too large") : refuse(503, "not-configured");
+        case http::ReadState::BodyTooLarge:
+            return m_events.configured() ? refuse(413, "the body is too large") : refuse(503, "not-configured");
+        case http::ReadState::Malformed:
+            return refuse(400, "no request of the protocol");
+        case http::ReadState::Done:
+            if (!claimBody())
+                return refuse(503, "no memory for another body");
+            requestDone();
+            break;
+        }
     }
-    const std::unique_ptr<http::MessageReader> reader = std::move(m_reader);
-    m_state = State::Waiting;
-    m_keep = reader->head().keepAlive;
-    m_headOnly = reader->head().method == "HEAD";
-    m_events.requestRead(*this, reader->head(), reader->takeBody());
 }
 
 ////////////////////////////////////////////////////////////
-bool CallerConnection::reserveBody()
+bool CallerConnection::claimBody()
 {
-    // A length that is told is reserved whole, so that bodies that grow side by side cannot all fail.
-    const auto told = static_cast<std::int64_t>(m_reader->bodyLength().value_or(0));
-    const auto needed = std::max(told, static_cast<std::int64_t>(m_reader->bodySize()));
-    if (needed <= m_reserved)
+    const std::int64_t bytes = m_reader.bodyBytes();
+    if (bytes == 0 || m_memory.growTo(bytes))
         return true;
-    if (m_reserved == 0)
-        m_workspace = m_events.workspaceOf(m_reader->head());
-    if (!m_bodies.take(m_workspace, needed - m_reserved))
-        return false;
-    m_reserved = needed;
-    return true;
+    m_memory = BodyClaim(m_bodies, m_events.workspaceOf(m_reader.head()));
+    return m_memory.growTo(bytes);
 }
 
 ////////////////////////////////////////////////////////////
-void CallerConnection::headRead()
+void CallerConnection::sayContinue()
 {
-    if (m_headSeen)
+    if (m_expectSeen || !http::sameName(m_reader.head().field("Expect"), "100-continue"))
         return;
-    m_headSeen = true;
-    if (!http::sameName(m_reader->head().field("Expect"), "100-continue"))
-        return;
-    // Nothing else is written before the answer, so the bytes cannot mix.
+    m_expectSeen = true;
+    m_continueOwed = true;
+    if (nothingOwed())
+        writeContinue();
+}
+
+////////////////////////////////////////////////////////////
+void CallerConnection::writeContinue()
+{
+    m_continueOwed = false;
+    // No answer is owed before it and none follows until the body has come, so the bytes cannot mix.
     asio::error_code ignored;
     asio::write(m_socket, asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ignored);
 }
 
 ////////////////////////////////////////////////////////////
-void CallerConnection::refuse(unsigned status, std::string_view reason)
+void CallerConnection::requestDone()
 {
-    m_events.refusedUnread(m_reader ? &m_reader->head() : nullptr, status, reason);
-    m_reader.reset();
-    m_unread.clear();
-    m_keep = false;
-    m_state = State::Waiting;
-    OwnAnswer own;
-    own.status = status;
-    own.reason = reason;
-    own.close = true;
-    own.comeBack = status == 503 ? core::Duration(comeBackLater) : core::Duration{};
-    answer(own);
+    CallerRequest request{m_reader.head(), m_reader.takeBody(), m_reader.since(), std::exchange(m_memory, {})};
+    m_reader.next();
+    m_expectSeen = false;
+    m_continueOwed = false;
+    if (nothingOwed() || m_events.mayRepeat(request.head))
+        return handOn(std::move(request));
+    m_waiting = std::move(request);
 }
 
 ////////////////////////////////////////////////////////////
-void CallerConnection::answer(const http::Head& head, const std::string& body)
+void CallerConnection::handOn(CallerRequest request)
 {
-    if (m_state != State::Waiting)
-        return;
-    const std::string_view connection = head.field("Connection");
-    m_out.clear();
-    m_out.reserve(body.size() + 512);
-    m_out.append("HTTP/1.1 ").append(std::to_string(head.status)).append(" ").append(head.reason).append("\r\n");
-    for (const http::HeaderField& field : head.fields)
+    Turn turn;
+    turn.ticket = m_events.newTicket();
+    turn.keep = request.head.keepAlive;
+    turn.headOnly = request.head.method == "HEAD";
+    turn.memory = std::move(request.memory);
+    if (!turn.memory.claims() && !nothingOwed())
+        turn.memory = BodyClaim(m_bodies, m_events.workspaceOf(request.head));
+    if (!turn.keep)
     {
-        if (!http::concernsConnection(field.name, connection))
-            appendField(m_out, field.name, field.value);
+        m_lastRead = true;
+        m_reader.stop();
     }
-    const bool bodyless = head.status == 204 || head.status == 304;
-    if (m_headOnly && head.has("Content-Length"))
-        appendField(m_out, "Content-Length", head.field("Content-Length"));
-    else if (!m_headOnly && !bodyless)
-        appendField(m_out, "Content-Length", std::to_string(body.size()));
-    const bool keep = m_keep && !m_events.leaving();
-    if (!keep)
-        appendField(m_out, "Connection", "close");
-    m_out.append("\r\n");
-    if (!m_headOnly && !bodyless)
-        m_out.append(body);
-    write(keep);
+    const balance::Ticket ticket = turn.ticket;
+    m_turns.expect(std::move(turn));
+    m_events.requestRead(*this, ticket, std::move(request));
 }
 
 ////////////////////////////////////////////////////////////
-void CallerConnection::answer(const OwnAnswer& own)
+void CallerConnection::refuse(unsigned status, std::string_view reason)
 {
-    if (m_state != State::Waiting)
-        return;
-    m_out.clear();
-    m_out.append("HTTP/1.1 ")
-        .append(std::to_string(own.status))
-        .append(" ")
-        .append(reasonOf(own.status))
-        .append("\r\n");
-    if (own.comeBack.count() > 0)
-    {
-        char text[32];
-        std::snprintf(text, sizeof(text), "%.3f", core::toSeconds(own.comeBack));
-        appendField(m_out, "Retry-After", text);
-    }
-    const std::string body = std::string(own.reason) + "\n";
-    appendField(m_out, "Content-Type", "text/plain");
-    appendField(m_out, "Content-Length", std::to_string(body.size()));
-    const bool keep = m_keep && !own.close && !m_events.leaving();
-    if (!keep)
-        appendField(m_out, "Connection", "close");
-    m_out.append("\r\n");
-    if (!m_headOnly)
-        m_out.append(body);
-    write(keep);
+    m_events.refusedUnread(m_reader.begun() ? &m_reader.head() : nullptr, status, reason);
+    m_lastRead = true;
+    m_reader.stop();
+    Turn turn;
+    turn.keep = false;
+    turn.memory = std::exchange(m_memory, {});
+    turn.answer = answerOf({status, reason, status == 503 ? core::Duration(comeBackLater) : core::Duration{}}, false);
+    turn.readyAt = now();
+    m_turns.expect(std::move(turn));
+    writeNext();
 }
 
 ////////////////////////////////////////////////////////////
-void CallerConnection::write(bool keep)
+bool CallerConnection::answer(balance::Ticket ticket, const http::Head& head, std::string body)
 {
-    m_state = State::Writing;
-    m_lastOne = !keep;
-    m_ticket = 0;
-    auto self = shared_from_this();
-    asio::async_write(m_socket, asio::buffer(m_out),
-                      [self](const asio::error_code& error, std::size_t) { self->written(!error); });
+    Turn* const turn = m_turns.find(ticket);
+    return turn != nullptr && give(turn, answerOf(head, std::move(body), turn->headOnly));
+}
+
+////////////////////////////////////////////////////////////
+bool CallerConnection::answer(balance::Ticket ticket, const OwnAnswer& own)
+{
+    Turn* const turn = m_turns.find(ticket);
+    return turn != nullptr && give(turn, answerOf(own, turn->headOnly));
+}
+
+////////////////////////////////////////////////////////////
+bool CallerConnection::give(Turn* turn, CallerAnswer answer)
+{
+    m_turns.put(*turn, std::move(answer), now());
+    writeNext();
+    return true;
+}
+
+////////////////////////////////////////////////////////////
+void CallerConnection::writeNext()
+{
+    if (m_writing || m_state != State::Open)
+        return;
+    m_writing = m_turns.takeReady();
+    if (!m_writing)
+        return;
+    // A planned stop ends the connection after the last of what was handed on.
+    m_lastWritten = !m_writing->keep || (m_events.leaving() && m_turns.empty());
+    if (m_lastWritten)
+    {
+        m_lastRead = true;
+        m_waiting.reset();
+        m_reader.stop();
+    }
+    m_writing->answer->endHead(m_lastWritten);
+    if (m_writing->ticket != 0)
+        m_events.answerLeaves(m_writing->ticket);
+    const std::array<asio::const_buffer, 2> bytes{asio::buffer(m_writing->answer->head),
+                                                  asio::buffer(m_writing->answer->body)};
+    auto                                    self = shared_from_this();
+    asio::async_write(m_socket, bytes, [self](const asio::error_code& error, std::size_t) { self->written(!error); });
 }
 
 ////////////////////////////////////////////////////////////
 void CallerConnection::written(bool good)
 {
-    if (m_state != State::Writing)
+    m_writing.reset();
+    if (m_state != State::Open)
         return;
-    release();
-    m_out.clear();
     m_activity = now();
     if (!good)
         return close();
-    if (m_lastOne)
+    if (m_lastWritten)
     {
         // What the caller still sends is read and dropped, or the answer could be lost with a reset.
-        m_state = State::Waiting;
+        m_state = State::Lingering;
         asio::error_code ignored;
         m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-        m_unread.clear();
         return read();
     }
-    m_state = State::Reading;
-    parse();
+    writeNext();
+    m_readOnAt = m_activity;
+    if (nothingOwed() && m_waiting)
+        handOn(*std::exchange(m_waiting, std::nullopt));
+    if (nothingOwed() && m_continueOwed)
+        writeContinue();
+    takeRequests();
     read();
 }
 
-////////////////////////////////////////////////////////////
-void CallerConnection::cut()
-{
-    close();
-}
-
 ////////////////////////////////////////////////////////////
 void CallerConnection::sweep(core::Timestamp at)
 {
     const deployment::CallerLimits& limits = m_events.limits();
     const core::Duration            quiet = at - m_activity;
-    constexpr auto                  lingerTime = std::chrono::seconds{1};
-    if (m_lastOne && m_state == State::Waiting && quiet > lingerTime)
+    if (m_state == State::Lingering && quiet > lingerTime)
         return close();
-    if (m_state == State::Writing && quiet > limits.idleTime)
+    if (m_writing && quiet > limits.idleTime)
         return close();
-    if (m_state != State::Reading)
-        return;
-    if (!m_reader)
+    if (m_reader.begun() && mayTakeRequest())
     {
-        if (quiet > limits.idleTime)
-            close();
+        const core::Timestamp readSince = std::max(m_reader.since(), m_readOnAt);
+        if (!m_reader.headRead() && at - readSince > limits.headTime)
+            return refuse(408, "the head took too long");
+        if (m_reader.headRead() && quiet > limits.idleTime)
+            return refuse(408, "the body took too long");
         return;
     }
-    if (!m_headSeen && at - m_since > limits.headTime)
-        return refuse(408, "the head took too long");
-    if (m_headSeen && quiet > limits.idleTime)
-        return refuse(408, "the body took too long");
+    if (m_state == State::Open && nothingOwed() && !m_reader.begun() && quiet > limits.idleTime)
+        close();
 }
 
 ////////////////////////////////////////////////////////////
 void CallerConnection::closeIfIdle()
 {
-    if (m_state == State::Reading && !m_reader && m_unread.empty())
+    if (restingSince())
         close();
 }
 
 ////////////////////////////////////////////////////////////
-void CallerConnection::release()
+std::optional<core::Timestamp> CallerConnection::restingSince() const
 {
-    if (m_reserved > 0)
-        m_bodies.giveBack(m_workspace, m_reserved);
-    m_reserved = 0;
+    const bool resting = m_state == State::Open && nothingOwed() && !m_waiting && m_reader.empty();
+    return resting ? std::optional(m_activity) : std::nullopt;
 }
 
 ////////////////////////////////////////////////////////////
@@ -333,32 +335,17 @@
     if (m_state == State::Closed)
         return;
     const auto self = shared_from_this();
-    const bool waited = m_state == State::Waiting && m_ticket != 0;
     m_state = State::Closed;
-    release();
+    m_endTimer.cancel();
     asio::error_code ignored;
     m_socket.close(ignored);
-    if (waited)
-        m_events.callerLeft(*this);
+    const auto unanswered = m_turns.tickets();
+    m_turns = {};
+    m_waiting.reset();
+    m_memory = {};
+    for (const balance::Ticket ticket : unanswered)
+        m_events.callerLeft(ticket);
     m_events.callerGone(*this);
 }
 
-////////////////////////////////////////////////////////////
-core::Timestamp CallerConnection::since() const
-{
-    return m_since;
-}
-
-////////////////////////////////////////////////////////////
-std::uint64_t CallerConnection::ticket() const
-{
-    return m_ticket;
-}
-
-////////////////////////////////////////////////////////////
-void CallerConnection::setTicket(std::uint64_t ticket)
-{
-    m_ticket = ticket;
-}
-
 } // namespace sailpath::gateway::priv
--- a/src/sailpath/gateway/CallerConnection.hpp
+++ b/src/sailpath/gateway/CallerConnection.hpp
@@ -1,116 +1,95 @@
 #pragma once
 
+#include "AnswerQueue.hpp"
 #include "BodyMemory.hpp"
+#include "CallerEvents.hpp"
+#include "RequestReader.hpp"
 
 #include <sailpath/core/Time.hpp>
-#include <sailpath/deployment/Deployment.hpp>
-#include <sailpath/http/MessageReader.hpp>
 
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 
 #include <array>
-#include <cstdint>
 #include <memory>
-#include <string>
+#include <optional>
+#include <string_view>
 
 namespace sailpath::gateway::priv
 {
-class CallerConnection;
-
 ////////////////////////////////////////////////////////////
-/// \brief What a caller's connection needs of the gateway
+/// \brief A caller's connection
+///
+/// Requests that may be repeated are handed on side by side; their answers
+/// are given in the order of the requests. What may not be repeated waits
+/// until all answers before it are written, as one of them may end the
+/// connection. Once an answer is to end it, nothing behind is handed on.
 ////////////////////////////////////////////////////////////
-class CallerEvents
+class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-    virtual ~CallerEvents() = default;
+    CallerConnection(asio::ip::tcp::socket socket, CallerEvents& events, std::shared_ptr<BodyMemory> bodies);
 
-    virtual void requestRead(CallerConnection& caller, const http::Head& head,
-                             std::string body) = 0;        //!< A whole request
-    virtual void callerLeft(CallerConnection& caller) = 0; //!< It ended while a request was under way
-    virtual void callerGone(CallerConnection& caller) = 0; //!< The connection is closed
+    void start(); //!< Begin to read
 
     ////////////////////////////////////////////////////////////
-    /// \brief An own answer is given before a whole request was read
+    /// \brief Pass a server's answer on when its turn comes
     ///
-    /// \param head Of the request, as far as it is known; null when there is none
+    /// \return False when no answer to the request is due, as the caller has left
     ////////////////////////////////////////////////////////////
-    virtual void refusedUnread(const http::Head* head, unsigned status, std::string_view reason) = 0;
-
-    [[nodiscard]] virtual std::string workspaceOf(const http::Head& head) const = 0; //!< Whose request it is
-    [[nodiscard]] virtual const deployment::CallerLimits& limits() const = 0;        //!< In force
-    [[nodiscard]] virtual bool                            configured() const = 0; //!< Whether these are the operator's
-    [[nodiscard]] virtual bool                            leaving() const = 0; //!< Connections end at the next answer
-};
-
-////////////////////////////////////////////////////////////
-/// \brief An own answer
-////////////////////////////////////////////////////////////
-struct OwnAnswer
-{
-    unsigned         status{503};  //!< Status
-    std::string_view reason;       //!< Why, for the body
-    core::Duration   comeBack{};   //!< `Retry-After`; 0 for none
-    bool             close{false}; //!< The connection ends with it
-};
+    [[nodiscard]] bool answer(balance::Ticket ticket, const http::Head& head, std::string body);
 
-////////////////////////////////////////////////////////////
-/// \brief A caller's connection; one request at a time
-////////////////////////////////////////////////////////////
-class CallerConnection : public std::enable_shared_from_this<CallerConnection>
-{
-public:
-    CallerConnection(asio::ip::tcp::socket socket, CallerEvents& events, BodyMemory& bodies);
+    [[nodiscard]] bool answer(balance::Ticket ticket, const OwnAnswer& own); //!< The same in the node's own name
 
-    void start();                                                 //!< Begin to read
-    void answer(const http::Head& head, const std::string& body); //!< Pass a server's answer on
-    void answer(const OwnAnswer& answer);                         //!< Answer in the node's own name
-    void cut();                                                   //!< Close without an answer
-    void sweep(core::Timestamp now);                              //!< Give up what takes too long
-    void closeIfIdle();                                           //!< Close if no request was begun
+    void sweep(core::Timestamp now); //!< Give up what takes too long
+    void closeIfIdle();              //!< Close if no request was begun
 
-    [[nodiscard]] core::Timestamp since() const;                   //!< First byte of the request
-    [[nodiscard]] std::uint64_t   ticket() const;                  //!< Of the request under way; 0 for none
-    void                          setTicket(std::uint64_t ticket); //!< Note the request under way
+    [[nodiscard]] std::optional<core::Timestamp> restingSince() const; //!< Null while a request is begun or under way
 
 private:
     enum class State
     {
-        Reading, //!< Waits for a request or reads it
-        Waiting, //!< A request is under way
-        Writing, //!< The answer is on its way
-        Closed   //!< Of no more use
+        Open,      //!< Requests come and answers go
+        Lingering, //!< The last answer is written; what still comes is dropped
+        Closed     //!< Of no more use
     };
 
     void               read();
     void               received(std::size_t bytes);
-    void               parse();
-    void               headRead();
-    [[nodiscard]] bool reserveBody();
+    void               takeRequests();
+    [[nodiscard]] bool mayTakeRequest() const;
+    [[nodiscard]] bool claimBody();
+    void               sayContinue();
+    void               writeContinue();
+    void               requestDone();
+    void               handOn(CallerRequest request);
     void               refuse(unsigned status, std::string_view reason);
-    void               write(bool keep);
+    [[nodiscard]] bool give(Turn* turn, CallerAnswer answer);
+    void               writeNext();
     void               written(bool good);
+    void               watchForEnd();
+    [[nodiscard]] bool nothingOwed() const;
     void               close();
-    void               release();
 
-    asio::ip::tcp::socket                m_socket;                //!< Connection
-    CallerEvents&                        m_events;                //!< Gateway
-    BodyMemory&                          m_bodies;                //!< Memory for bodies, shared with the others
-    std::unique_ptr<http::MessageReader> m_reader;                //!< Of the request; null between requests
-    std::string                          m_unread;                //!< Bytes not taken yet
-    std::string                          m_out;                   //!< Answer
-    std::array<char, 4096>               m_buffer{};              //!< Bytes as they come
-    core::Timestamp                      m_since{};               //!< First byte of the request
-    core::Timestamp                      m_activity{};            //!< Last bytes
-    std::uint64_t                        m_ticket{0};             //!< Request under way
-    std::int64_t                         m_reserved{0};           //!< Memory reserved for its body
-    std::string                          m_workspace;             //!< Whose memory that is
-    State                                m_state{State::Reading}; //!< What it does
-    bool                                 m_reading{false};        //!< A read is under way
-    bool                                 m_headSeen{false};       //!< The head of the request is whole
-    bool                                 m_keep{false};           //!< The caller wants the connection kept
-    bool                                 m_headOnly{false};       //!< The request asks for the head only
-    bool                                 m_lastOne{false};        //!< Closes after the answer
+    asio::ip::tcp::socket        m_socket;              //!< Connection
+    asio::steady_timer           m_endTimer;            //!< Looks for the caller's end while nothing is read
+    CallerEvents&                m_events;              //!< Gateway
+    std::shared_ptr<BodyMemory>  m_bodies;              //!< Memory for bodies, shared with the others
+    RequestReader                m_reader;              //!< Of what comes
+    BodyClaim                    m_memory;              //!< Of the body being read
+    AnswerQueue                  m_turns;               //!< Requests handed on
+    std::optional<CallerRequest> m_waiting;             //!< Not to be repeated, so it waits for the answers before it
+    std::optional<Turn>          m_writing;             //!< Its answer is on its way
+    std::array<char, 4096>       m_buffer{};            //!< Bytes as they come
+    core::Timestamp              m_activity{};          //!< Last bytes
+    core::Timestamp              m_readOnAt{};          //!< Latest moment at which reading was not held up any more
+    State                        m_state{State::Open};  //!< What it does
+    bool                         m_reading{false};      //!< A read is under way
+    bool                         m_watching{false};     //!< The timer is set
+    bool                         m_expectSeen{false};   //!< The caller asked whether to send the body
+    bool                         m_continueOwed{false}; //!< It has not been told yet
+    bool                         m_lastRead{false};     //!< No further request is read
+    bool                         m_lastWritten{false};  //!< The answer on its way ends the connection
 };
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/Exchange.cpp
+++ b/src/sailpath/gateway/Exchange.cpp
@@ -27,13 +27,15 @@
 } // namespace
 
 ////////////////////////////////////////////////////////////
-void Exchange::take(const http::Head& head, std::string whole, const Dialect& dialect)
+void Exchange::take(CallerRequest request, const Dialect& dialect)
 {
+    const http::Head& head = request.head;
+    since = request.since;
     id = head.field(dialect.requestId);
     headOnly = head.method == "HEAD";
     startLine = head.method + " " + head.target + " HTTP/1.1\r\n";
-    hasBody = !whole.empty() || head.has("Content-Length") || head.has("Transfer-Encoding");
-    body = std::move(whole);
+    hasBody = !request.body.empty() || head.has("Content-Length") || head.has("Transfer-Encoding");
+    body = std::move(request.body);
     const std::string_view connection = head.field("Connection");
     for (const http::HeaderField& field : head.fields)
     {
@@ -67,7 +69,7 @@
 void Exchange::note(const balance::Step& step, core::Timestamp now)
 {
     ++attempts;
-    lastSent = now;
+    decidedAt = decidedAt.value_or(now);
     if (!trail.empty())
         trail += ',';
     trail += std::to_string(step.attempt) + ":" + step.instance->id + "@" +
@@ -91,6 +93,13 @@
              "ms/report=" + std::to_string(static_cast<int>(refusal.reportAgeMs)) + "ms";
 }
 
+////////////////////////////////////////////////////////////
+void Exchange::end(unsigned status, std::string_view reason, core::Timestamp now)
+{
+    ending = Ending{status, reason, now};
+    decidedAt = decidedAt.value_or(now);
+}
+
 ////////////////////////////////////////////////////////////
 std::shared_ptr<ServerConnection> Exchange::releaseSend(unsigned attempt)
 {
--- a/src/sailpath/gateway/Exchange.hpp
+++ b/src/sailpath/gateway/Exchange.hpp
@@ -7,10 +7,22 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace sailpath::gateway::priv
 {
+////////////////////////////////////////////////////////////
+/// \brief How a request ended
+////////////////////////////////////////////////////////////
+struct Ending
+{
+    unsigned         status{0}; //!< Of the answer to the caller; 0 for none
+    std::string_view reason;    //!< Its name in logs and metrics
+    core::Timestamp  at{};      //!< When the answer was known
+};
+
 ////////////////////////////////////////////////////////////
 /// \brief A request under way: what is sent, where it is, what came back
 ////////////////////////////////////////////////////////////
@@ -19,13 +31,15 @@
     std::weak_ptr<CallerConnection>                       caller;          //!< Who asked
     std::string                                           id;              //!< As the caller gave it
     std::string                                           host;            //!< Of a route; empty when there is none
+    std::string                                           route;           //!< Its name; empty when there is none
     std::string                                           startLine;       //!< For the server
     std::string                                           fields;          //!< For the server, those that are passed on
     std::string                                           body;            //!< Whole
     bool                                                  headOnly{false}; //!< Its answer has no body
     bool                                                  hasBody{false};  //!< A length is to be told
     core::Timestamp                                       since{};         //!< First byte
-    core::Timestamp                                       lastSent{};      //!< Latest send
+    std::optional<core::Timestamp>                        decidedAt;       //!< First send, or refusal without one
+    std::optional<Ending>                                 ending;          //!< Once its answer is known
     unsigned                                              attempts{0};     //!< Sends
     unsigned                                              probes{0};       //!< Servers asked for their load
     std::string                                           trail;           //!< Sends and their ends, for the log
@@ -35,7 +49,7 @@
     ////////////////////////////////////////////////////////////
     /// \brief Take over a caller's request
     ////////////////////////////////////////////////////////////
-    void take(const http::Head& head, std::string whole, const Dialect& dialect);
+    void take(CallerRequest request, const Dialect& dialect);
 
     ////////////////////////////////////////////////////////////
     /// \brief The request as one instance gets it
@@ -47,6 +61,7 @@
     void note(const balance::Step& step, core::Timestamp now);                          //!< A send, for the log
     void ended(unsigned attempt, const balance::Outcome& outcome, core::Timestamp now); //!< Its end, for the log
     void noteEstimate(const balance::Refusal& refusal); //!< What a refusal was decided by, for the log
+    void end(unsigned status, std::string_view reason, core::Timestamp now);       //!< Its answer is known
     [[nodiscard]] std::shared_ptr<ServerConnection> releaseSend(unsigned attempt); //!< Forget a send; null if it ended
 };
 
--- /dev/null
+++ b/src/sailpath/gateway/GatewayImpl.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "BodyMemory.hpp"
+#include "CallerConnection.hpp"
+#include "CallerEvents.hpp"
+#include "Exchange.hpp"
+#include "ServerConnections.hpp"
+#include "StatusServer.hpp"
+
+#include <sailpath/gateway/Gateway.hpp>
+#include <sailpath/metrics/StageTimes.hpp>
+#include <sailpath/metrics/TrafficMetrics.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <set>
+#include <unordered_map>
+
+namespace sailpath::gateway
+{
+////////////////////////////////////////////////////////////
+/// \brief Connections and decisions of the gateway
+////////////////////////////////////////////////////////////
+struct Gateway::Impl : public priv::CallerEvents
+{
+    Impl(asio::io_context& loop, GatewaySettings given, const Dialect& names, ports::EventLog& events);
+
+    void                      accept();
+    void                      scheduleSweep();
+    void                      arm();
+    void                      carryOut();
+    void                      perform(const balance::Step& step);
+    void                      forward(const balance::Step& step);
+    void                      probe(const balance::Step& step);
+    void                      attemptEnded(balance::Ticket ticket, unsigned attempt, const balance::Outcome& outcome,
+                                           priv::ServerAnswer answer);
+    void                      finish(balance::Ticket ticket, const balance::Step& step);
+    void                      log(const priv::Exchange& exchange);
+    [[nodiscard]] std::string metrics() const;
+
+    [[nodiscard]] balance::Ticket newTicket() override;
+    void requestRead(priv::CallerConnection& caller, balance::Ticket ticket, priv::CallerRequest request) override;
+    void answerLeaves(balance::Ticket ticket) override;
+    void callerLeft(balance::Ticket ticket) override;
+    void callerGone(priv::CallerConnection& caller) override;
+    void refusedUnread(const http::Head* head, unsigned status, std::string_view reason) override;
+    [[nodiscard]] std::string                     workspaceOf(const http::Head& head) const override;
+    [[nodiscard]] bool                            mayRepeat(const http::Head& head) const override;
+    [[nodiscard]] const deployment::CallerLimits& limits() const override;
+    [[nodiscard]] bool                            configured() const override;
+    [[nodiscard]] bool                            leaving() const override;
+
+    asio::io_context&                                   context;
+    GatewaySettings                                     settings;
+    const Dialect&                                      dialect;
+    ports::EventLog&                                    events;
+    balance::Balancer                                   balancer;
+    priv::ServerConnections                             servers;
+    asio::ip::tcp::acceptor                             acceptor;
+    asio::steady_timer                                  dueTimer;
+    asio::steady_timer                                  sweepTimer;
+    std::optional<core::Timestamp>                      armed;
+    std::set<std::shared_ptr<priv::CallerConnection>>   callers;
+    std::unordered_map<balance::Ticket, priv::Exchange> exchanges;
+    deployment::CallerLimits                            callerLimits;
+    Counters                                            counters;
+    balance::Ticket                                     nextTicket{1};
+    std::shared_ptr<priv::BodyMemory>                   bodies;
+    std::uint64_t                                       version{0};
+    bool                                                ready{false};
+    bool                                                isLeaving{false};
+    bool                                                carrying{false};
+    metrics::TrafficMetrics                             latencies;
+    metrics::StageTimes                                 stages;
+    std::function<std::string()>                        furtherMetrics;
+    std::function<std::optional<core::Timestamp>()>     provedAt;
+    priv::StatusServer                                  readiness;
+    std::optional<priv::StatusServer>                   metricsPage;
+};
+
+} // namespace sailpath::gateway
--- /dev/null
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -0,0 +1,325 @@
+// The life of a request at the gateway: read, decided about, sent, answered, logged.
+
+#include "GatewayImpl.hpp"
+
+#include <charconv>
+
+namespace sailpath::gateway
+{
+namespace
+{
+using priv::CallerConnection;
+using priv::Exchange;
+using priv::OwnAnswer;
+
+constexpr std::uint64_t longestDeadlineMs = 3'600'000;
+
+////////////////////////////////////////////////////////////
+std::optional<core::Duration> timeLeft(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return std::chrono::milliseconds{std::min(value, longestDeadlineMs)};
+}
+
+////////////////////////////////////////////////////////////
+unsigned statusOf(const balance::Refusal& refusal)
+{
+    switch (refusal.reason)
+    {
+    case balance::RefusalReason::NoRoute:
+        return 404;
+    case balance::RefusalReason::Unknown:
+        return 502;
+    case balance::RefusalReason::TimedOut:
+        return refusal.mayHaveRun ? 504 : 503;
+    default:
+        return 503;
+    }
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+balance::Ticket Gateway::Impl::newTicket()
+{
+    return nextTicket++;
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::requestRead(CallerConnection& caller, balance::Ticket ticket, priv::CallerRequest request)
+{
+    ++counters.requests;
+    balance::Arrival  arrival;
+    const std::string host(request.head.field("Host"));
+    const std::string target(http::pathOf(request.head.target));
+    arrival.host = host;
+    arrival.target = target;
+    arrival.since = request.since;
+    arrival.timeLeft = timeLeft(request.head.field(dialect.deadlineMs));
+
+    Exchange& exchange = exchanges[ticket];
+    exchange.caller = caller.shared_from_this();
+    exchange.take(std::move(request), dialect);
+    if (const deployment::HostRoute* route = balancer.findRoute(host, target))
+    {
+        exchange.host = host;
+        exchange.route = route->name;
+    }
+    else if (provedAt)
+        balancer.proved(provedAt());
+    balancer.admit(ticket, arrival, priv::now());
+    carryOut();
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::answerLeaves(balance::Ticket ticket)
+{
+    const auto found = exchanges.find(ticket);
+    if (found == exchanges.end())
+        return;
+    log(found->second);
+    exchanges.erase(found);
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::callerLeft(balance::Ticket ticket)
+{
+    ++counters.callersLeft;
+    balancer.callerLeft(ticket, priv::now());
+    carryOut();
+    const auto found = exchanges.find(ticket);
+    if (found == exchanges.end() || !found->second.sends.empty())
+        return;
+    if (!found->second.ending)
+        found->second.end(0, "caller-left", priv::now());
+    answerLeaves(ticket);
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::refusedUnread(const http::Head* head, unsigned status, std::string_view reason)
+{
+    ++counters.refusedUnread;
+    events.write(ports::Level::Info, "request-refused",
+                 {{"request", head != nullptr ? head->field(dialect.requestId) : std::string_view()},
+                  {"status", status},
+                  {"reason", reason},
+                  {"version", version},
+                  {"headLimit", callerLimits.headBytes},
+                  {"bodyLimit", callerLimits.bodyBytes}});
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::callerGone(CallerConnection& caller)
+{
+    callers.erase(caller.shared_from_this());
+}
+
+////////////////////////////////////////////////////////////
+std::string Gateway::Impl::workspaceOf(const http::Head& head) const
+{
+    // Hosts that nobody declared share what one workspace gets.
+    const std::string_view host = head.field("Host");
+    return balancer.findRoute(host, http::pathOf(head.target)) != nullptr ? std::string(host) : std::string();
+}
+
+////////////////////////////////////////////////////////////
+bool Gateway::Impl::mayRepeat(const http::Head& head) const
+{
+    const deployment::HostRoute* route = balancer.findRoute(head.field("Host"), http::pathOf(head.target));
+    return route != nullptr && route->repeatable;
+}
+
+////////////////////////////////////////////////////////////
+const deployment::CallerLimits& Gateway::Impl::limits() const
+{
+    return callerLimits;
+}
+
+////////////////////////////////////////////////////////////
+bool Gateway::Impl::configured() const
+{
+    return balancer.configured();
+}
+
+////////////////////////////////////////////////////////////
+bool Gateway::Impl::leaving() const
+{
+    return isLeaving;
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::carryOut()
+{
+    // Carrying a step out can bring the next ones about; they are taken by the outermost call.
+    if (carrying)
+        return;
+    carrying = true;
+    std::vector<balance::Step> steps;
+    for (balancer.takeSteps(steps); !steps.empty(); balancer.takeSteps(steps))
+    {
+        for (const balance::Step& step : steps)
+            perform(step);
+    }
+    carrying = false;
+    arm();
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::arm()
+{
+    const auto next = balancer.nextDue();
+    if (!next || (armed && *armed <= *next && *armed > priv::now()))
+        return;
+    armed = next;
+    dueTimer.expires_at(std::chrono::steady_clock::time_point(next->time_since_epoch()));
+    dueTimer.async_wait(
+        [this](const asio::error_code& error)
+        {
+            if (error)
+                return;
+            armed.reset();
+            balancer.due(priv::now());
+            carryOut();
+        });
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::perform(const balance::Step& step)
+{
+    switch (step.kind)
+    {
+    case balance::StepKind::Forward:
+        return forward(step);
+    case balance::StepKind::Abandon:
+    {
+        const auto found = exchanges.find(step.ticket);
+        if (found == exchanges.end())
+            return;
+        const auto connection = found->second.releaseSend(step.attempt);
+        // What may not be repeated is left to end: its server stops by itself at the deadline.
+        if (connection && step.repeatable)
+            connection->abandon();
+        return;
+    }
+    case balance::StepKind::Answer:
+    case balance::StepKind::Refuse:
+        return finish(step.ticket, step);
+    case balance::StepKind::Probe:
+        return probe(step);
+    }
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::forward(const balance::Step& step)
+{
+    const auto found = exchanges.find(step.ticket);
+    if (found == exchanges.end())
+        return;
+    Exchange& exchange = found->second;
+    ++counters.attempts;
+    counters.secondSends += step.attempt > 1 ? 1 : 0;
+    exchange.note(step, priv::now());
+    const auto connection = servers.take(step.instance, !step.repeatable);
+    exchange.sends[step.attempt] = connection;
+    const auto ticket = step.ticket;
+    const auto attempt = step.attempt;
+    connection->send(exchange.request(*step.instance, step.deadline - priv::now(), dialect),
+                     [this, ticket, attempt](const balance::Outcome& outcome, priv::ServerAnswer answer)
+                     { attemptEnded(ticket, attempt, outcome, std::move(answer)); });
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::probe(const balance::Step& step)
+{
+    ++counters.probes;
+    if (const auto found = exchanges.find(step.ticket); found != exchanges.end())
+        ++found->second.probes;
+    priv::Send send;
+    send.probe = true;
+    send.bytes.append("GET ").append(step.path).append(" HTTP/1.1\r\nHost: ").append(step.instance->address);
+    send.bytes.append("\r\n\r\n");
+    const auto ticket = step.ticket;
+    const auto number = step.attempt;
+    servers.take(step.instance, false)
+        ->send(std::move(send),
+               [this, ticket, number](const balance::Outcome& outcome, const priv::ServerAnswer&)
+               {
+                   balancer.probed(ticket, number, outcome, priv::now());
+                   carryOut();
+               });
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::attemptEnded(balance::Ticket ticket, unsigned attempt, const balance::Outcome& outcome,
+                                 priv::ServerAnswer answer)
+{
+    const auto found = exchanges.find(ticket);
+    if (found != exchanges.end())
+    {
+        found->second.sends.erase(attempt);
+        found->second.ended(attempt, outcome, priv::now());
+        found->second.answers[attempt] = std::move(answer);
+    }
+    balancer.attemptEnded(ticket, attempt, outcome, priv::now());
+    carryOut();
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::finish(balance::Ticket ticket, const balance::Step& step)
+{
+    const auto found = exchanges.find(ticket);
+    if (found == exchanges.end())
+        return;
+    Exchange&  exchange = found->second;
+    const auto caller = exchange.caller.lock();
+    bool       due = false;
+    if (step.kind == balance::StepKind::Answer)
+    {
+        priv::ServerAnswer answer = std::move(exchange.answers[step.attempt]);
+        ++counters.answered;
+        exchange.end(answer.head.status, "answered", priv::now());
+        due = caller && caller->answer(ticket, answer.head, std::move(answer.body));
+    }
+    else
+    {
+        const OwnAnswer own{statusOf(step.refusal), balance::toString(step.refusal.reason), step.refusal.comeBack};
+        ++(step.refusal.mayHaveRun ? counters.failed : counters.refused);
+        if (step.refusal.expectedMs > 0)
+            exchange.noteEstimate(step.refusal);
+        exchange.end(own.status, own.reason, priv::now());
+        due = caller && caller->answer(ticket, own);
+    }
+    // Nobody waits for it any more.
+    if (!due)
+        answerLeaves(ticket);
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::log(const Exchange& exchange)
+{
+    const priv::Ending&  ending = *exchange.ending;
+    const core::Duration took = priv::now() - exchange.since;
+    const core::Duration decision = *exchange.decidedAt - exchange.since;
+    const core::Duration turn = priv::now() - ending.at;
+    const bool           usual = ending.status > 0 && ending.status < 400 && exchange.attempts == 1;
+    latencies.record(exchange.host, usual ? "answered" : ending.reason, took);
+    if (!exchange.route.empty())
+        stages.record(exchange.route, decision, turn);
+    events.write(ports::Level::Info, usual ? "request-answered" : "request-ended",
+                 {{"request", exchange.id},
+                  {"route", exchange.route},
+                  {"status", ending.status},
+                  {"reason", ending.reason},
+                  {"ms", core::toMilliseconds(took)},
+                  {"decidedMs", core::toMilliseconds(decision)},
+                  {"turnMs", core::toMilliseconds(turn)},
+                  {"version", version},
+                  {"attempts", exchange.attempts},
+                  {"probes", exchange.probes},
+                  {"sends", exchange.trail}});
+}
+
+} // namespace sailpath::gateway
--- a/src/sailpath/metrics/TrafficMetrics.cpp
+++ b/src/sailpath/metrics/TrafficMetrics.cpp
@@ -1,14 +1,9 @@
 #include <sailpath/metrics/TrafficMetrics.hpp>
 
-#include <sailpath/core/StringMap.hpp>
+#include "Quantiles.hpp"
 
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/sum.hpp>
+#include <sailpath/core/StringMap.hpp>
 
-#include <array>
 #include <map>
 #include <mutex>
 
@@ -16,18 +11,11 @@
 {
 namespace
 {
-namespace acc = boost::accumulators;
-
-constexpr std::array<double, 3> quantiles{0.5, 0.99, 0.999};
-
-using Latencies =
-    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square_quantile>>;
-
 ////////////////////////////////////////////////////////////
 struct WorkspaceMetrics
 {
-    std::map<std::string, std::uint64_t, std::less<>> outcomes;                  //!< Counts
-    Latencies latencies{acc::tag::extended_p_square::probabilities = quantiles}; //!< Of answered requests, seconds
+    std::map<std::string, std::uint64_t, std::less<>> outcomes;  //!< Counts
+    priv::Quantiles                                   latencies; //!< Of answered requests
 };
 
 } // namespace
@@ -60,7 +48,7 @@
         count = found->second.outcomes.try_emplace(std::string(outcome), 0).first;
     ++count->second;
     if (outcome == "answered")
-        found->second.latencies(core::toSeconds(latency));
+        found->second.latencies.record(latency);
 }
 
 ////////////////////////////////////////////////////////////
@@ -89,20 +77,7 @@
     }
     text += "# TYPE sailpath_answer_seconds summary\n";
     for (const auto& [name, metrics] : m_impl->byWorkspace)
-    {
-        const std::size_t count = acc::count(metrics.latencies);
-        if (count == 0)
-            continue;
-        for (const double quantile : quantiles)
-        {
-            const double value = acc::quantile(metrics.latencies, acc::quantile_probability = quantile);
-            text += "sailpath_answer_seconds{workspace=\"" + name + "\",quantile=\"" +
-                    std::to_string(quantile).substr(0, 5) + "\"} " + std::to_string(value) + "\n";
-        }
-        text += "sailpath_answer_seconds_sum{workspace=\"" + name + "\"} " +
-                std::to_string(acc::sum(metrics.latencies)) + "\n";
-        text += "sailpath_answer_seconds_count{workspace=\"" + name + "\"} " + std::to_string(count) + "\n";
-    }
+        metrics.latencies.append(text, "sailpath_answer_seconds", "workspace=\"" + name + "\"");
     return text;
 }
 
--- a/test/gateway/Gateway.test.cpp
+++ b/test/gateway/Gateway.test.cpp
@@ -1,173 +1,21 @@
-#include <sailpath/gateway/Gateway.hpp>
+#include <support/GatewayFixture.hpp>
 
-#include <support/ScriptedServer.hpp>
-
-#include <asio/io_context.hpp>
-#include <asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
-#include <future>
 
 namespace
 {
 using namespace sailpath;
 using namespace std::chrono_literals;
 using support::fieldOf;
+using support::Fixture;
+using support::PatientFixture;
 using support::Script;
 using support::ScriptedServer;
+using support::statusOf;
 using support::TestCaller;
 
-////////////////////////////////////////////////////////////
-class NoLog : public ports::EventLog
-{
-public:
-    [[nodiscard]] bool writes(ports::Level) const override
-    {
-        return true;
-    }
-
-    void write(ports::Level, std::string_view event, std::initializer_list<ports::Field> fields) override
-    {
-        const std::lock_guard<std::mutex> lock(mutex);
-        text.append(event);
-        for (const ports::Field& field : fields)
-            text.append(" ").append(field.key).append("=").append(field.value);
-        text.append("\n");
-    }
-
-    std::mutex  mutex;
-    std::string text;
-};
-
-////////////////////////////////////////////////////////////
-gateway::Dialect dialectOf()
-{
-    gateway::Dialect dialect;
-    dialect.requestId = "X-Id";
-    dialect.deadlineMs = "X-Left";
-    dialect.targetInstance = "X-Instance";
-    dialect.instanceId = "X-Who";
-    dialect.signature = "X-Mark";
-    dialect.notExecuted = "X-Not-Run";
-    dialect.load = "X-Load";
-    dialect.readinessPath = "/ready";
-    return dialect;
-}
-
-////////////////////////////////////////////////////////////
-/// \brief A gateway on its loop's thread, before one scripted server
-////////////////////////////////////////////////////////////
-struct Fixture
-{
-    explicit Fixture(ScriptedServer::Answer answer = echo, bool configured = true,
-                     core::Duration longest = core::Duration(700ms)) :
-    server(std::move(answer)),
-    timeout(longest)
-    {
-        gateway::GatewaySettings settings;
-        settings.listen = {"127.0.0.1", 0};
-        settings.readinessListen = {"127.0.0.1", 0};
-        settings.balance.dataCentre = "dc";
-        settings.balance.retryExtra = 100;
-        settings.bufferedBytes = 140'000;
-        gateway.emplace(context, settings, dialect, log);
-        if (configured)
-            configure();
-        thread = std::thread([this] { context.run(); });
-    }
-
-    ~Fixture()
-    {
-        context.stop();
-        thread.join();
-    }
-
-    void configure(std::uint32_t headBytes = 2000, std::uint64_t bodyBytes = 50'000)
-    {
-        auto deployment = std::make_shared<deployment::Deployment>();
-        deployment->version = declared.deployment ? declared.deployment->version + 1 : 1;
-        for (const auto& [host, repeatable] :
-             {std::pair("a.example", true), std::pair("a.example", false), std::pair("b.example", false)})
-        {
-            deployment::HostRoute route;
-            route.name = std::string(repeatable ? "read-" : "pay-") + host;
-            route.host = host;
-            route.pathPrefix = repeatable ? "/read/" : "/pay/";
-            route.repeatable = repeatable;
-            route.timeout = timeout;
-            route.targetLatency = timeout * 3 / 7;
-            route.attempts = 2;
-            route.parts = {{"portal", 1}};
-            deployment->routes.push_back(route);
-        }
-        deployment->services = {{"portal", "", 0}};
-        deployment->limits.headTime = 600ms;
-        deployment->limits.idleTime = 1500ms;
-        deployment->limits.headBytes = headBytes;
-        deployment->limits.bodyBytes = bodyBytes;
-        declared.deployment = deployment;
-        declared.instances = {{"i-1", "portal", "127.0.0.1", server.port(), "dc", 3, false, {}}};
-        onLoop([this] { gateway->configure(declared); });
-    }
-
-    void onLoop(const std::function<void()>& work)
-    {
-        if (!thread.joinable())
-            return work();
-        std::promise<void> done;
-        asio::post(context,
-                   [&]
-                   {
-                       work();
-                       done.set_value();
-                   });
-        done.get_future().wait();
-    }
-
-    static std::string request(const std::string& path, const std::string& id, const std::string& more = {},
-                               const std::string& method = "GET")
-    {
-        return method + " " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Id: " + id + "\r\nX-Left: 5000\r\n" + more +
-               "\r\n";
-    }
-
-    static std::string whole(const std::string& id, const std::string& body, const std::string& more = {})
-    {
-        return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Mark: m\r\n" + more +
-               "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-    }
-
-    static Script echo(const std::string& request)
-    {
-        return {whole(fieldOf(request, "X-Id"), "for " + fieldOf(request, "X-Id"))};
-    }
-
-    NoLog                           log;
-    gateway::Dialect                dialect{dialectOf()};
-    ScriptedServer                  server;
-    core::Duration                  timeout;
-    asio::io_context                context{1};
-    std::optional<gateway::Gateway> gateway;
-    deployment::Declared            declared;
-    std::thread                     thread;
-};
-
-/// \brief For tests that are not about time: also a busy machine answers within it
-struct PatientFixture : Fixture
-{
-    explicit PatientFixture(ScriptedServer::Answer answer = echo, bool configured = true) :
-    Fixture(std::move(answer), configured, 10s)
-    {
-    }
-};
-
-////////////////////////////////////////////////////////////
-int statusOf(const std::string& answer)
-{
-    return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(GatewayTest)
--- /dev/null
+++ b/test/gateway/RequestReader.test.cpp
@@ -0,0 +1,86 @@
+#include "../../src/sailpath/gateway/RequestReader.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+namespace
+{
+using namespace sailpath;
+using namespace std::chrono_literals;
+using gateway::priv::RequestReader;
+
+constexpr core::Timestamp begin{1h};
+
+////////////////////////////////////////////////////////////
+std::string get(const std::string& target)
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RequestReaderTest)
+
+BOOST_AUTO_TEST_CASE(EachRequestKnowsWhenItsFirstByteCame)
+{
+    RequestReader                  reader;
+    const deployment::CallerLimits limits;
+    const std::string              second = get("/2");
+    reader.received(get("/1") + second.substr(0, 5), begin);
+    reader.received(second.substr(5) + "\r\n", begin + 10ms);
+    reader.received(get("/3"), begin + 20ms);
+    for (const auto& [target, at] : {std::pair("/1", begin), std::pair("/2", begin), std::pair("/3", begin + 20ms)})
+    {
+        BOOST_REQUIRE((reader.read(limits) == http::ReadState::Done));
+        BOOST_TEST(reader.head().target == target);
+        BOOST_TEST((reader.since() == at));
+        reader.next();
+    }
+    BOOST_TEST(reader.empty());
+}
+
+BOOST_AUTO_TEST_CASE(AnEmptyLineIsNoBeginningOfARequest)
+{
+    RequestReader                  reader;
+    const deployment::CallerLimits limits;
+    reader.received("\r\n", begin);
+    BOOST_TEST((reader.read(limits) == http::ReadState::Head));
+    BOOST_TEST(!reader.begun());
+    reader.received(get("/1"), begin + 30ms);
+    BOOST_TEST((reader.read(limits) == http::ReadState::Done));
+    BOOST_TEST((reader.since() == begin + 30ms));
+}
+
+BOOST_AUTO_TEST_CASE(ManySmallPiecesKeepABoundedNumberOfTimes)
+{
+    RequestReader                  reader;
+    const deployment::CallerLimits limits;
+    std::string                    all;
+    for (int i = 0; i < 50; ++i)
+        all += get("/" + std::to_string(i));
+    for (std::size_t i = 0; i < all.size(); ++i)
+        reader.received(all.substr(i, 1), begin + i * 1ms);
+    core::Timestamp last = begin;
+    for (int i = 0; i < 50; ++i)
+    {
+        BOOST_REQUIRE((reader.read(limits) == http::ReadState::Done));
+        // A time that was not kept is an earlier one, so that no request seems younger than it is.
+        BOOST_TEST((reader.since() >= last));
+        BOOST_TEST((reader.since() <= begin + 64ms));
+        last = reader.since();
+        reader.next();
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AfterAStopNothingIsRead)
+{
+    RequestReader reader;
+    reader.received(get("/1"), begin);
+    reader.stop();
+    reader.received(get("/2"), begin);
+    BOOST_TEST((reader.read(deployment::CallerLimits{}) == http::ReadState::Head));
+    BOOST_TEST(reader.unread() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
