Shortage: room to who may still be in time, no flood by nodes that start

And what came back after a refusal was let in by the clock of its latest try, so room went to who was late already. Ruled out: Retry-After (0.2 to 3 times as long shows nothing), stricter targets alone. Change: time of the first try from what callers of the route bring; Pressure by rank; came-back-late; no crowding while over 0.3 are refused; a guess gates, seldom try-outs. A ready node at its limit of callers or descriptors closes what rests and accepts.

--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -148,6 +148,7 @@
         deployment::HostRoute        route;             //!< As of its arrival
         std::shared_ptr<ServicePool> pool;              //!< Service it goes to
         core::Timestamp              since{};           //!< Its first byte
+        core::Timestamp              firstTry{};        //!< When its caller is believed to have tried first
         core::Timestamp              deadline{};        //!< Final answer
         core::Timestamp              callerDeadline{};  //!< When its caller stops waiting
         core::Timestamp              wake{};            //!< When it is to be looked at next
@@ -178,6 +179,8 @@
     void                                       admitEarly(core::Timestamp now);
     [[nodiscard]] std::shared_ptr<ServicePool> poolFor(const deployment::HostRoute& route);
     [[nodiscard]] bool        tooLate(const Request& request, const Choice& choice, core::Timestamp now) const;
+    [[nodiscard]] static bool exceedsDeadline(const Request& request, const Choice& choice, core::Timestamp now);
+    [[nodiscard]] static bool mayBeInTime(const Request& request, core::Timestamp now);
     [[nodiscard]] static bool delaysMoreUrgent(const Request& request, const ServerView& server, core::Timestamp now);
     [[nodiscard]] bool        maySendAgain(Request& request, core::Timestamp now) const;
     [[nodiscard]] bool        sendAgain(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now);
--- a/include/sailpath/balance/ServerView.hpp
+++ b/include/sailpath/balance/ServerView.hpp
@@ -48,6 +48,13 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] double crowding(double others, core::Timestamp now) const;
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Whether one more request would make the instance do less work in all than it does now
+    ///
+    /// \param usual Of the service: how much slower a crowded instance is
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] bool full(const Usual& usual, core::Timestamp now) const;
+
     [[nodiscard]] double occupancy(double others, core::Timestamp now) const; //!< Estimated requests of all nodes there
     [[nodiscard]] double failureShare(core::Timestamp now) const;             //!< Share of recent attempts that failed
     [[nodiscard]] bool   newcomer() const;                                    //!< It joined and has told nothing yet
--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <sailpath/balance/Pressure.hpp>
 #include <sailpath/balance/RetryWindow.hpp>
 #include <sailpath/balance/ServerView.hpp>
 #include <sailpath/core/Random.hpp>
 #include <sailpath/deployment/Deployment.hpp>
 
+#include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -43,9 +46,10 @@
 ////////////////////////////////////////////////////////////
 struct RouteSeen
 {
-    unsigned        rank{0};  //!< Lower ones go first
-    core::Duration  target{}; //!< Time within which an answer is wanted
-    core::Timestamp at{};     //!< Its last request
+    unsigned        rank{0};    //!< Lower ones go first
+    core::Duration  target{};   //!< Time within which an answer is wanted
+    core::Timestamp at{};       //!< Its last request
+    core::Duration  patience{}; //!< Longest time that its callers lately said they have
 };
 
 ////////////////////////////////////////////////////////////
@@ -89,7 +93,33 @@
     [[nodiscard]] bool takeProbe(core::Timestamp now); //!< Count a probe, if the budget allows one
     [[nodiscard]] bool mayProbe() const;               //!< Servers tell their load at a known path
 
-    void arrived(const deployment::HostRoute& route, core::Timestamp now);          //!< A request for the service came
+    ////////////////////////////////////////////////////////////
+    /// \brief A request for the service came
+    ///
+    /// \param timeLeft That its caller says it has; null when it does not say
+    ///
+    /// \return For how long its caller has been trying, as far as callers of the route are alike
+    ////////////////////////////////////////////////////////////
+    core::Duration arrived(const deployment::HostRoute& route, std::optional<core::Duration> timeLeft,
+                           core::Timestamp now);
+
+    void letIn(unsigned rank, core::Timestamp now);      //!< What could be in time was sent
+    void turnedAway(unsigned rank, core::Timestamp now); //!< What could be in time was refused for load
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Whether what could be in time, of a rank or a more urgent one, was turned away lately
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] bool pressed(unsigned rank, core::Timestamp now) const;
+
+    [[nodiscard]] bool highlyPressed(unsigned rank, core::Timestamp now) const; //!< Many of these were
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Whether a request is let in to learn what its route's work is, though the guess speaks against it
+    ///
+    /// True seldom, and ever less often the longer nothing comes of it.
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] bool tryOut(std::string_view route, core::Timestamp now);
+
     [[nodiscard]] const std::unordered_map<std::string, RouteSeen>& routes() const; //!< That sent requests, by name
 
     ////////////////////////////////////////////////////////////
@@ -97,6 +127,8 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] double finishMs(const ServerView& server, std::string_view route, core::Timestamp now) const;
 
+    [[nodiscard]] bool full(const ServerView& server, core::Timestamp now) const; //!< One more would slow it as a whole
+
     void expectWork(std::string_view route, double ms); //!< A guess, until answers tell
     void learnOthers(double others);                    //!< A report told of others' requests
     void learnPace(double pace);                        //!< A report told a pace
@@ -123,8 +155,10 @@
 private:
     struct RouteWork
     {
-        double   ms{0};      //!< Usual work
-        unsigned answers{0}; //!< It was learned from
+        double          ms{0};        //!< Usual work
+        unsigned        answers{0};   //!< It was learned from
+        unsigned        tryOuts{0};   //!< Requests that were let in to learn it
+        core::Timestamp nextTryOut{}; //!< None before
     };
 
     using Ranking = std::vector<std::pair<double, std::shared_ptr<ServerView>>>; //!< By cost
@@ -151,6 +185,7 @@
     unsigned                                   m_connections{0};               //!< Most own connections to one instance
     Usual                                      m_usual;                        //!< Of late
     unsigned                                   m_crowdedAnswers{0};            //!< Seen so far
+    std::map<unsigned, Pressure>               m_pressure;  //!< How short of room it is for each rank
     double                                     m_roomy{1};  //!< Observed over expected time at instances with room
     std::unordered_map<std::string, RouteWork> m_routeWork; //!< Usual work by route
     std::unordered_map<std::string, RouteSeen> m_routes;    //!< Those that sent requests, by name
--- a/include/sailpath/balance/Step.hpp
+++ b/include/sailpath/balance/Step.hpp
@@ -25,6 +25,7 @@
     OldRoutes,     //!< No route covers it as of the last that was heard, which is too long ago to deny it
     NoServer,      //!< No server may be given anything now
     Overloaded,    //!< It would be answered too late
+    CameBackLate,  //!< It cannot be in time any more, and others that still can are turned away
     NotRun,        //!< The servers that it was offered to did not run it
     Unknown,       //!< It was sent and no whole answer came
     TimedOut       //!< The time for the final answer is up
@@ -45,6 +46,7 @@
     core::Duration comeBack{};                      //!< When to come back; 0 says nothing
     double         expectedMs{0};                   //!< Best estimate of its time at the servers, for the log
     double         reportAgeMs{-1};                 //!< Age of the load report behind the estimate; negative without
+    core::Duration trying{};                        //!< How long its caller is believed to have tried before
 };
 
 ////////////////////////////////////////////////////////////
@@ -71,6 +73,7 @@
     std::shared_ptr<const deployment::Instance> instance;               //!< For `Forward`
     core::Timestamp                             deadline{};        //!< For `Forward`: when the server has to be done
     bool                                        repeatable{false}; //!< Whether it may run more than once
+    core::Duration                              trying{};          //!< For `Forward`: how long its caller tried before
     double                                      expectedMs{0};     //!< For `Forward`: estimated time to the answer
     double                                      reportAgeMs{-1};   //!< For `Forward`: age of the load report behind it
     Refusal                                     refusal;           //!< For `Refuse`
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -45,6 +45,8 @@
         return "no-server";
     case RefusalReason::Overloaded:
         return "overloaded";
+    case RefusalReason::CameBackLate:
+        return "came-back-late";
     case RefusalReason::NotRun:
         return "not-run";
     case RefusalReason::Unknown:
@@ -151,29 +153,55 @@
     request.callerDeadline = arrival.timeLeft ? arrival.since + *arrival.timeLeft : never;
     request.deadline = std::min(arrival.since + route->timeout - m_settings.wayBack, request.callerDeadline);
     request.pool->retries().requested(now);
-    request.pool->arrived(*route, now);
+    request.firstTry = request.since - request.pool->arrived(*route, arrival.timeLeft, now);
     seek(ticket, m_requests.emplace(ticket, std::move(request)).first->second, now);
 }
 
 ////////////////////////////////////////////////////////////
 bool Balancer::tooLate(const Request& request, const Choice& choice, core::Timestamp now) const
 {
-    // What other routes take says nothing of a route that the service has not answered yet.
-    if (!m_settings.gating || !request.pool->knowsWork(request.route.name))
+    ServicePool&      pool = *request.pool;
+    const ServerView& server = *choice.server;
+    const unsigned    rank = request.route.priority;
+    if (!m_settings.gating)
         return false;
-    const double target = core::toMilliseconds(request.route.targetLatency);
-    const double passed = core::toMilliseconds(now - request.since);
-    const double left = core::toMilliseconds(request.deadline - request.since);
-    if (passed + choice.finishMs > std::min(mostMs(target, request.route.priority), left))
-        return true;
-    return delaysMoreUrgent(request, *choice.server, now);
+    if (!mayBeInTime(request, now))
+        return pool.pressed(rank, now) || pool.full(server, now) || exceedsDeadline(request, choice, now);
+    const double passed = core::toMilliseconds(now - request.firstTry);
+    const double most = mostMs(core::toMilliseconds(request.route.targetLatency), rank);
+    const bool   late = passed + choice.finishMs > most || exceedsDeadline(request, choice, now);
+    const bool   crowds = pool.highlyPressed(rank, now) && pool.full(server, now);
+    if (!late && !crowds && !delaysMoreUrgent(request, server, now))
+    {
+        pool.letIn(rank, now);
+        return false;
+    }
+    // What is not known yet is learned by few; a guess keeps the others from flooding full servers.
+    if (pool.tryOut(request.route.name, now))
+        return false;
+    pool.turnedAway(rank, now);
+    return true;
+}
+
+////////////////////////////////////////////////////////////
+bool Balancer::exceedsDeadline(const Request& request, const Choice& choice, core::Timestamp now)
+{
+    return now + core::fromMilliseconds(choice.finishMs) > request.deadline;
+}
+
+////////////////////////////////////////////////////////////
+bool Balancer::mayBeInTime(const Request& request, core::Timestamp now)
+{
+    const double passed = core::toMilliseconds(now - request.firstTry);
+    const double most = mostMs(core::toMilliseconds(request.route.targetLatency), request.route.priority);
+    return passed + request.pool->workMs(request.route.name) <= most;
 }
 
 ////////////////////////////////////////////////////////////
 bool Balancer::delaysMoreUrgent(const Request& request, const ServerView& server, core::Timestamp now)
 {
     const ServicePool& pool = *request.pool;
-    const double       passed = core::toMilliseconds(now - request.since);
+    const double       passed = core::toMilliseconds(now - request.firstTry);
     const auto         delayed = [&](const std::string& name, const RouteSeen& route)
     {
         if (route.rank >= request.route.priority || now - route.at > urgentFor || !pool.knowsWork(name))
@@ -316,6 +344,7 @@
     step.instance = choice.server->instance();
     step.deadline = request.deadline - m_settings.wayBack;
     step.repeatable = request.route.repeatable;
+    step.trying = request.since - request.firstTry;
     step.expectedMs = choice.finishMs;
     step.reportAgeMs = choice.server->reportAgeMs(now);
     m_steps.push_back(std::move(step));
--- a/src/sailpath/balance/BalancerSearch.cpp
+++ b/src/sailpath/balance/BalancerSearch.cpp
@@ -17,6 +17,15 @@
 void Balancer::seek(Ticket ticket, Request& request, core::Timestamp now)
 {
     request.search = Search{};
+    // What comes back late gets no room, and none is looked for, while others could still be in time.
+    const bool gated = m_settings.gating && request.attempts.empty();
+    if (gated && request.pool->pressed(request.route.priority, now) && !mayBeInTime(request, now))
+    {
+        Refusal refusal{RefusalReason::CameBackLate, false, comeBack(*request.pool, 0)};
+        refusal.trying = request.since - request.firstTry;
+        refuse(ticket, refusal);
+        return close(ticket);
+    }
     const Choice choice = request.pool->choose(wishOf(request), now, m_random);
     if (!choice.server || !request.pool->mayProbe() || good(request, choice, now))
         return settle(ticket, request, choice, now);
@@ -124,7 +133,7 @@
 bool Balancer::meetsTarget(const Request& request, double finishMs, core::Timestamp now) const
 {
     const auto done = now + core::fromMilliseconds(finishMs) + m_settings.wayBack;
-    return done <= request.since + request.route.targetLatency;
+    return done <= request.firstTry + request.route.targetLatency;
 }
 
 ////////////////////////////////////////////////////////////
@@ -150,7 +159,7 @@
     if (tooLate(request, choice, now))
     {
         refuse(ticket, {RefusalReason::Overloaded, false, comeBack(*request.pool, choice.finishMs), choice.finishMs,
-                        choice.server->reportAgeMs(now)});
+                        choice.server->reportAgeMs(now), request.since - request.firstTry});
         return close(ticket);
     }
     forward(ticket, request, choice, now);
--- a/src/sailpath/balance/BalancerTiming.cpp
+++ b/src/sailpath/balance/BalancerTiming.cpp
@@ -48,7 +48,7 @@
     if (mayHedge)
     {
         const double typical = request.pool->workMs(request.route.name);
-        const auto   target = request.since + request.route.targetLatency;
+        const auto   target = request.firstTry + request.route.targetLatency;
         const auto   latestUseful = target - core::fromMilliseconds(hedgeRoom * typical) - m_settings.wayBack -
                                   m_settings.probeWait - m_settings.connectCost;
         const auto patience = last.sentAt + core::fromMilliseconds(leastHedgeWorks * typical);
--- a/src/sailpath/balance/ServerView.cpp
+++ b/src/sailpath/balance/ServerView.cpp
@@ -121,6 +121,24 @@
     return std::clamp((taken - crowdedFrom) / (1 - crowdedFrom), 0.0, 1.0);
 }
 
+////////////////////////////////////////////////////////////
+bool ServerView::full(const Usual& usual, core::Timestamp now) const
+{
+    const double slots = std::max(1U, m_instance->slots);
+    const auto   rate = [&](double requests)
+    {
+        const double crowding = std::clamp((requests / slots - crowdedFrom) / (1 - crowdedFrom), 0.0, 1.0);
+        return std::min(requests, slots) / (1 + (usual.fullSlowdown - 1) * crowding);
+    };
+    const double most = occupancy(usual.others, now) + 1;
+    for (double requests = 1; requests < most; ++requests)
+    {
+        if (rate(requests) >= rate(most))
+            return true;
+    }
+    return false;
+}
+
 ////////////////////////////////////////////////////////////
 double ServerView::finishMs(double workMs, const Usual& usual, core::Timestamp now) const
 {
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -24,7 +24,11 @@
 constexpr double   probeShare = 0.8;     // Of the budget for probes that is used
 constexpr double   probeBurstSeconds = 2;
 constexpr unsigned leastConnections = 2;
-constexpr unsigned answersToKnow = 3; // Of a route, before its usual work is relied on
+constexpr unsigned answersToKnow = 3;    // Of a route, before its usual work is relied on
+constexpr double   patienceRise = 0.05;  // By a request whose caller has longer than known; bounds what an odd one does
+constexpr double   patienceFall = 0.005; // By each other request
+constexpr auto     firstTryOutPause = std::chrono::milliseconds{250}; // Doubles; assumed
+constexpr unsigned mostTryOutDoublings = 5;
 
 } // namespace
 
@@ -200,9 +204,61 @@
 }
 
 ////////////////////////////////////////////////////////////
-void ServicePool::arrived(const deployment::HostRoute& route, core::Timestamp now)
+core::Duration ServicePool::arrived(const deployment::HostRoute& route, std::optional<core::Duration> timeLeft,
+                                    core::Timestamp now)
+{
+    RouteSeen& seen = m_routes[route.name];
+    seen.rank = route.priority;
+    seen.target = route.targetLatency;
+    seen.at = now;
+    if (!timeLeft)
+        return {};
+    const double told = core::toMilliseconds(*timeLeft);
+    const double known = core::toMilliseconds(seen.patience);
+    const double next = told > known && known > 0 ? std::min(told, known * (1 + patienceRise))
+                                                  : std::max(told, known * (1 - patienceFall));
+    seen.patience = core::fromMilliseconds(next);
+    return std::max(core::Duration{}, seen.patience - *timeLeft);
+}
+
+////////////////////////////////////////////////////////////
+void ServicePool::letIn(unsigned rank, core::Timestamp now)
+{
+    m_pressure[rank].letIn(now);
+}
+
+////////////////////////////////////////////////////////////
+void ServicePool::turnedAway(unsigned rank, core::Timestamp now)
 {
-    m_routes[route.name] = {route.priority, route.targetLatency, now};
+    m_pressure[rank].turnedAway(now);
+}
+
+////////////////////////////////////////////////////////////
+bool ServicePool::pressed(unsigned rank, core::Timestamp now) const
+{
+    return std::any_of(m_pressure.begin(), m_pressure.upper_bound(rank),
+                       [now](const auto& each) { return each.second.any(now); });
+}
+
+////////////////////////////////////////////////////////////
+bool ServicePool::highlyPressed(unsigned rank, core::Timestamp now) const
+{
+    return std::any_of(m_pressure.begin(), m_pressure.upper_bound(rank),
+                       [now](const auto& each) { return each.second.high(now); });
+}
+
+////////////////////////////////////////////////////////////
+bool ServicePool::tryOut(std::string_view route, core::Timestamp now)
+{
+    const auto found = m_routeWork.find(std::string(route));
+    if (found == m_routeWork.end())
+        return true;
+    RouteWork& work = found->second;
+    if (work.answers >= answersToKnow || now < work.nextTryOut)
+        return false;
+    work.nextTryOut = now + firstTryOutPause * (1U << std::min(work.tryOuts, mostTryOutDoublings));
+    ++work.tryOuts;
+    return true;
 }
 
 ////////////////////////////////////////////////////////////
@@ -217,6 +273,12 @@
     return server.finishMs(workMs(route), m_usual, now);
 }
 
+////////////////////////////////////////////////////////////
+bool ServicePool::full(const ServerView& server, core::Timestamp now) const
+{
+    return server.full(m_usual, now);
+}
+
 ////////////////////////////////////////////////////////////
 void ServicePool::expectWork(std::string_view route, double ms)
 {
--- a/src/sailpath/gateway/Exchange.cpp
+++ b/src/sailpath/gateway/Exchange.cpp
@@ -70,6 +70,7 @@
 {
     ++attempts;
     decidedAt = decidedAt.value_or(now);
+    trying = step.trying;
     if (!trail.empty())
         trail += ',';
     trail += std::to_string(step.attempt) + ":" + step.instance->id + "@" +
--- a/src/sailpath/gateway/Exchange.hpp
+++ b/src/sailpath/gateway/Exchange.hpp
@@ -40,6 +40,7 @@
     core::Timestamp                                       since{};         //!< First byte
     std::optional<core::Timestamp>                        decidedAt;       //!< First send, or refusal without one
     std::optional<Ending>                                 ending;          //!< Once its answer is known
+    core::Duration                                        trying{};        //!< Before this try, as far as is known
     unsigned                                              attempts{0};     //!< Sends
     unsigned                                              probes{0};       //!< Servers asked for their load
     std::string                                           trail;           //!< Sends and their ends, for the log
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -8,7 +8,8 @@
 using Socket = asio::ip::tcp::socket;
 
 constexpr auto          sweepEvery = std::chrono::milliseconds{500};
-constexpr std::uint32_t mostEarlyHead = 64U * 1024; // Before the operator's limit is known
+constexpr auto          acceptPause = std::chrono::milliseconds{20}; // After a failure, for descriptors to come free
+constexpr std::uint32_t mostEarlyHead = 64U * 1024;                  // Before the operator's limit is known
 
 ////////////////////////////////////////////////////////////
 asio::ip::tcp::acceptor listenOn(asio::io_context& context, const adapters::settings::Endpoint& where)
@@ -30,6 +31,7 @@
         [this](const deployment::Instance& instance, unsigned idle, unsigned open)
         { balancer.connections(instance, idle, open); }),
 acceptor(listenOn(loop, settings.listen)),
+acceptTimer(loop),
 dueTimer(loop),
 sweepTimer(loop),
 bodies(std::make_shared<priv::BodyMemory>(static_cast<std::int64_t>(settings.bufferedBytes))),
@@ -57,18 +59,59 @@
         {
             if (error == asio::error::operation_aborted)
                 return;
-            if (!error && callers.size() < settings.callers)
-            {
-                asio::error_code ignored;
-                socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-                auto caller = std::make_shared<CallerConnection>(std::move(socket), *this, bodies);
-                callers.insert(caller);
-                caller->start();
-            }
+            if (error)
+                return acceptAgain(error.message());
+            admitCaller(std::move(socket));
             accept();
         });
 }
 
+////////////////////////////////////////////////////////////
+void Gateway::Impl::admitCaller(asio::ip::tcp::socket socket)
+{
+    // A new caller has more need of a place than one that rests.
+    if (callers.size() >= settings.callers && !closeLongestResting())
+        return;
+    asio::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    auto caller = std::make_shared<CallerConnection>(std::move(socket), *this, bodies);
+    callers.insert(caller);
+    caller->start();
+}
+
+////////////////////////////////////////////////////////////
+bool Gateway::Impl::closeLongestResting()
+{
+    std::shared_ptr<CallerConnection> longest;
+    for (const auto& caller : callers)
+    {
+        const auto since = caller->restingSince();
+        if (since && (!longest || *since < *longest->restingSince()))
+            longest = caller;
+    }
+    if (!longest)
+        return false;
+    ++counters.restingClosed;
+    longest->closeIfIdle();
+    return true;
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::acceptAgain(const std::string& why)
+{
+    // Mostly descriptors have run out: connections at rest give theirs back.
+    events.write(ports::Level::Warning, "accept-failed", {{"why", why}, {"callers", callers.size()}});
+    servers.closeIdle();
+    closeLongestResting();
+    acceptTimer.expires_after(acceptPause);
+    acceptTimer.async_wait(
+        [this](const asio::error_code& error)
+        {
+            if (!error && acceptor.is_open())
+                accept();
+        });
+}
+
 ////////////////////////////////////////////////////////////
 void Gateway::Impl::scheduleSweep()
 {
@@ -102,6 +145,7 @@
     add("callers_left_total", "counter", counters.callersLeft);
     add("refused_unread_total", "counter", counters.refusedUnread);
     add("server_connections_opened_total", "counter", servers.opened());
+    add("resting_callers_closed_total", "counter", counters.restingClosed);
     add("callers", "gauge", callers.size());
     add("requests_unfinished", "gauge", exchanges.size());
     add("body_bytes_held", "gauge", bodies->used());
--- a/src/sailpath/gateway/GatewayImpl.hpp
+++ b/src/sailpath/gateway/GatewayImpl.hpp
@@ -28,6 +28,9 @@
     Impl(asio::io_context& loop, GatewaySettings given, const Dialect& names, ports::EventLog& events);
 
     void                      accept();
+    void                      admitCaller(asio::ip::tcp::socket socket);
+    void                      acceptAgain(const std::string& why);
+    bool                      closeLongestResting(); //!< False when no caller rests
     void                      scheduleSweep();
     void                      arm();
     void                      carryOut();
@@ -59,6 +62,7 @@
     balance::Balancer                                   balancer;
     priv::ServerConnections                             servers;
     asio::ip::tcp::acceptor                             acceptor;
+    asio::steady_timer                                  acceptTimer;
     asio::steady_timer                                  dueTimer;
     asio::steady_timer                                  sweepTimer;
     std::optional<core::Timestamp>                      armed;
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -287,6 +287,7 @@
     {
         const OwnAnswer own{statusOf(step.refusal), balance::toString(step.refusal.reason), step.refusal.comeBack};
         ++(step.refusal.mayHaveRun ? counters.failed : counters.refused);
+        exchange.trying = std::max(exchange.trying, step.refusal.trying);
         if (step.refusal.expectedMs > 0)
             exchange.noteEstimate(step.refusal);
         exchange.end(own.status, own.reason, priv::now());
@@ -316,6 +317,7 @@
                   {"ms", core::toMilliseconds(took)},
                   {"decidedMs", core::toMilliseconds(decision)},
                   {"turnMs", core::toMilliseconds(turn)},
+                  {"tryingMs", core::toMilliseconds(exchange.trying)},
                   {"version", version},
                   {"attempts", exchange.attempts},
                   {"probes", exchange.probes},
--- a/src/sailpath/gateway/ServerConnections.cpp
+++ b/src/sailpath/gateway/ServerConnections.cpp
@@ -57,7 +57,7 @@
 }
 
 ////////////////////////////////////////////////////////////
-void ServerConnections::closeAll()
+void ServerConnections::closeIdle()
 {
     std::vector<std::shared_ptr<ServerConnection>> idle;
     for (const auto& [id, list] : m_byInstance)
--- a/src/sailpath/gateway/ServerConnections.hpp
+++ b/src/sailpath/gateway/ServerConnections.hpp
@@ -29,8 +29,8 @@
     [[nodiscard]] std::shared_ptr<ServerConnection> take(const std::shared_ptr<const deployment::Instance>& instance,
                                                          bool                                               proven);
 
-    void sweep();    //!< Close what rested for long
-    void closeAll(); //!< Close all that rest
+    void sweep();     //!< Close what rested for long
+    void closeIdle(); //!< Close all that rest
 
     [[nodiscard]] std::uint64_t opened() const; //!< Connections opened since the start
 
--- a/test/balance/Balancer.test.cpp
+++ b/test/balance/Balancer.test.cpp
@@ -656,6 +656,44 @@
     BOOST_TEST(letIn(3, true, 1s) == letIn(3, true, 6s));
 }
 
+BOOST_AUTO_TEST_CASE(WhatComesBackLateGivesWayWhileOthersAreTurnedAway)
+{
+    Ticket ticket = 1;
+    for (; ticket < 20; ++ticket)
+    {
+        const auto sent = admit(ticket);
+        now += 60ms;
+        (void)end(only(sent, StepKind::Forward), AttemptEnd::Answered);
+    }
+    // With room, one whose caller has been trying for longer than the target is served.
+    const auto withRoom = admit(++ticket, "/read/1", 300ms);
+    BOOST_TEST(count(withRoom, StepKind::Forward) == 1U);
+    (void)end(only(withRoom, StepKind::Forward), AttemptEnd::Answered);
+    while (count(admit(++ticket), StepKind::Forward) == 1)
+        BOOST_REQUIRE(ticket < 1000);
+    const auto late = admit(++ticket, "/read/1", 300ms);
+    BOOST_REQUIRE(late.size() == 1U);
+    BOOST_TEST((late[0].refusal.reason == RefusalReason::CameBackLate));
+    BOOST_TEST(!late[0].refusal.mayHaveRun);
+    BOOST_TEST((late[0].refusal.comeBack > 0ms));
+    BOOST_TEST((late[0].refusal.trying > 400ms));
+}
+
+BOOST_AUTO_TEST_CASE(AnOddCallersPatienceDoesNotMakeTheOthersLookLate)
+{
+    Ticket ticket = 1;
+    for (; ticket < 20; ++ticket)
+    {
+        const auto sent = admit(ticket);
+        now += 60ms;
+        (void)end(only(sent, StepKind::Forward), AttemptEnd::Answered);
+    }
+    const auto odd = admit(++ticket, "/read/1", 1h);
+    (void)end(only(odd, StepKind::Forward), AttemptEnd::Answered);
+    const auto next = admit(++ticket);
+    BOOST_TEST((only(next, StepKind::Forward).trying < 100ms));
+}
+
 BOOST_AUTO_TEST_CASE(ProbesKeepTheirBudget)
 {
     learnLoad(1);
--- /dev/null
+++ b/test/gateway/Accepting.test.cpp
@@ -0,0 +1,87 @@
+#include <support/GatewayFixture.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <sys/resource.h>
+#include <unistd.h>
+#include <vector>
+
+namespace
+{
+using namespace sailpath;
+using namespace std::chrono_literals;
+using support::Fixture;
+using support::statusOf;
+using support::TestCaller;
+
+////////////////////////////////////////////////////////////
+/// \brief Holds the process to few descriptors for a while
+////////////////////////////////////////////////////////////
+class FewDescriptors
+{
+public:
+    explicit FewDescriptors(rlim_t most)
+    {
+        ::getrlimit(RLIMIT_NOFILE, &m_before);
+        const rlimit few{most, m_before.rlim_max};
+        ::setrlimit(RLIMIT_NOFILE, &few);
+    }
+
+    ~FewDescriptors()
+    {
+        ::setrlimit(RLIMIT_NOFILE, &m_before);
+    }
+
+    FewDescriptors(const FewDescriptors&) = delete;
+    FewDescriptors& operator=(const FewDescriptors&) = delete;
+
+private:
+    rlimit m_before{};
+};
+
+} // namespace
+
+// A node that says that it is ready takes new connections.
+BOOST_AUTO_TEST_SUITE(AcceptingTest)
+
+BOOST_AUTO_TEST_CASE(ANewCallerTakesThePlaceOfTheOneThatRestedLongest)
+{
+    Fixture    setup(Fixture::echo, true, 10s, 2);
+    TestCaller first(setup.gateway->port());
+    first.write(Fixture::request("/read/x", "a1"));
+    BOOST_TEST(statusOf(first.readAnswer()) == 200);
+    std::this_thread::sleep_for(20ms);
+    TestCaller second(setup.gateway->port());
+    second.write(Fixture::request("/read/x", "a2"));
+    BOOST_TEST(statusOf(second.readAnswer()) == 200);
+    TestCaller third(setup.gateway->port());
+    third.write(Fixture::request("/read/x", "a3"));
+    BOOST_TEST(statusOf(third.readAnswer()) == 200);
+    BOOST_TEST(first.ended());
+    second.write(Fixture::request("/read/x", "a4"));
+    BOOST_TEST(statusOf(second.readAnswer()) == 200);
+}
+
+BOOST_AUTO_TEST_CASE(WhenDescriptorsHaveRunOutCallersAtRestGiveTheirsBack)
+{
+    Fixture                                  setup(Fixture::echo, true, 10s);
+    std::vector<std::unique_ptr<TestCaller>> resting;
+    resting.reserve(10);
+    for (int i = 0; i < 10; ++i)
+        resting.push_back(std::make_unique<TestCaller>(setup.gateway->port()));
+    resting.back()->write(Fixture::request("/read/x", "a1"));
+    BOOST_TEST(statusOf(resting.back()->readAnswer()) == 200);
+    // This caller's loop takes three descriptors and its socket the last one, so none is left to accept it with.
+    const int next = ::dup(0);
+    ::close(next);
+    const FewDescriptors few(static_cast<rlim_t>(next) + 4);
+    const auto           begin = std::chrono::steady_clock::now();
+    TestCaller           late(setup.gateway->port());
+    late.write(Fixture::request("/read/x", "a2"));
+    BOOST_TEST(statusOf(late.readAnswer()) == 200);
+    // Sooner than those at rest reach the end of the rest that they are allowed.
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < 1s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/support/GatewayFixture.hpp
+++ b/test/support/GatewayFixture.hpp
@@ -63,7 +63,7 @@
 struct Fixture
 {
     explicit Fixture(ScriptedServer::Answer answer = echo, bool configured = true,
-                     core::Duration longest = core::Duration(700ms)) :
+                     core::Duration longest = core::Duration(700ms), std::size_t mostCallers = 3000) :
     server(std::move(answer)),
     timeout(longest)
     {
@@ -73,6 +73,7 @@
         settings.balance.dataCentre = "dc";
         settings.balance.retryExtra = 100;
         settings.bufferedBytes = 140'000;
+        settings.callers = mostCallers;
         gateway.emplace(context, settings, dialect, log);
         if (configured)
             configure();
--- a/test/support/ServiceModel.hpp
+++ b/test/support/ServiceModel.hpp
@@ -58,6 +58,8 @@
     core::Duration noiseSpan{std::chrono::milliseconds{150}}; //!< Between changes of its pace
     core::Duration coldTime{std::chrono::seconds{3}};         //!< A server is slow from its start
     double         coldPace{2};                               //!< How much slower
+    double         knee{0.8};                                 //!< Share of the slots above which a server is slower
+    double         kneePace{1};                               //!< How much slower
     core::Duration nearTrip{std::chrono::microseconds{100}};  //!< One way within a data centre
     core::Duration farTrip{std::chrono::microseconds{1400}};  //!< One way between data centres
     core::Duration clientTrip{std::chrono::milliseconds{1}};  //!< One way from a caller
@@ -144,12 +146,38 @@
     {
         server.joined = m_now;
         addServer(std::move(server));
-        declare();
-        for (Node& node : m_nodes)
+        declareAnew();
+    }
+
+    /// \brief Let a node begin a new life, which knows nothing; its requests end without an answer
+    void restart(std::size_t index)
+    {
+        Node& node = m_nodes[index];
+        node.wake = core::Timestamp::max();
+        startBalancer(node);
+        for (const auto& [key, work] : std::exchange(node.sent, {}))
         {
-            node.balancer->configure(m_declared, m_now);
-            take(node);
+            release(node, *m_servers.at(work->server), false);
+            drop(*m_servers.at(work->server), work);
         }
+        node.calls.clear();
+        node.failed.clear();
+        for (auto& [id, connections] : node.connections)
+            connections.idle.clear();
+    }
+
+    /// \brief Let a server be gone at once, with all that it works on
+    void lose(const std::string& id)
+    {
+        m_servers.at(id)->gone = true;
+        declareAnew();
+    }
+
+    /// \brief Let a server that was lost be there again, empty
+    void bringBack(const std::string& id)
+    {
+        m_servers.at(id)->gone = false;
+        declareAnew();
     }
 
     /// \brief Forget what was counted so far
@@ -214,6 +242,7 @@
     struct Server
     {
         ModelServer                       model;
+        bool                              gone{false};
         std::uint64_t                     salt{0};
         unsigned                          running{0};
         std::deque<std::shared_ptr<Work>> waiting;
@@ -291,6 +320,8 @@
         m_declared.instances.clear();
         for (const auto& [id, server] : m_servers)
         {
+            if (server->gone)
+                continue;
             const core::Duration cold = server->model.joined + m_settings.coldTime - m_now;
             const bool           isNew = server->model.joined != core::Timestamp{} && cold.count() > 0;
             m_declared.instances.push_back({id, server->model.service, "10.0.0.1", 80, server->model.dataCentre,
@@ -299,11 +330,26 @@
         }
     }
 
+    void declareAnew()
+    {
+        declare();
+        for (Node& node : m_nodes)
+        {
+            node.balancer->configure(m_declared, m_now);
+            take(node);
+        }
+    }
+
     void startNode(unsigned index)
     {
         Node& node = m_nodes.emplace_back();
         node.index = index;
         node.dataCentre = "dc" + std::to_string(index % m_settings.dataCentres);
+        startBalancer(node);
+    }
+
+    void startBalancer(Node& node)
+    {
         balance::Settings settings;
         settings.dataCentre = node.dataCentre;
         settings.retryRatio = m_settings.retryRatio;
@@ -564,7 +610,7 @@
             return;
         ++server.got;
         server.firstGot = std::min(server.firstGot, m_now);
-        if (server.model.failing)
+        if (server.model.failing || server.gone)
             return answer(server, work, balance::AttemptEnd::Lost, 0);
         if (server.running < server.model.slots)
             return begin(server, work);
@@ -577,7 +623,8 @@
     {
         ++server.running;
         work->running = true;
-        const auto done = endOf(server, work->workMs);
+        const bool crowded = server.running > m_settings.knee * server.model.slots;
+        const auto done = endOf(server, work->workMs * (crowded ? m_settings.kneePace : 1));
         const bool inTime = done <= work->deadline;
         at(inTime ? done : std::max(m_now, work->deadline),
            [this, &server, work, inTime]
@@ -635,6 +682,11 @@
         node.sent.erase(found);
         Server& server = *m_servers.at(work->server);
         release(node, server, false);
+        drop(server, work);
+    }
+
+    void drop(Server& server, const std::shared_ptr<Work>& work)
+    {
         const bool running = work->running;
         work->dropped = true;
         std::erase(server.waiting, work);
