A new connection proves itself before what may not run twice is sent

Ruled out: kept connections, which are proven by their last answer within 1.5 s. Change: on a new connection such a request waits for the time that connecting took (1 to 5 ms); a reset until then is a certain not-run.

--- a/src/sailpath/balance/BalancerSearch.cpp
+++ b/src/sailpath/balance/BalancerSearch.cpp
@@ -156,7 +156,7 @@
         refuse(ticket, {RefusalReason::NoServer, false, m_settings.comeBackSoon});
         return close(ticket);
     }
-    if (tooLate(request, choice, now))
+    if (turnsAway(request, choice, now))
     {
         refuse(ticket, {RefusalReason::Overloaded, false, comeBack(*request.pool, choice.finishMs), choice.finishMs,
                         choice.server->reportAgeMs(now), request.since - request.firstTry});
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -226,7 +226,9 @@
     exchange.sends[step.attempt] = connection;
     const auto ticket = step.ticket;
     const auto attempt = step.attempt;
-    connection->send(exchange.request(*step.instance, step.deadline - priv::now(), dialect),
+    priv::Send send = exchange.request(*step.instance, step.deadline - priv::now(), dialect);
+    send.once = !step.repeatable;
+    connection->send(std::move(send),
                      [this, ticket, attempt](const balance::Outcome& outcome, priv::ServerAnswer answer)
                      { attemptEnded(ticket, attempt, outcome, std::move(answer)); });
 }
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include <asio/write.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <netinet/tcp.h>
 
@@ -10,6 +11,8 @@
 namespace
 {
 constexpr std::uint32_t headLimit = 64U * 1024;
+constexpr auto          leastProof = std::chrono::milliseconds{1};   // For a reset to arrive, a round trip as a rule:
+constexpr auto          longestProof = std::chrono::milliseconds{5}; // as long as connecting took, within these
 
 constexpr unsigned statusMisdirected = 421;
 constexpr unsigned statusTooMany = 429;
@@ -75,6 +78,7 @@
 void ServerConnection::connect()
 {
     m_state = State::Connecting;
+    m_since = std::chrono::steady_clock::now();
     asio::error_code ignored;
     m_socket.open(asio::ip::tcp::v4(), ignored);
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -98,12 +102,34 @@
                                self->m_timer.cancel();
                                if (error)
                                    return self->ended(false);
-                               self->m_state = State::Busy;
-                               self->write();
-                               self->read();
+                               self->connected();
                            });
 }
 
+////////////////////////////////////////////////////////////
+void ServerConnection::connected()
+{
+    read();
+    if (!m_request.once)
+    {
+        m_state = State::Busy;
+        return write();
+    }
+    // A server that takes no further connection resets it at once. Before anything is sent that says that the request
+    // has not run; afterwards nobody could tell.
+    const auto tookToConnect = std::chrono::steady_clock::now() - m_since;
+    auto       self = shared_from_this();
+    m_timer.expires_after(std::clamp<std::chrono::nanoseconds>(tookToConnect, leastProof, longestProof));
+    m_timer.async_wait(
+        [self](const asio::error_code& error)
+        {
+            if (error || self->m_state != State::Connecting)
+                return;
+            self->m_state = State::Busy;
+            self->write();
+        });
+}
+
 ////////////////////////////////////////////////////////////
 void ServerConnection::write()
 {
--- a/src/sailpath/gateway/ServerConnection.hpp
+++ b/src/sailpath/gateway/ServerConnection.hpp
@@ -34,6 +34,7 @@
     std::string bytes;           //!< Head and body
     bool        headOnly{false}; //!< Its answer has no body
     bool        probe{false};    //!< Asks for the load; the answer has no id
+    bool        once{false};     //!< May not run twice, so a new connection has to prove itself before it is sent
 };
 
 ////////////////////////////////////////////////////////////
@@ -69,6 +70,7 @@
     };
 
     void               connect();
+    void               connected();
     void               write();
     void               read();
     void               received(std::size_t bytes);
@@ -91,7 +93,7 @@
     std::unique_ptr<http::MessageReader>        m_reader;            //!< Of the answer
     std::string                                 m_unread;            //!< Bytes not taken yet
     std::array<char, 8192>                      m_buffer{};          //!< Bytes as they come
-    std::chrono::steady_clock::time_point       m_since{};           //!< Start of the rest
+    std::chrono::steady_clock::time_point       m_since{};           //!< Start of the rest, or of connecting
     core::Duration                              m_restLimit{};       //!< As the server said; 0 when it did not
     State                                       m_state{State::New}; //!< What it does
     bool                                        m_written{false};    //!< The request is out
--- a/test/support/ServiceModel.hpp
+++ b/test/support/ServiceModel.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <support/ServiceModelTypes.hpp>
+
 #include <sailpath/balance/Balancer.hpp>
 
 #include <algorithm>
@@ -14,101 +16,14 @@
 
 namespace sailpath::support
 {
-////////////////////////////////////////////////////////////
-/// \brief A kind of request that callers of the model make
-////////////////////////////////////////////////////////////
-struct KindOfRequest
-{
-    std::string                        name;                 //!< Of its route
-    unsigned                           priority{0};          //!< Rank; 0 goes first
-    core::Duration                     target{};             //!< Time within which an answer is wanted
-    core::Duration                     timeout{};            //!< Of its route
-    core::Duration                     patience{};           //!< How long a caller tries
-    double                             workMs{100};          //!< Mean work at a pace of 1
-    double                             perSecond{10};        //!< From all callers
-    unsigned                           retries{1};           //!< Further tries of a caller
-    bool                               repeatable{true};     //!< May run more than once
-    std::vector<deployment::SplitPart> parts{{"portal", 1}}; //!< Services
-    double                             lateWorth{0.1};       //!< Of an answer after the target
-};
-
-////////////////////////////////////////////////////////////
-/// \brief A server of the model
-////////////////////////////////////////////////////////////
-struct ModelServer
-{
-    std::string     id;                //!< Its name
-    std::string     service{"portal"}; //!< What it belongs to
-    std::string     dataCentre{"dc0"}; //!< Where it runs
-    unsigned        slots{3};          //!< Requests it works on at once
-    unsigned        queue{12};         //!< Requests it keeps waiting
-    bool            failing{false};    //!< Loses what it is sent
-    core::Timestamp joined{};          //!< When its entry was first written
-};
-
-////////////////////////////////////////////////////////////
-/// \brief What the model's surroundings are like
-////////////////////////////////////////////////////////////
-struct ModelSettings
-{
-    unsigned       nodes{12};                                 //!< Balancers
-    unsigned       dataCentres{3};                            //!< That nodes and servers are spread over
-    double         noiseShare{0.35};                          //!< Of the time a server works slower
-    double         noisePace{5};                              //!< How much slower
-    core::Duration noiseSpan{std::chrono::milliseconds{150}}; //!< Between changes of its pace
-    core::Duration coldTime{std::chrono::seconds{3}};         //!< A server is slow from its start
-    double         coldPace{2};                               //!< How much slower
-    double         knee{0.8};                                 //!< Share of the slots above which a server is slower
-    double         kneePace{1};                               //!< How much slower
-    core::Duration nearTrip{std::chrono::microseconds{100}};  //!< One way within a data centre
-    core::Duration farTrip{std::chrono::microseconds{1400}};  //!< One way between data centres
-    core::Duration clientTrip{std::chrono::milliseconds{1}};  //!< One way from a caller
-    core::Duration handshake{std::chrono::milliseconds{1}};   //!< Of a new connection
-    core::Duration connectionRest{std::chrono::seconds{6}};   //!< Until a connection at rest is closed
-    double         probeRate{60};                             //!< Probes a server may get a second
-    double         retryRatio{0.1};                           //!< Of the fleet's retry budget
-    double         retryExtra{56};                            //!< Of the fleet's retry budget
-    bool           nearFirst{true};                           //!< As in the balancer's settings
-    std::uint64_t  seed{1};                                   //!< Of everything random
-};
-
 ////////////////////////////////////////////////////////////
 /// \brief Balancers of many nodes before the same servers, with callers, in virtual time
 ////////////////////////////////////////////////////////////
 class ServiceModel
 {
 public:
-    /// \brief One try of a caller
-    struct Try
-    {
-        std::size_t     kind{0};       //!< Index of its kind
-        core::Timestamp at{};          //!< When it was made
-        std::string     firstService;  //!< Service that it was first sent to; empty when refused unsent
-        bool            second{false}; //!< Its caller had tried before
-        bool            moved{false};  //!< It was sent to a second service
-    };
-
-    /// \brief What came of a kind of request
-    struct Tally
-    {
-        std::size_t owed{0};     //!< Requests, each with all its tries
-        std::size_t served{0};   //!< In the caller's time
-        std::size_t inTarget{0}; //!< Within the target from the first try on
-
-        [[nodiscard]] double servedShare() const
-        {
-            return owed == 0 ? 0 : static_cast<double>(served) / static_cast<double>(owed);
-        }
-        [[nodiscard]] double creditShare(double late) const
-        {
-            const auto inTime = static_cast<double>(inTarget);
-            return owed == 0 ? 0 : (inTime + late * (static_cast<double>(served) - inTime)) / static_cast<double>(owed);
-        }
-        [[nodiscard]] double targetShare() const
-        {
-            return owed == 0 ? 0 : static_cast<double>(inTarget) / static_cast<double>(owed);
-        }
-    };
+    using Try = ModelTry;
+    using Tally = ModelTally;
 
     ServiceModel(ModelSettings settings, std::vector<KindOfRequest> kinds, std::vector<ModelServer> servers) :
     m_settings(settings),
