A first reading that took long is not waited with for relays any more

Cause: after a loss of power of all VMs a node's first reading of the store takes 80 ms on a slow link; then it waited 40 ms more for relays that had just started as well. Ruled out: the program's start (one line after the other within 1 ms). Change: relays have 40 ms from the start, not from the reading. Test failed first.

--- a/include/sailpath/replication/Replica.hpp
+++ b/include/sailpath/replication/Replica.hpp
@@ -42,9 +42,10 @@
     unsigned                 relaysPerDataCentre{2}; //!< Of a large fleet
     unsigned                 upstreams{2};           //!< Relays that a node follows
     core::Duration           watchPause{std::chrono::milliseconds{80}}; //!< After news, so that more comes at once
-    core::Duration           proofWait{std::chrono::milliseconds{40}};  //!< For relays to prove a first, old reading
-    core::Duration           gather{std::chrono::milliseconds{25}}; //!< Changes this close together are told at once
-    std::uint64_t            seed{1};                               //!< Of the random choices
+    core::Duration           proofWait{
+        std::chrono::milliseconds{40}};         //!< From the start, for relays to prove a first, old reading
+    core::Duration gather{std::chrono::milliseconds{25}}; //!< Changes this close together are told at once
+    std::uint64_t  seed{1};                               //!< Of the random choices
 };
 
 using LinkId = std::uint64_t; //!< Number of a link, given by the replica when it opens one, by the program otherwise
--- a/src/sailpath/replication/Replica.cpp
+++ b/src/sailpath/replication/Replica.cpp
@@ -107,8 +107,9 @@
     }
     else
         m_table.takeReading(items, at, upTo, m_changes);
+    // Relays have had the time that the reading took, too.
     if (!proved())
-        m_proveAt = m_relaysLacking >= m_settings.upstreams ? now : now + m_settings.proofWait;
+        m_proveAt = m_relaysLacking >= m_settings.upstreams ? now : std::max(now, m_born + m_settings.proofWait);
     tick(now);
 }
 
--- a/test/replication/Replica.test.cpp
+++ b/test/replication/Replica.test.cpp
@@ -345,4 +345,29 @@
         playSchedule(36, seed);
 }
 
+BOOST_AUTO_TEST_CASE(AFirstReadingThatTookLongIsNotWaitedWithForRelaysAnyMore)
+{
+    for (const auto& [took, proved] : {std::pair(80ms, 80ms), std::pair(10ms, 40ms)})
+    {
+        const core::Timestamp        born{1h};
+        replication::ReplicaSettings settings;
+        settings.self = {"a:1", "dc", 0, 0};
+        settings.seeds = {"b:1"};
+        replication::Replica replica(settings, born);
+        replica.tick(born);
+        (void)replica.takeActions();
+        const replication::Item item{"config", "1", 5};
+        replica.storeRead(std::vector{item}, 5, std::nullopt, born + took, 5);
+        core::Timestamp watched = core::Timestamp::max();
+        for (core::Timestamp now = born + took; now < born + 200ms && watched == core::Timestamp::max(); now += 1ms)
+        {
+            replica.tick(now);
+            for (const auto& action : replica.takeActions())
+                watched = std::holds_alternative<replication::WatchStore>(action) ? now : watched;
+        }
+        BOOST_TEST((watched - born >= proved));
+        BOOST_TEST((watched - born <= proved + 2ms));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
