No crowding only while more are turned away than let in; a trailer ends no connection

Change: it holds only while more are turned away than let in. Cause 2: the new fuzzer of requests in a row: Connection: close in the trailer of a chunked body ended the connection when it was read whole, and not when it came in pieces. Change: what the library says of the connection is taken at the end of the head. Test failed first. Ruled out: a request that reads otherwise by the cut (none in these inputs).

--- a/src/sailpath/balance/Pressure.cpp
+++ b/src/sailpath/balance/Pressure.cpp
@@ -6,7 +6,7 @@
 {
 constexpr auto   pressedFor = std::chrono::seconds{2}; // Those turned away are back by then: the longest `comeBack`
 constexpr double gain = 0.2;                           // Share of one request in the share refused
-constexpr double highShare = 0.3; // Tried at 0.3 to 0.5 in the model and at 0.3 on the bench: docs/design/overload.md
+constexpr double highShare = 0.5;                      // More are turned away than let in
 
 } // namespace
 
--- a/src/sailpath/http/MessageReader.cpp
+++ b/src/sailpath/http/MessageReader.cpp
@@ -75,6 +75,9 @@
     void on_header_impl(ErrorCode&) override // NOLINT
     {
         m_collected.headDone = true;
+        // Later a trailer may have changed what the library says of these.
+        m_collected.head.keepAlive = this->keep_alive();
+        m_collected.head.untilEnd = this->need_eof();
     }
 
     void on_body_init_impl(const boost::optional<std::uint64_t>&, ErrorCode&) override // NOLINT
@@ -119,12 +122,6 @@
         return parser.index() == 1 ? work(std::get<1>(parser)) : work(std::get<2>(parser));
     }
 
-    void finishHead()
-    {
-        collected.head.keepAlive = visit([](auto& it) { return it.keep_alive(); });
-        collected.head.untilEnd = visit([](auto& it) { return it.need_eof(); });
-    }
-
     void judge(const ErrorCode& error)
     {
         if (error == beast::error::header_limit)
@@ -171,10 +168,7 @@
             { return parser.put(boost::asio::buffer(bytes.data() + taken, bytes.size() - taken), error); });
         taken += used;
         if (m_impl->state == ReadState::Head && m_impl->collected.headDone)
-        {
             m_impl->state = ReadState::Body;
-            m_impl->finishHead();
-        }
         if (error && error != beast::error::need_more)
         {
             m_impl->judge(error);
--- a/test/http/MessageReader.test.cpp
+++ b/test/http/MessageReader.test.cpp
@@ -302,4 +302,23 @@
     BOOST_TEST(!reader.head().has("X-T"));
 }
 
+BOOST_AUTO_TEST_CASE(ATrailerDoesNotEndTheConnectionHoweverTheBytesAreCut)
+{
+    const std::string request =
+        "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nConnection: close\r\n\r\n";
+    for (const std::size_t piece : {std::size_t{1}, std::size_t{40}, request.size()})
+    {
+        MessageReader reader(MessageKind::Request, 1000, 1000);
+        std::string   unread;
+        for (std::size_t at = 0; at < request.size(); at += piece)
+        {
+            unread += request.substr(at, piece);
+            unread.erase(0, reader.read(unread));
+        }
+        BOOST_TEST((reader.state() == ReadState::Done));
+        BOOST_TEST(reader.head().keepAlive);
+        BOOST_TEST(!reader.head().has("Connection"));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
