--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -178,6 +178,7 @@
     void                                       hold(Ticket ticket, const Arrival& arrival, core::Timestamp now);
     void                                       admitEarly(core::Timestamp now);
     [[nodiscard]] std::shared_ptr<ServicePool> poolFor(const deployment::HostRoute& route);
+    /// \brief Decide whether a request is refused for load, and note in its service's pressure what was decided
     [[nodiscard]] bool        turnsAway(const Request& request, const Choice& choice, core::Timestamp now) const;
     [[nodiscard]] static bool exceedsDeadline(const Request& request, const Choice& choice, core::Timestamp now);
     [[nodiscard]] static bool mayBeInTime(const Request& request, core::Timestamp now);
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -28,7 +28,7 @@
 constexpr double   patienceRise = 0.05;  // By a request whose caller has longer than known; bounds what an odd one does
 constexpr double   patienceFall = 0.005; // By each other request
 constexpr auto     firstTryOutPause = std::chrono::milliseconds{250}; // Doubles; assumed
-constexpr unsigned mostTryOutDoublings = 5;
+constexpr unsigned mostTryOutDoublings = 5;                           // To 8 s
 
 } // namespace
 
