How long a caller has been trying is believed only where callers begin with the same time

Cause: what a caller's time lacks of the longest on its route was taken for the time it has been trying. Where callers begin with times spread over a sixth, some 70% of first tries were held to be late: refused, searched for briefly, never sent a second time.

Kept: a likelihood ratio (CallerPatience), three near ones to trust, doubted late.

--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sailpath/balance/CallerPatience.hpp>
 #include <sailpath/balance/Pressure.hpp>
 #include <sailpath/balance/RetryWindow.hpp>
 #include <sailpath/balance/ServerView.hpp>
@@ -49,10 +50,10 @@
 ////////////////////////////////////////////////////////////
 struct RouteSeen
 {
-    unsigned        rank{0};    //!< Lower ones go first
-    core::Duration  target{};   //!< Time within which an answer is wanted
-    core::Timestamp at{};       //!< Its last request
-    core::Duration  patience{}; //!< Longest time that its callers lately said they have
+    unsigned        rank{0};  //!< Lower ones go first
+    core::Duration  target{}; //!< Time within which an answer is wanted
+    core::Timestamp at{};     //!< Its last request
+    CallerPatience  patience; //!< What its callers say they have
 };
 
 ////////////////////////////////////////////////////////////
@@ -108,7 +109,7 @@
     ///
     /// \param timeLeft That its caller says it has; null when it does not say
     ///
-    /// \return For how long its caller has been trying, as far as callers of the route are alike
+    /// \return For how long its caller has been trying; 0 when that cannot be told
     ////////////////////////////////////////////////////////////
     core::Duration arrived(const deployment::HostRoute& route, std::optional<core::Duration> timeLeft,
                            core::Timestamp now);
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -28,9 +28,7 @@
 constexpr double   probeShare = 0.8;     // Of the budget for probes that is used
 constexpr double   probeBurstSeconds = 2;
 constexpr unsigned leastConnections = 2;
-constexpr unsigned answersToKnow = 3;    // Of a route, before its usual work is relied on
-constexpr double   patienceRise = 0.05;  // By a request whose caller has longer than known; bounds what an odd one does
-constexpr double   patienceFall = 0.005; // By each other request
+constexpr unsigned answersToKnow = 3;                                 // Of a route, before its usual work is relied on
 constexpr auto     firstTryOutPause = std::chrono::milliseconds{250}; // Doubles; assumed
 constexpr unsigned mostTryOutDoublings = 5;                           // To 8 s
 
@@ -299,14 +297,7 @@
     seen.rank = route.priority;
     seen.target = route.targetLatency;
     seen.at = now;
-    if (!timeLeft)
-        return {};
-    const double told = core::toMilliseconds(*timeLeft);
-    const double known = core::toMilliseconds(seen.patience);
-    const double next = told > known && known > 0 ? std::min(told, known * (1 + patienceRise))
-                                                  : std::max(told, known * (1 - patienceFall));
-    seen.patience = core::fromMilliseconds(next);
-    return std::max(core::Duration{}, seen.patience - *timeLeft);
+    return timeLeft ? seen.patience.heard(*timeLeft) : core::Duration{};
 }
 
 ////////////////////////////////////////////////////////////
--- /dev/null
+++ b/test/balance/CallerPatience.test.cpp
@@ -0,0 +1,86 @@
+#include <sailpath/balance/CallerPatience.hpp>
+#include <sailpath/core/Random.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+namespace
+{
+using namespace sailpath;
+using namespace std::chrono_literals;
+using balance::CallerPatience;
+
+////////////////////////////////////////////////////////////
+/// \brief A caller's whole time, drawn from the last part of it
+////////////////////////////////////////////////////////////
+core::Duration wholeTime(core::Random& random, double spread)
+{
+    return core::fromMilliseconds(4000 * (1 - spread * random.unit()));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CallerPatienceTest)
+
+BOOST_AUTO_TEST_CASE(WhereCallersBeginWithTheSameTimeOneThatComesBackIsKnown)
+{
+    CallerPatience patience;
+    for (int i = 0; i < 40; ++i)
+        (void)patience.heard(i % 3 == 0 ? 3982ms : 4000ms); // Some had to connect first
+    BOOST_TEST(patience.alike());
+    BOOST_TEST((patience.heard(4000ms) == 0ms));
+    BOOST_TEST((patience.heard(3700ms) == 300ms));
+}
+
+BOOST_AUTO_TEST_CASE(WhereCallersBeginWithDifferentTimesNobodyIsTakenForLate)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        core::Random   random(seed);
+        CallerPatience patience;
+        unsigned       doubted = 0;
+        for (int i = 0; i < 500; ++i)
+            doubted += patience.heard(wholeTime(random, 0.16)) > 100ms ? 1 : 0;
+        BOOST_TEST(doubted <= 25U, "seed " << seed << ": " << doubted);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(InAShortageInWhichMostComeBackTheBeliefLasts)
+{
+    unsigned lost = 0;
+    unsigned all = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        core::Random   random(seed);
+        CallerPatience patience;
+        for (int i = 0; i < 60; ++i)
+            (void)patience.heard(4000ms);
+        for (int i = 0; i < 500; ++i)
+        {
+            // Each is refused twice and comes back after 100 to 300 ms.
+            const auto back = core::fromMilliseconds(100 + 200 * random.unit());
+            const auto tries = random.below(3);
+            (void)patience.heard(4000ms - tries * back);
+            lost += patience.alike() ? 0 : 1;
+            ++all;
+        }
+    }
+    BOOST_TEST(lost * 20 <= all, lost << " of " << all);
+}
+
+BOOST_AUTO_TEST_CASE(OneOddCallerMakesNobodyLate)
+{
+    CallerPatience patience;
+    for (int i = 0; i < 40; ++i)
+        (void)patience.heard(4000ms);
+    (void)patience.heard(60s);
+    BOOST_TEST((patience.heard(4000ms) == 0ms));
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsBelievedOfTheFirst)
+{
+    CallerPatience patience;
+    for (int i = 0; i < 4; ++i)
+        BOOST_TEST((patience.heard(4000ms - i * 100ms) == 0ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
