--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -2,8 +2,10 @@
 
 #include <sailpath/balance/CallerPatience.hpp>
 #include <sailpath/balance/Pressure.hpp>
+#include <sailpath/balance/ProbeBudget.hpp>
 #include <sailpath/balance/RetryWindow.hpp>
 #include <sailpath/balance/ServerView.hpp>
+#include <sailpath/balance/UsualWork.hpp>
 #include <sailpath/balance/WarmUpLimit.hpp>
 #include <sailpath/core/Random.hpp>
 #include <sailpath/deployment/Deployment.hpp>
@@ -132,13 +134,6 @@
 
     [[nodiscard]] bool highlyPressed(unsigned rank, core::Timestamp now) const; //!< Many of these were
 
-    ////////////////////////////////////////////////////////////
-    /// \brief Whether a request is let in to learn what its route's work is, though the guess speaks against it
-    ///
-    /// True seldom, and ever less often the longer nothing comes of it.
-    ////////////////////////////////////////////////////////////
-    [[nodiscard]] bool tryOut(std::string_view route, core::Timestamp now);
-
     [[nodiscard]] const std::unordered_map<std::string, RouteSeen>& routes() const; //!< That sent requests, by name
 
     ////////////////////////////////////////////////////////////
@@ -148,44 +143,30 @@
 
     [[nodiscard]] bool full(const ServerView& server, core::Timestamp now) const; //!< One more would slow it as a whole
 
-    void                 expectWork(std::string_view route, double ms); //!< A guess, until answers tell
-    void                 learnOthers(double others);                    //!< A report told of others' requests
-    void                 learnPace(double pace);                        //!< A report told a pace
     void                 noteFound(bool good); //!< A probe found a server that is, or is not, good
     [[nodiscard]] double goodShare() const;    //!< Of the servers that probes found of late
     void                 learnNoLoad();        //!< An answer carried no load report
 
     ////////////////////////////////////////////////////////////
-    /// \brief Learn from a good answer
+    /// \brief Learn from a load report
     ///
-    /// \param plainMs  Time that was expected of an ordinary instance
-    /// \param crowding Of the instance, when the request was sent
-    ////////////////////////////////////////////////////////////
-    void learnWork(std::string_view route, double latencyMs, double plainMs, double crowding);
-
-    [[nodiscard]] double             workMs(std::string_view route) const;    //!< Usual work of a route's request
-    [[nodiscard]] bool               knowsWork(std::string_view route) const; //!< Enough answers of the route were seen
-    [[nodiscard]] double             workMs() const;                          //!< Usual work over all routes
-    [[nodiscard]] double             usualPace() const;                       //!< Mean pace of late
-    [[nodiscard]] RetryWindow&       retries();                               //!< Budget
-    [[nodiscard]] const std::string& name() const;                            //!< Of the service
-    [[nodiscard]] const std::string& healthPath() const;                      //!< What a probe asks for
-    [[nodiscard]] std::size_t        size() const;                            //!< Instances that take requests
-    [[nodiscard]] std::size_t        evacuated() const;                       //!< Instances in evacuated data centres
-    [[nodiscard]] bool               allCold(core::Timestamp now) const;      //!< No instance is known to be warm
+    /// \param others Requests of other nodes at the instance; null when it cannot be told
+    ////////////////////////////////////////////////////////////
+    void learnLoad(double pace, std::optional<double> others);
+
+    [[nodiscard]] UsualWork&                  work();             //!< What is usual at its instances
+    [[nodiscard]] const UsualWork&            work() const;       //!< What is usual at its instances
+    [[nodiscard]] RetryWindow&                retries();          //!< Budget
+    [[nodiscard]] const std::string&          name() const;       //!< Of the service
+    [[nodiscard]] const std::string&          healthPath() const; //!< What a probe asks for
+    [[nodiscard]] std::size_t                 size() const;       //!< Instances that take requests
+    [[nodiscard]] std::size_t                 evacuated() const;  //!< Instances in evacuated data centres
+    [[nodiscard]] bool                        allCold(core::Timestamp now) const; //!< No instance is known to be warm
     [[nodiscard]] std::shared_ptr<ServerView> find(std::string_view instance) const; //!< Null when there is none
 
 private:
     [[nodiscard]] bool mayAvoidOneMore(core::Timestamp now) const; //!< Few enough servers are suspects
 
-    struct RouteWork
-    {
-        double          ms{0};        //!< Usual work
-        unsigned        answers{0};   //!< It was learned from
-        unsigned        tryOuts{0};   //!< Requests that were let in to learn it
-        core::Timestamp nextTryOut{}; //!< None before
-    };
-
     using Ranking = std::vector<std::pair<double, std::shared_ptr<ServerView>>>; //!< By cost
 
     /// \brief Let a server that joined and was never heard of take the last place among the first now and then
@@ -211,15 +192,11 @@
     bool                                       m_tellsLoad{false};      //!< Some answer carried a load report
     unsigned                                   m_answersWithoutLoad{0}; //!< Before the first one that did
     unsigned                                   m_nodes{1};              //!< That share the budget for probes
-    double                                     m_probes{0};             //!< Probes that may be sent now
-    core::Timestamp                            m_probesAt;              //!< Time of that figure
     unsigned                                   m_connections{0};        //!< Most own connections to one instance
-    Usual                                      m_usual;                 //!< Of late
-    unsigned                                   m_crowdedAnswers{0};     //!< Seen so far
+    ProbeBudget                                m_probes;                //!< Of this node
+    UsualWork                                  m_work;                  //!< What is usual at its instances
     std::map<unsigned, Pressure>               m_pressure;              //!< How short of room it is for each rank
-    double                                     m_roomy{1};       //!< Observed over expected time at instances with room
-    std::unordered_map<std::string, RouteWork> m_routeWork;      //!< Usual work by route
-    std::unordered_map<std::string, RouteSeen> m_routes;         //!< Those that sent requests, by name
+    std::unordered_map<std::string, RouteSeen> m_routes;                //!< Those that sent requests, by name
     mutable WarmUpLimit                        m_warmUpLimit;    //!< Who may send to cold instances; it remembers ranks
     core::Duration                             m_warmUp{};       //!< How long an instance is cold
     double                                     m_goodShare{0.5}; //!< Of the servers that probes found of late
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -113,7 +113,7 @@
         {
             const auto pool = m_pools.find(part.service);
             if (pool != m_pools.end())
-                pool->second->expectWork(route.name, worksInTarget * core::toMilliseconds(route.targetLatency));
+                pool->second->work().expect(route.name, worksInTarget * core::toMilliseconds(route.targetLatency));
         }
     }
 }
@@ -171,9 +171,7 @@
     if (outcome.load)
     {
         server.reported(*outcome.load, now);
-        pool.learnPace(outcome.load->pace);
-        if (const auto others = server.reportedOthers())
-            pool.learnOthers(*others);
+        pool.learnLoad(outcome.load->pace, server.reportedOthers());
     }
     else if (outcome.end == AttemptEnd::Answered)
         pool.learnNoLoad();
@@ -195,7 +193,7 @@
             break;
         }
         server.answered(latency, attempt.plainMs);
-        request.pool->learnWork(request.route.name, latency, attempt.plainMs, attempt.crowding);
+        request.pool->work().learn(request.route.name, latency, attempt.plainMs, attempt.crowding);
         break;
     case AttemptEnd::NotRun:
         server.shed(now);
@@ -260,7 +258,7 @@
 {
     if (request.sends >= request.route.attempts || request.attempts.size() >= request.route.attempts + mostUnsent)
         return false;
-    if (now + core::fromMilliseconds(request.pool->workMs(request.route.name) / 2) > request.deadline)
+    if (now + core::fromMilliseconds(request.pool->work().ms(request.route.name) / 2) > request.deadline)
         return false;
     return request.sends == 0 || request.pool->retries().allows(retryExtra(), now);
 }
@@ -334,7 +332,8 @@
         attempt.server->ended(now);
         const double elapsed = core::toMilliseconds(now - attempt.sentAt);
         attempt.server->overdue(elapsed, attempt.plainMs);
-        if (elapsed > m_settings.hopelessWorks * std::max(attempt.expectedMs, request.pool->workMs(request.route.name)))
+        if (elapsed >
+            m_settings.hopelessWorks * std::max(attempt.expectedMs, request.pool->work().ms(request.route.name)))
             attempt.server->failed(now);
         request.mayHaveRun = true;
         Step step;
@@ -397,7 +396,7 @@
 ////////////////////////////////////////////////////////////
 core::Duration Balancer::comeBack(const ServicePool& pool, double expectedMs)
 {
-    const double base = std::max(expectedMs, pool.workMs()) * (0.5 + m_random.unit());
+    const double base = std::max(expectedMs, pool.work().usual().workMs) * (0.5 + m_random.unit());
     return std::clamp<core::Duration>(core::fromMilliseconds(base), leastComeBack, longestComeBack);
 }
 
--- a/src/sailpath/balance/BalancerAdmission.cpp
+++ b/src/sailpath/balance/BalancerAdmission.cpp
@@ -71,7 +71,7 @@
         return false;
     }
     // What is not known yet is learned by few; a guess keeps the others from flooding full servers.
-    if (pool.tryOut(request.route.name, now))
+    if (pool.work().tryOut(request.route.name, now))
         return false;
     pool.turnedAway(rank, now);
     return true;
@@ -101,7 +101,7 @@
 {
     const double passed = core::toMilliseconds(now - request.firstTry);
     const double most = mostMs(core::toMilliseconds(request.route.targetLatency), request.route.priority);
-    return passed + request.pool->workMs(request.route.name) <= most;
+    return passed + request.pool->work().ms(request.route.name) <= most;
 }
 
 ////////////////////////////////////////////////////////////
@@ -111,12 +111,12 @@
     const double       passed = core::toMilliseconds(now - request.firstTry);
     const auto         delayed = [&](const std::string& name, const RouteSeen& route)
     {
-        if (route.rank >= request.route.priority || now - route.at > urgentFor || !pool.knowsWork(name))
+        if (route.rank >= request.route.priority || now - route.at > urgentFor || !pool.work().knows(name))
             return false;
         const double between = 1 + rankStep * (request.route.priority - route.rank);
         const double limit = mostMs(core::toMilliseconds(route.target), route.rank) / between;
         // What takes most of its target by its own work is not helped by others giving way.
-        return passed + pool.finishMs(server, name, now) > std::max(ownWorks * pool.workMs(name), limit);
+        return passed + pool.finishMs(server, name, now) > std::max(ownWorks * pool.work().ms(name), limit);
     };
     return std::any_of(pool.routes().begin(), pool.routes().end(),
                        [&](const auto& route) { return delayed(route.first, route.second); });
--- a/src/sailpath/balance/BalancerSearch.cpp
+++ b/src/sailpath/balance/BalancerSearch.cpp
@@ -117,7 +117,7 @@
 void Balancer::endRound(Ticket ticket, Request& request, core::Timestamp now)
 {
     const Choice choice = request.pool->choose(wishOf(request), now, m_random);
-    const double typical = request.pool->workMs(request.route.name);
+    const double typical = request.pool->work().ms(request.route.name);
     const bool hasTime = meetsTarget(request, searchRoom * typical + core::toMilliseconds(m_settings.roundPause), now);
     if (!choice.server || !hasTime)
         return settle(ticket, request, choice, now);
@@ -164,7 +164,7 @@
 ////////////////////////////////////////////////////////////
 bool Balancer::looksGood(const Request& request, double finishMs) const
 {
-    const double typical = request.pool->workMs(request.route.name);
+    const double typical = request.pool->work().ms(request.route.name);
     return finishMs <= goodFactor * typical + core::toMilliseconds(m_settings.connectCost);
 }
 
--- a/src/sailpath/balance/BalancerTiming.cpp
+++ b/src/sailpath/balance/BalancerTiming.cpp
@@ -47,7 +47,7 @@
                           request.sends < request.route.attempts && last.running;
     if (mayHedge)
     {
-        const double typical = request.pool->workMs(request.route.name);
+        const double typical = request.pool->work().ms(request.route.name);
         const auto   target = request.firstTry + request.route.targetLatency;
         const auto   latestUseful = target - core::fromMilliseconds(hedgeRoom * typical) - m_settings.wayBack -
                                   m_settings.probeWait - m_settings.connectCost;
@@ -71,7 +71,7 @@
     {
         // Looked at again only when it is stuck; the deadline ends it in any case.
         request.noHedgeUntil =
-            now + core::fromMilliseconds(m_settings.hopelessWorks * request.pool->workMs(request.route.name));
+            now + core::fromMilliseconds(m_settings.hopelessWorks * request.pool->work().ms(request.route.name));
         return plan(ticket, request, now);
     }
     seek(ticket, request, now);
--- a/test/balance/ServicePool.test.cpp
+++ b/test/balance/ServicePool.test.cpp
@@ -39,8 +39,8 @@
     {
         for (int i = 0; i < answers; ++i)
         {
-            pool.learnWork("read", workMs, workMs, 0);
-            pool.learnWork("read", slowdown * workMs, pool.find("full")->finishMs(workMs, usualOf(), start), 1);
+            pool.work().learn("read", workMs, workMs, 0);
+            pool.work().learn("read", slowdown * workMs, pool.find("full")->finishMs(workMs, usualOf(), start), 1);
         }
     }
 
@@ -49,7 +49,7 @@
     {
         pool.find("full")->reported(Load{slots - 1, 0, slots, 1}, start);
         pool.find("empty")->reported(Load{slots + 9, 0, slots, 9}, start);
-        return pool.choose(Wish{"read", false, {}}, start, random).finishMs / pool.workMs("read");
+        return pool.choose(Wish{"read", false, {}}, start, random).finishMs / pool.work().ms("read");
     }
 
     [[nodiscard]] balance::Usual usualOf()
@@ -94,7 +94,7 @@
     const auto choice = chooseWith(slots, 0);
     BOOST_TEST(choice.server->instance()->id == "empty");
     BOOST_TEST(choice.crowding == 0.0);
-    BOOST_TEST(choice.finishMs < 1.1 * pool.workMs("read"));
+    BOOST_TEST(choice.finishMs < 1.1 * pool.work().ms("read"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
