--- a/include/sailpath/balance/WarmUpLimit.hpp
+++ b/include/sailpath/balance/WarmUpLimit.hpp
@@ -24,22 +24,18 @@
 ///
 /// Load pattern: the instances of a data centre come back cold together while
 /// the others are overloaded. To every node they look idle, and what each of
-/// hundreds of nodes takes for one request more is a flood at the instance: 14
-/// and more requests in one second where 11.75 are allowed (model of 95 nodes).
+/// hundreds of nodes takes for one request more is a flood at the instance: 13
+/// to 17 requests in one second where 11.75 are allowed, 5 with this limit
+/// (model of 95 nodes).
 ///
 /// A few nodes, chosen by rendezvous hash of node and instance, may send to it,
 /// each one request at once and an equal part of the rate. So the sum is known
 /// without a word between nodes: K + rate in any second for K nodes chosen.
 /// K is as large as two thirds of the bound allow, so that nodes which know
-/// only two thirds of the fleet, and so choose more of them, still keep it. For the same
-/// reason members that went silent count on for a while (`MemberList`), and a
-/// node sends nothing to cold instances until it had the time to hear of the
-/// others.
-///
-/// Weighed and left: an equal part of the rate for every node (473 nodes would
-/// each wait longer for their first request than an instance is cold), parts drawn at
-/// random (the sum has no bound), and the load that instances tell (a
-/// burst arrives before the first answer).
+/// only two thirds of the fleet, and so choose more of them, still keep it.
+/// For the same reason members that went silent count on for a while
+/// (`MemberList`), and a node sends nothing to cold instances until it had the
+/// time to hear of the others.
 ////////////////////////////////////////////////////////////
 class WarmUpLimit
 {
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -11,8 +11,6 @@
 constexpr double   mostSuspects = 1.0 / 3; // Of a service's servers at once: the others could hardly bear more
 constexpr double   witnessFadeMs = 4000;   // How fast failures that nodes saw are forgotten, on average
 constexpr double   probeShare = 0.8;       // Of the budget for probes that is used
-constexpr auto     firstProbes = std::chrono::seconds{2}; // Worth of them that a new life begins with: a node that
-                                                          // starts in a shortage and asks little floods full servers
 constexpr unsigned leastConnections = 2;
 
 } // namespace
