--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -28,9 +28,10 @@
 }
 
 ////////////////////////////////////////////////////////////
-CallerConnection::CallerConnection(asio::ip::tcp::socket socket, CallerEvents& events,
+CallerConnection::CallerConnection(asio::ip::tcp::socket socket, std::string address, CallerEvents& events,
                                    std::shared_ptr<BodyMemory> bodies) :
 m_socket(std::move(socket)),
+m_address(std::move(address)),
 m_endTimer(m_socket.get_executor()),
 m_events(events),
 m_bodies(std::move(bodies)),
@@ -38,6 +39,12 @@
 {
 }
 
+////////////////////////////////////////////////////////////
+const std::string& CallerConnection::address() const
+{
+    return m_address;
+}
+
 ////////////////////////////////////////////////////////////
 void CallerConnection::start()
 {
--- a/src/sailpath/gateway/CallerConnection.hpp
+++ b/src/sailpath/gateway/CallerConnection.hpp
@@ -28,7 +28,8 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-    CallerConnection(asio::ip::tcp::socket socket, CallerEvents& events, std::shared_ptr<BodyMemory> bodies);
+    CallerConnection(asio::ip::tcp::socket socket, std::string address, CallerEvents& events,
+                     std::shared_ptr<BodyMemory> bodies);
 
     void start(); //!< Begin to read
 
@@ -45,6 +46,7 @@
     void closeIfIdle();              //!< Close if no request was begun
 
     [[nodiscard]] std::optional<core::Timestamp> restingSince() const; //!< Null while a request is begun or under way
+    [[nodiscard]] const std::string&             address() const;      //!< IP number of the caller
 
 private:
     enum class State
@@ -72,6 +74,7 @@
     void               close();
 
     asio::ip::tcp::socket        m_socket;              //!< Connection
+    std::string                  m_address;             //!< IP number of the caller
     asio::steady_timer           m_endTimer;            //!< Looks for the caller's end while nothing is read
     CallerEvents&                m_events;              //!< Gateway
     std::shared_ptr<BodyMemory>  m_bodies;              //!< Memory for bodies, shared with the others
--- a/src/sailpath/gateway/Exchange.cpp
+++ b/src/sailpath/gateway/Exchange.cpp
@@ -1,5 +1,7 @@
 #include "Exchange.hpp"
 
+#include <sailpath/deployment/ServerFailure.hpp>
+
 #include <algorithm>
 #include <array>
 
@@ -65,6 +67,17 @@
     return send;
 }
 
+////////////////////////////////////////////////////////////
+const deployment::RequestIdentity& Exchange::identity()
+{
+    if (!m_identity)
+    {
+        const std::array<std::string_view, 3> content{host, startLine, body};
+        m_identity = {core::contentHash(content), deployment::shortHash(callerAddress)};
+    }
+    return *m_identity;
+}
+
 ////////////////////////////////////////////////////////////
 void Exchange::note(const balance::Step& step, core::Timestamp now)
 {
@@ -82,6 +95,7 @@
 ////////////////////////////////////////////////////////////
 void Exchange::ended(unsigned attempt, const balance::Outcome& outcome, core::Timestamp now)
 {
+    lost = lost || outcome.end == balance::AttemptEnd::Lost;
     trail += ",end" + std::to_string(attempt) + "=" + std::string(nameOf(outcome.end)) + "/" +
              std::to_string(outcome.status) + "@" +
              std::to_string(static_cast<int>(core::toMilliseconds(now - since))) + "ms";
--- a/src/sailpath/gateway/Exchange.hpp
+++ b/src/sailpath/gateway/Exchange.hpp
@@ -4,6 +4,7 @@
 #include "ServerConnection.hpp"
 
 #include <sailpath/balance/Step.hpp>
+#include <sailpath/deployment/RequestIdentity.hpp>
 
 #include <map>
 #include <memory>
@@ -30,6 +31,7 @@
 {
     std::weak_ptr<CallerConnection>                       caller;          //!< Who asked
     std::string                                           id;              //!< As the caller gave it
+    std::string                                           callerAddress;   //!< IP number
     std::string                                           host;            //!< Of a route; empty when there is none
     std::string                                           route;           //!< Its name; empty when there is none
     std::string                                           startLine;       //!< For the server
@@ -44,6 +46,7 @@
     unsigned                                              attempts{0};     //!< Sends
     unsigned                                              probes{0};       //!< Servers asked for their load
     std::string                                           trail;           //!< Sends and their ends, for the log
+    bool                                                  lost{false};     //!< Some send was lost
     std::map<unsigned, std::shared_ptr<ServerConnection>> sends;           //!< Under way
     std::map<unsigned, ServerAnswer>                      answers;         //!< By attempt
 
@@ -59,11 +62,21 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] Send request(const deployment::Instance& instance, core::Duration left, const Dialect& dialect) const;
 
+    ////////////////////////////////////////////////////////////
+    /// \brief What the request is known by when it comes again
+    ///
+    /// Computed when it is asked for first: few requests are ever looked for again.
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] const deployment::RequestIdentity& identity();
+
     void note(const balance::Step& step, core::Timestamp now);                          //!< A send, for the log
     void ended(unsigned attempt, const balance::Outcome& outcome, core::Timestamp now); //!< Its end, for the log
     void noteEstimate(const balance::Refusal& refusal); //!< What a refusal was decided by, for the log
     void end(unsigned status, std::string_view reason, core::Timestamp now);       //!< Its answer is known
     [[nodiscard]] std::shared_ptr<ServerConnection> releaseSend(unsigned attempt); //!< Forget a send; null if it ended
+
+private:
+    std::optional<deployment::RequestIdentity> m_identity; //!< Once it was asked for
 };
 
 } // namespace sailpath::gateway::priv
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -54,16 +54,16 @@
 ////////////////////////////////////////////////////////////
 void Gateway::Impl::accept()
 {
-    acceptor.async_accept(
-        [this](const asio::error_code& error, Socket socket)
-        {
-            if (error == asio::error::operation_aborted)
-                return;
-            if (error)
-                return acceptAgain(error.message());
-            admitCaller(std::move(socket));
-            accept();
-        });
+    acceptor.async_accept(peer,
+                          [this](const asio::error_code& error, Socket socket)
+                          {
+                              if (error == asio::error::operation_aborted)
+                                  return;
+                              if (error)
+                                  return acceptAgain(error.message());
+                              admitCaller(std::move(socket));
+                              accept();
+                          });
 }
 
 ////////////////////////////////////////////////////////////
@@ -74,7 +74,7 @@
         return;
     asio::error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    auto caller = std::make_shared<CallerConnection>(std::move(socket), *this, bodies);
+    auto caller = std::make_shared<CallerConnection>(std::move(socket), peer.address().to_string(), *this, bodies);
     callers.insert(caller);
     caller->start();
 }
--- a/src/sailpath/gateway/GatewayImpl.hpp
+++ b/src/sailpath/gateway/GatewayImpl.hpp
@@ -41,7 +41,7 @@
     void                      attemptEnded(balance::Ticket ticket, unsigned attempt, const balance::Outcome& outcome,
                                            priv::ServerAnswer answer);
     void                      finish(balance::Ticket ticket, const balance::Step& step);
-    void                      log(const priv::Exchange& exchange);
+    void                      log(priv::Exchange& exchange);
     [[nodiscard]] std::string metrics() const;
 
     [[nodiscard]] balance::Ticket newTicket() override;
@@ -63,6 +63,7 @@
     balance::Balancer                                   balancer;
     priv::ServerConnections                             servers;
     asio::ip::tcp::acceptor                             acceptor;
+    asio::ip::tcp::endpoint                             peer; // Of the connection accepted last
     asio::steady_timer                                  acceptTimer;
     asio::steady_timer                                  dueTimer;
     asio::steady_timer                                  sweepTimer;
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -62,6 +62,7 @@
 
     Exchange& exchange = exchanges[ticket];
     exchange.caller = caller.shared_from_this();
+    exchange.callerAddress = caller.address();
     exchange.take(std::move(request), dialect);
     if (const deployment::HostRoute* route = balancer.findRoute(host, target))
     {
@@ -318,8 +319,15 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Gateway::Impl::log(const Exchange& exchange)
+void Gateway::Impl::log(Exchange& exchange)
 {
+    // Its id is new with each try; by its content it is known again, at whatever node.
+    if (exchange.lost)
+        events.write(ports::Level::Info, "request-lost",
+                     {{"request", exchange.id},
+                      {"route", exchange.route},
+                      {"content", exchange.identity().content.text()},
+                      {"caller", exchange.callerAddress}});
     const priv::Ending&  ending = *exchange.ending;
     const core::Duration took = priv::now() - exchange.since;
     const core::Duration decision = *exchange.decidedAt - exchange.since;
