--- /dev/null
+++ b/test/support/EndingServer.cpp
@@ -0,0 +1,124 @@
+#include <support/EndingServer.hpp>
+#include <support/ScriptedServer.hpp>
+
+#include <asio/write.hpp>
+
+#include <array>
+#include <chrono>
+#include <sys/socket.h>
+
+namespace sailpath::support
+{
+namespace
+{
+constexpr auto runTime = std::chrono::milliseconds{5}; // Until a request shows what it does
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+EndingServer::EndingServer() :
+m_acceptor(m_context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+m_port(m_acceptor.local_endpoint().port()),
+m_thread(
+    [this]
+    {
+        while (!m_ended)
+        {
+            auto             socket = std::make_shared<asio::ip::tcp::socket>(m_context);
+            asio::error_code error;
+            m_acceptor.accept(*socket, error);
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            if (error || m_ended)
+                return;
+            m_sockets.push_back(socket);
+            m_threads.emplace_back([this, socket] { serve(*socket); });
+        }
+    })
+{
+}
+
+////////////////////////////////////////////////////////////
+EndingServer::~EndingServer()
+{
+    end();
+    m_thread.join();
+    for (std::thread& thread : m_threads)
+        thread.join();
+}
+
+////////////////////////////////////////////////////////////
+void EndingServer::end()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_ended.exchange(true))
+        return;
+    // A shutdown of the listening socket ends the wait for connections; from then on none is taken.
+    ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+    for (const auto& socket : m_sockets)
+        ::shutdown(socket->native_handle(), SHUT_RDWR);
+}
+
+////////////////////////////////////////////////////////////
+void EndingServer::serve(asio::ip::tcp::socket& socket)
+{
+    std::array<char, 4096> buffer{};
+    std::string            unread;
+    while (true)
+    {
+        asio::error_code  error;
+        const std::size_t bytes = socket.read_some(asio::buffer(buffer), error);
+        if (error)
+            return;
+        unread.append(buffer.data(), bytes);
+        const auto head = unread.find("\r\n\r\n");
+        if (head == std::string::npos)
+            continue;
+        const std::string length = fieldOf(unread, "Content-Length");
+        if (unread.size() < head + 4 + (length.empty() ? 0 : std::stoul(length)))
+            continue;
+        if (!answer(socket, std::exchange(unread, {})))
+            return;
+    }
+}
+
+////////////////////////////////////////////////////////////
+bool EndingServer::answer(asio::ip::tcp::socket& socket, const std::string& request)
+{
+    const std::string target = request.substr(0, request.find(" HTTP"));
+    if (target.ends_with("/waits"))
+    {
+        ++m_waiting;
+        return true;
+    }
+    std::this_thread::sleep_for(runTime);
+    if (target.ends_with("/ends"))
+    {
+        end();
+        return false;
+    }
+    const std::string bytes =
+        "HTTP/1.1 200 OK\r\nX-Id: " + fieldOf(request, "X-Id") + "\r\nX-Mark: m\r\nContent-Length: 2\r\n\r\nok";
+    asio::error_code error;
+    asio::write(socket, asio::buffer(bytes), error);
+    return !error;
+}
+
+////////////////////////////////////////////////////////////
+std::uint16_t EndingServer::port() const
+{
+    return m_port;
+}
+
+////////////////////////////////////////////////////////////
+bool EndingServer::ended() const
+{
+    return m_ended;
+}
+
+////////////////////////////////////////////////////////////
+std::size_t EndingServer::waiting() const
+{
+    return m_waiting;
+}
+
+} // namespace sailpath::support
