Servers that start again under their id are other instances; entries of other writers name no server

Cause: a new life's sequence begins anew, so its entry was taken for a late one and the server got nothing, or stayed draining; failures, ejection, connections and load of the earlier life held for the new one. Change: an instance is the id together with the start of its life (InstanceBook, ServicePool, connections, hashes between nodes).

--- a/include/sailpath/deployment/InstanceBook.hpp
+++ b/include/sailpath/deployment/InstanceBook.hpp
@@ -25,6 +25,11 @@
 ////////////////////////////////////////////////////////////
 /// \brief Which instances may be given requests, by what they announce and when they vanish
 ///
+/// A server that starts again under its id is another instance. What comes
+/// last is the newer life, unless that life is known to be over: the server's
+/// clock may have been set back in between, and a write of the earlier life may
+/// be done late.
+///
 /// An instance that drains never takes requests again. One whose entry
 /// vanishes is taken for leaving, unless the store failed callers shortly
 /// before or most of its service vanished with it: then it is believed in
@@ -51,7 +56,14 @@
     ////////////////////////////////////////////////////////////
     void renewed(core::Duration before, core::Timestamp now);
 
-    void announced(const Announcement& announcement);             //!< An entry was written
+    ////////////////////////////////////////////////////////////
+    /// \brief An entry was written
+    ///
+    /// \return False when it is a late word, of an earlier life or an earlier one of this life
+    ////////////////////////////////////////////////////////////
+    bool announced(const Announcement& announcement);
+
+    void unreadable(std::string_view id, core::Timestamp now);    //!< Its entry names no server any more
     void vanished(std::string_view id, core::Timestamp earliest); //!< An entry was removed, at that time or later
     void settle(bool storeIll, core::Timestamp now);              //!< Drop those whose time is up
 
@@ -66,8 +78,10 @@
         std::optional<core::Timestamp> believeUntil;   //!< Its entry vanished; null while it stands
         bool                           lapsed{false};  //!< It vanished with an outage of the store
         std::optional<core::Timestamp> forgetAt;       //!< Not in force; kept to know late writes by
+        std::vector<std::uint64_t>     earlier;        //!< Starts of its lives that are over
     };
 
+    static void        begin(Entry& entry); //!< Of a new life
     [[nodiscard]] bool mostVanished(const std::string& service) const;
     [[nodiscard]] bool manyLapsed() const;
 
--- a/include/sailpath/fleet/FleetThread.hpp
+++ b/include/sailpath/fleet/FleetThread.hpp
@@ -56,6 +56,7 @@
     StoreUse      watches;         //!< For changes
     StartStages   start;           //!< Of this life
     std::size_t   evacuated{0};    //!< Data centres whose instances are sent nothing
+    std::uint64_t rejected{0};     //!< Entries since the start that named no server
 };
 
 ////////////////////////////////////////////////////////////
--- a/src/programs/GatewayProgram.cpp
+++ b/src/programs/GatewayProgram.cpp
@@ -145,6 +145,7 @@
     add("copy_revision", "gauge", status.revision);
     add("nodes_known", "gauge", status.nodes);
     add("data_centres_evacuated", "gauge", status.evacuated);
+    add("server_entries_rejected_total", "counter", status.rejected);
     add("followers", "gauge", status.followers);
     add("store_calls_total", "counter", status.storeCalls);
     add("store_watched", "gauge", status.watching ? 1 : 0);
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -193,7 +193,7 @@
 {
     ServerView& server = *attempt.server;
     if (outcome.end == AttemptEnd::Answered || outcome.end == AttemptEnd::NotRun)
-        m_crashes.answers(deployment::shortHash(server.instance()->id), now);
+        m_crashes.answers(deployment::lifeHash(*server.instance()), now);
     learnLoad(*request.pool, server, outcome, now);
     const double latency = core::toMilliseconds(now - attempt.sentAt);
     switch (outcome.end)
@@ -225,7 +225,7 @@
 void Balancer::noteFailure(ServicePool& pool, const ServerView& server, core::Timestamp now)
 {
     constexpr std::size_t most = 256; // Not taken; more only if nobody takes them
-    const std::uint32_t   hash = deployment::shortHash(server.instance()->id);
+    const std::uint32_t   hash = deployment::lifeHash(*server.instance());
     witness(pool, {0, hash}, now);
     if (m_failures.size() < most)
         m_failures.push_back(hash);
@@ -421,7 +421,8 @@
     if (pool == m_pools.end())
         return;
     const auto server = pool->second->find(instance.id);
-    if (!server)
+    // Connections to an earlier life are of no use to this one.
+    if (!server || !deployment::sameLife(*server->instance(), instance))
         return;
     server->setIdleConnections(idle);
     server->setOpenConnections(open);
--- a/src/sailpath/balance/BalancerCrashes.cpp
+++ b/src/sailpath/balance/BalancerCrashes.cpp
@@ -47,7 +47,7 @@
     for (const LostRequest& one : lost)
     {
         deployment::ServerEnd end;
-        end.server = deployment::shortHash(instance.id);
+        end.server = deployment::lifeHash(instance);
         end.request = one.identity;
         end.ran = one.lostAt - one.sentAt;
         end.ago = now - one.lostAt;
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -73,6 +73,9 @@
     {
         const std::string id = instance.id;
         auto              known = find(id);
+        // What a server that started again was and had before is over: it is met as a new one.
+        if (known && !deployment::sameLife(*known->instance(), instance))
+            known.reset();
         if (known && *known->instance() != instance)
             known->update(std::move(instance), now);
         else if (!known)
@@ -95,7 +98,7 @@
     m_byId = std::move(byId);
     m_byHash.clear();
     for (const auto& [id, server] : m_byId)
-        m_byHash[deployment::shortHash(id)] = server;
+        m_byHash[deployment::lifeHash(*server->instance())] = server;
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/deployment/InstanceBook.cpp
+++ b/src/sailpath/deployment/InstanceBook.cpp
@@ -1,14 +1,16 @@
 #include <sailpath/deployment/InstanceBook.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace sailpath::deployment
 {
 namespace
 {
-constexpr auto   remembrance = std::chrono::seconds{60}; // Of instances that left, to know late writes by
-constexpr double most = 0.5;                             // Share of a service
-constexpr double many = 0.25;                            // Share of all instances
+constexpr auto        remembrance = std::chrono::seconds{60}; // Of instances that left, to know late writes by
+constexpr std::size_t mostEarlier = 16; // Lives of one server that are remembered; more than start in a minute
+constexpr double      most = 0.5;       // Share of a service
+constexpr double      many = 0.25;      // Share of all instances
 
 } // namespace
 
@@ -26,17 +28,49 @@
 }
 
 ////////////////////////////////////////////////////////////
-void InstanceBook::announced(const Announcement& announcement)
+bool InstanceBook::announced(const Announcement& announcement)
 {
-    Entry& entry = m_entries[announcement.instance.id];
+    Entry&              entry = m_entries[announcement.instance.id];
+    const std::uint64_t born = announcement.instance.born;
+    const bool          known = !entry.last.instance.id.empty();
+    if (known && born != entry.last.instance.born)
+    {
+        if (std::find(entry.earlier.begin(), entry.earlier.end(), born) != entry.earlier.end())
+            return false;
+        begin(entry);
+    }
     if (announcement.sequence < entry.last.sequence)
-        return;
+        return false;
     entry.last = announcement;
     entry.drained = entry.drained || announcement.instance.draining;
     entry.last.instance.draining = entry.drained;
     entry.believeUntil.reset();
     entry.forgetAt.reset();
     entry.lapsed = false;
+    return true;
+}
+
+////////////////////////////////////////////////////////////
+void InstanceBook::begin(Entry& entry)
+{
+    std::vector<std::uint64_t> earlier = std::move(entry.earlier);
+    if (earlier.size() >= mostEarlier)
+        earlier.erase(earlier.begin());
+    earlier.push_back(entry.last.instance.born);
+    entry = Entry{};
+    entry.earlier = std::move(earlier);
+}
+
+////////////////////////////////////////////////////////////
+void InstanceBook::unreadable(std::string_view id, core::Timestamp now)
+{
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+        return;
+    Entry& entry = found->second;
+    entry.believeUntil.reset();
+    entry.lapsed = false;
+    entry.forgetAt = now + remembrance;
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/deployment/ServerFailure.cpp
+++ b/src/sailpath/deployment/ServerFailure.cpp
@@ -1,4 +1,5 @@
 #include <sailpath/core/Hash.hpp>
+#include <sailpath/deployment/Instance.hpp>
 #include <sailpath/deployment/ServerFailure.hpp>
 
 namespace sailpath::deployment
@@ -9,4 +10,10 @@
     return static_cast<std::uint32_t>(core::hash(name));
 }
 
+////////////////////////////////////////////////////////////
+std::uint32_t lifeHash(const Instance& instance)
+{
+    return static_cast<std::uint32_t>(core::hash(instance.id, instance.born));
+}
+
 } // namespace sailpath::deployment
--- a/src/sailpath/fleet/FleetThread.cpp
+++ b/src/sailpath/fleet/FleetThread.cpp
@@ -397,7 +397,17 @@
         const auto     read = translator.announcement(item.key, item.value, findings);
         if (!read)
         {
-            log.write(ports::Level::Error, "instance-rejected", {{"key", item.key}, {"findings", findings.text()}});
+            // It is another writer's, and names no server; a server of that name gets nothing more.
+            ++rejectedEntries;
+            log.write(ports::Level::Error, "instance-rejected",
+                      {{"key", item.key}, {"revision", item.revision}, {"findings", findings.text()}});
+            book.unreadable(translator.instanceId(item.key), at);
+            return true;
+        }
+        if (!book.announced(*read))
+        {
+            log.write(ports::Level::Warning, "instance-late",
+                      {{"instance", read->instance.id}, {"born", read->instance.born}, {"revision", item.revision}});
             return false;
         }
         log.write(ports::Level::Info, "instance-announced",
@@ -405,8 +415,8 @@
                    {"service", read->instance.service},
                    {"draining", read->instance.draining ? 1 : 0},
                    {"warmUpMs", core::toMilliseconds(read->instance.warmUp)},
+                   {"born", read->instance.born},
                    {"revision", item.revision}});
-        book.announced(*read);
         return true;
     }
 
@@ -470,7 +480,8 @@
                  readings,
                  watches,
                  start,
-                 evacuated.size()};
+                 evacuated.size(),
+                 rejectedEntries};
     }
 
     FleetSettings                                 settings;
@@ -488,8 +499,9 @@
     adapters::links::LinkHub                      hub;
     std::shared_ptr<const deployment::Deployment> deployment;
     std::set<std::string>                         evacuated; // Data centres
-    StoreUse                                      readings;  // Of all items
-    StoreUse                                      watches;   // For changes
+    std::uint64_t                                 rejectedEntries{0};
+    StoreUse                                      readings; // Of all items
+    StoreUse                                      watches;  // For changes
     StartStages                                   start{now(), {}, {}, {}};
     core::Timestamp                               armedFor{};
     bool                                          armed{false};
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -195,6 +195,7 @@
         m_impl->balancer.proved(m_impl->provedAt());
     m_impl->balancer.configure(declared, priv::now());
     m_impl->servers.setEvacuated(declared.evacuated);
+    m_impl->servers.closeEarlierLives(declared.instances);
     if (declared.deployment)
     {
         m_impl->callerLimits = declared.deployment->limits;
--- a/src/sailpath/gateway/ServerConnections.cpp
+++ b/src/sailpath/gateway/ServerConnections.cpp
@@ -25,7 +25,8 @@
     {
         const core::Duration limit =
             proven ? std::min(m_settings.provenFor, restLimit(*connection)) : restLimit(*connection);
-        const bool usable = connection->idle() && connection->rest() < limit;
+        const bool usable =
+            connection->idle() && connection->rest() < limit && deployment::sameLife(connection->instance(), *instance);
         if (usable && (!best || connection->rest() < best->rest()))
             best = connection;
     }
@@ -80,6 +81,20 @@
     sweep();
 }
 
+////////////////////////////////////////////////////////////
+void ServerConnections::closeEarlierLives(std::span<const deployment::Instance> instances)
+{
+    std::unordered_map<std::string_view, std::uint64_t> born;
+    for (const deployment::Instance& instance : instances)
+        born.emplace(instance.id, instance.born);
+    closeWhere(
+        [&born](const ServerConnection& connection)
+        {
+            const auto now = born.find(connection.instance().id);
+            return now != born.end() && now->second != connection.instance().born;
+        });
+}
+
 ////////////////////////////////////////////////////////////
 void ServerConnections::closeWhere(const std::function<bool(const ServerConnection&)>& condition)
 {
--- a/src/sailpath/gateway/ServerConnections.hpp
+++ b/src/sailpath/gateway/ServerConnections.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -43,6 +44,9 @@
     ////////////////////////////////////////////////////////////
     void setEvacuated(const std::set<std::string>& dataCentres);
 
+    void closeEarlierLives(std::span<const deployment::Instance> instances); //!< Close what rests to servers that
+                                                                             //!< have started again since
+
     [[nodiscard]] std::uint64_t opened() const; //!< Connections opened since the start
 
 private:
