--- a/src/programs/GatewayProgram.cpp
+++ b/src/programs/GatewayProgram.cpp
@@ -3,6 +3,7 @@
 #include <sailpath/adapters/logging/BoundedEventLog.hpp>
 #include <sailpath/adapters/logging/Log4cplusEventLog.hpp>
 #include <sailpath/adapters/settings/SettingsReader.hpp>
+#include <sailpath/core/Clock.hpp>
 #include <sailpath/core/Hash.hpp>
 #include <sailpath/gateway/Gateway.hpp>
 
@@ -125,13 +126,6 @@
     return fleet;
 }
 
-////////////////////////////////////////////////////////////
-core::Timestamp steadyNow()
-{
-    const auto since = std::chrono::steady_clock::now().time_since_epoch();
-    return core::Timestamp(std::chrono::duration_cast<core::Duration>(since));
-}
-
 ////////////////////////////////////////////////////////////
 std::string controlMetrics(const fleet::FleetStatus& status, std::uint64_t linesLeftOut)
 {
@@ -190,7 +184,7 @@
         if (m_begun)
             return;
         m_begun = true;
-        m_since = std::chrono::steady_clock::now();
+        m_since = core::now();
         m_log.write(ports::Level::Info, "leaving",
                     {{"unfinished", m_gateway.unfinished()}, {"callers", m_gateway.callers()}});
         m_gateway.leave();
@@ -212,7 +206,7 @@
     void check()
     {
         m_gateway.closeIdle();
-        const auto elapsed = std::chrono::steady_clock::now() - m_since;
+        const auto elapsed = core::now() - m_since;
         // What is left then are callers that have not sent a whole request.
         const bool patient = elapsed < noticeTime + lingerTime;
         const bool done = m_gateway.unfinished() == 0 && (m_gateway.callers() == 0 || !patient);
@@ -222,13 +216,13 @@
         m_context.stop();
     }
 
-    asio::io_context&                     m_context;      //!< Loop
-    gateway::Gateway&                     m_gateway;      //!< Is stopped
-    core::Duration                        m_grace;        //!< Longest time
-    ports::EventLog&                      m_log;          //!< Told
-    asio::steady_timer                    m_timer;        //!< Next check
-    std::chrono::steady_clock::time_point m_since;        //!< Start
-    bool                                  m_begun{false}; //!< It was told to stop
+    asio::io_context&  m_context;      //!< Loop
+    gateway::Gateway&  m_gateway;      //!< Is stopped
+    core::Duration     m_grace;        //!< Longest time
+    ports::EventLog&   m_log;          //!< Told
+    asio::steady_timer m_timer;        //!< Next check
+    core::Timestamp    m_since{};      //!< Start
+    bool               m_begun{false}; //!< It was told to stop
 };
 
 ////////////////////////////////////////////////////////////
@@ -274,7 +268,7 @@
                                                settings.text("log-level"));
     if (settings.text("log-file").empty())
         lines.useStandardOutput();
-    adapters::logging::BoundedEventLog log(lines, static_cast<unsigned>(settings.whole("log-lines")), steadyNow);
+    adapters::logging::BoundedEventLog log(lines, static_cast<unsigned>(settings.whole("log-lines")), core::now);
     asio::io_context                   context(1);
     gateway::Gateway                   gateway(context, gatewaySettings(settings), surroundings.dialect, log);
     PlannedStop stop(context, gateway, core::fromMilliseconds(settings.number("grace-s") * 1000 * graceShare), log);
--- a/src/sailpath/adapters/calls/HttpCaller.cpp
+++ b/src/sailpath/adapters/calls/HttpCaller.cpp
@@ -1,5 +1,6 @@
 #include <sailpath/adapters/calls/HttpCaller.hpp>
 
+#include <sailpath/core/Clock.hpp>
 #include <sailpath/http/MessageReader.hpp>
 
 #include <asio/io_context.hpp>
@@ -35,7 +36,7 @@
         const std::uint64_t number = calls;
         reader = std::make_unique<http::MessageReader>(http::MessageKind::Answer, headLimit, bodyLimit);
         silence = longest;
-        startedAt = std::chrono::steady_clock::now();
+        startedAt = core::now();
         awaitBytes(number);
         if (connected)
             return write(number);
@@ -98,7 +99,7 @@
         unread.erase(0, reader->read(unread));
         const http::ReadState state = reader->state();
         const bool            unfinished = state == http::ReadState::Head || state == http::ReadState::Body;
-        if (unfinished && std::chrono::steady_clock::now() - startedAt < silence + longestAnswer)
+        if (unfinished && core::now() - startedAt < silence + longestAnswer)
         {
             awaitBytes(number);
             return read(number);
@@ -133,18 +134,18 @@
         unread.clear();
     }
 
-    settings::Endpoint                    service;          //!< Where
-    asio::ip::tcp::socket                 socket;           //!< Connection
-    asio::steady_timer                    timer;            //!< Of the call
-    std::unique_ptr<http::MessageReader>  reader;           //!< Of the answer
-    std::string                           request;          //!< Bytes
-    std::string                           unread;           //!< Bytes not taken yet
-    std::array<char, 16384>               buffer{};         //!< Bytes as they come
-    Answered                              answered;         //!< Of the call under way
-    std::uint64_t                         calls{0};         //!< Since the start
-    bool                                  connected{false}; //!< The connection is up
-    core::Duration                        silence{};        //!< Longest time without a byte
-    std::chrono::steady_clock::time_point startedAt;        //!< Of the call under way
+    settings::Endpoint                   service;          //!< Where
+    asio::ip::tcp::socket                socket;           //!< Connection
+    asio::steady_timer                   timer;            //!< Of the call
+    std::unique_ptr<http::MessageReader> reader;           //!< Of the answer
+    std::string                          request;          //!< Bytes
+    std::string                          unread;           //!< Bytes not taken yet
+    std::array<char, 16384>              buffer{};         //!< Bytes as they come
+    Answered                             answered;         //!< Of the call under way
+    std::uint64_t                        calls{0};         //!< Since the start
+    bool                                 connected{false}; //!< The connection is up
+    core::Duration                       silence{};        //!< Longest time without a byte
+    core::Timestamp                      startedAt{};      //!< Of the call under way
 };
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/balance/CrashLedger.cpp
+++ b/src/sailpath/balance/CrashLedger.cpp
@@ -1,6 +1,7 @@
 #include <sailpath/balance/CrashLedger.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace sailpath::balance
@@ -78,9 +79,10 @@
 ////////////////////////////////////////////////////////////
 bool CrashLedger::shared(const core::ContentHash& content, const Evidence& evidence) const
 {
+    // What else was at the server that ended last may not have been told yet.
     const auto wasAtAll = [&](const Evidence& other)
     {
-        return std::all_of(evidence.begin(), evidence.end(),
+        return std::all_of(evidence.begin(), std::prev(evidence.end()),
                            [&](const Seen& seen) {
                                return std::any_of(other.begin(), other.end(),
                                                   [&](const Seen& own) { return own.server == seen.server; });
--- a/src/sailpath/fleet/FleetThread.cpp
+++ b/src/sailpath/fleet/FleetThread.cpp
@@ -1,6 +1,7 @@
 #include <sailpath/fleet/FleetThread.hpp>
 
 #include <sailpath/adapters/links/LinkHub.hpp>
+#include <sailpath/core/Clock.hpp>
 #include <sailpath/deployment/InstanceBook.hpp>
 #include <sailpath/fleet/QuarantineKeeper.hpp>
 
@@ -17,6 +18,7 @@
 {
 namespace
 {
+using core::now;
 using replication::LinkId;
 using replication::SourceAnswer;
 using replication::SourceStatus;
@@ -26,13 +28,6 @@
 constexpr auto illWithin =
     std::chrono::milliseconds{1500}; // A failure of the store this recent explains vanished entries
 
-////////////////////////////////////////////////////////////
-core::Timestamp now()
-{
-    const auto since = std::chrono::steady_clock::now().time_since_epoch();
-    return core::Timestamp(std::chrono::duration_cast<core::Duration>(since));
-}
-
 ////////////////////////////////////////////////////////////
 Moment moment()
 {
@@ -209,7 +204,7 @@
             return;
         armed = true;
         armedFor = next;
-        timer.expires_at(std::chrono::steady_clock::time_point(next.time_since_epoch()));
+        timer.expires_after(next - now());
         timer.async_wait(
             [this](const asio::error_code& error)
             {
--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -1,5 +1,7 @@
 #include "CallerConnection.hpp"
 
+#include <sailpath/core/Clock.hpp>
+
 #include <asio/write.hpp>
 
 #include <algorithm>
@@ -20,13 +22,6 @@
 
 } // namespace
 
-////////////////////////////////////////////////////////////
-core::Timestamp now()
-{
-    const auto since = std::chrono::steady_clock::now().time_since_epoch();
-    return core::Timestamp(std::chrono::duration_cast<core::Duration>(since));
-}
-
 ////////////////////////////////////////////////////////////
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket, std::string address, CallerEvents& events,
                                    std::shared_ptr<BodyMemory> bodies) :
@@ -35,7 +30,7 @@
 m_endTimer(m_socket.get_executor()),
 m_events(events),
 m_bodies(std::move(bodies)),
-m_activity(now())
+m_activity(core::now())
 {
 }
 
@@ -75,7 +70,7 @@
 ////////////////////////////////////////////////////////////
 void CallerConnection::received(std::size_t bytes)
 {
-    m_activity = now();
+    m_activity = core::now();
     m_reader.received({m_buffer.data(), bytes}, m_activity);
     takeRequests();
     read();
@@ -221,7 +216,7 @@
     turn.keep = false;
     turn.memory = std::exchange(m_memory, {});
     turn.answer = answerOf({status, reason, status == 503 ? core::Duration(comeBackLater) : core::Duration{}}, false);
-    turn.readyAt = now();
+    turn.readyAt = core::now();
     m_turns.expect(std::move(turn));
     writeNext();
 }
@@ -243,7 +238,7 @@
 ////////////////////////////////////////////////////////////
 bool CallerConnection::give(Turn* turn, CallerAnswer answer)
 {
-    m_turns.put(*turn, std::move(answer), now());
+    m_turns.put(*turn, std::move(answer), core::now());
     writeNext();
     return true;
 }
@@ -258,7 +253,7 @@
         return;
     // From here on the caller has to take bytes. Counted from its own last ones, an answer that took longer than it may be
     // idle was cut as soon as a sweep met its writing: 15 of 160 whose answer came at that time, none of 320 since.
-    m_activity = now();
+    m_activity = core::now();
     // A planned stop ends the connection after the last of what was handed on.
     m_lastWritten = !m_writing->keep || (m_events.leaving() && m_turns.empty());
     if (m_lastWritten)
@@ -282,7 +277,7 @@
     m_writing.reset();
     if (m_state != State::Open)
         return;
-    m_activity = now();
+    m_activity = core::now();
     if (!good)
         return close();
     if (m_lastWritten)
--- a/src/sailpath/gateway/CallerConnection.hpp
+++ b/src/sailpath/gateway/CallerConnection.hpp
@@ -95,9 +95,4 @@
     bool                         m_lastWritten{false};  //!< The answer on its way ends the connection
 };
 
-////////////////////////////////////////////////////////////
-/// \brief Reading of the clock that decisions are given
-////////////////////////////////////////////////////////////
-[[nodiscard]] core::Timestamp now();
-
 } // namespace sailpath::gateway::priv
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -1,5 +1,7 @@
 #include "GatewayImpl.hpp"
 
+#include <sailpath/core/Clock.hpp>
+
 namespace sailpath::gateway
 {
 namespace
@@ -8,8 +10,9 @@
 using Socket = asio::ip::tcp::socket;
 
 constexpr auto          sweepEvery = std::chrono::milliseconds{500};
-constexpr auto          acceptPause = std::chrono::milliseconds{20}; // After a failure, for descriptors to come free
-constexpr std::uint32_t mostEarlyHead = 64U * 1024;                  // Before the operator's limit is known
+constexpr auto          stoodStill = std::chrono::milliseconds{1000}; // Twice the time between sweeps
+constexpr auto          acceptPause = std::chrono::milliseconds{20};  // After a failure, for descriptors to come free
+constexpr std::uint32_t mostEarlyHead = 64U * 1024;                   // Before the operator's limit is known
 
 ////////////////////////////////////////////////////////////
 asio::ip::tcp::acceptor listenOn(asio::io_context& context, const adapters::settings::Endpoint& where)
@@ -26,7 +29,7 @@
 settings(std::move(given)),
 dialect(names),
 events(log),
-balancer(settings.balance, priv::now()),
+balancer(settings.balance, core::now()),
 servers(loop, settings, names,
         [this](const deployment::Instance& instance, unsigned idle, unsigned open)
         { balancer.connections(instance, idle, open); }),
@@ -125,8 +128,9 @@
         {
             if (error)
                 return;
-            const auto                                           at = priv::now();
+            const auto                                           at = core::now();
             const std::vector<std::shared_ptr<CallerConnection>> all(callers.begin(), callers.end());
+            noteRun();
             for (const auto& caller : all)
                 caller->sweep(at);
             servers.sweep();
@@ -134,11 +138,24 @@
         });
 }
 
+////////////////////////////////////////////////////////////
+void Gateway::Impl::noteRun()
+{
+    const core::Timestamp at = core::now();
+    const core::Duration  gap = at - std::exchange(ranAt, at);
+    if (gap < stoodStill)
+        return;
+    events.write(ports::Level::Warning, "stood-still", {{"ms", core::toMilliseconds(gap)}});
+    // What has fallen due meanwhile goes before what has arrived: else a request whose time is up is sent once more.
+    balancer.due(at);
+    carryOut();
+}
+
 ////////////////////////////////////////////////////////////
 std::string Gateway::Impl::quarantineList() const
 {
     std::string text;
-    const auto  at = priv::now();
+    const auto  at = core::now();
     for (const deployment::Quarantine& item : balancer.crashes().list(at))
     {
         text.append("content=").append(item.content.text());
@@ -168,7 +185,7 @@
     add("server_connections_opened_total", "counter", servers.opened());
     add("resting_callers_closed_total", "counter", counters.restingClosed);
     add("quarantined_requests_refused_total", "counter", counters.quarantined);
-    add("quarantines", "gauge", balancer.crashes().list(priv::now()).size());
+    add("quarantines", "gauge", balancer.crashes().list(core::now()).size());
     add("callers", "gauge", callers.size());
     add("requests_unfinished", "gauge", exchanges.size());
     add("body_bytes_held", "gauge", bodies->used());
@@ -193,7 +210,7 @@
     // Requests that were held for the first configuration are decided about with it.
     if (m_impl->provedAt)
         m_impl->balancer.proved(m_impl->provedAt());
-    m_impl->balancer.configure(declared, priv::now());
+    m_impl->balancer.configure(declared, core::now());
     m_impl->servers.setEvacuated(declared.evacuated);
     m_impl->servers.closeEarlierLives(declared.instances);
     if (declared.deployment)
@@ -224,7 +241,7 @@
 ////////////////////////////////////////////////////////////
 void Gateway::hearFailures(std::span<const deployment::ServerFailure> failures)
 {
-    m_impl->balancer.heardFailures(failures, priv::now());
+    m_impl->balancer.heardFailures(failures, core::now());
     m_impl->logBeliefs();
 }
 
@@ -239,7 +256,7 @@
 ////////////////////////////////////////////////////////////
 void Gateway::hearCrashes(const deployment::CrashNews& news)
 {
-    m_impl->balancer.heardCrashes(news, priv::now());
+    m_impl->balancer.heardCrashes(news, core::now());
     m_impl->logBeliefs();
 }
 
--- a/src/sailpath/gateway/GatewayImpl.hpp
+++ b/src/sailpath/gateway/GatewayImpl.hpp
@@ -32,6 +32,7 @@
     void acceptAgain(const std::string& why);
     bool closeLongestResting(); //!< False when no caller rests
     void scheduleSweep();
+    void noteRun(); //!< The loop runs; it may have stood still, with the VM or alone
     void arm();
     void logBeliefs(); //!< What changed of what is believed of servers
     void carryOut();
@@ -77,6 +78,7 @@
     balance::Ticket                                     nextTicket{1};
     std::shared_ptr<priv::BodyMemory>                   bodies;
     std::uint64_t                                       version{0};
+    core::Timestamp                                     ranAt{core::Timestamp::max()}; // When the loop ran last
     bool                                                ready{false};
     bool                                                isLeaving{false};
     bool                                                carrying{false};
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -2,6 +2,8 @@
 
 #include "GatewayImpl.hpp"
 
+#include <sailpath/core/Clock.hpp>
+
 #include <charconv>
 
 namespace sailpath::gateway
@@ -51,6 +53,7 @@
 ////////////////////////////////////////////////////////////
 void Gateway::Impl::requestRead(CallerConnection& caller, balance::Ticket ticket, priv::CallerRequest request)
 {
+    noteRun();
     ++counters.requests;
     balance::Arrival  arrival;
     const std::string host(request.head.field("Host"));
@@ -73,7 +76,7 @@
         balancer.proved(provedAt());
     if (balancer.looksUpRequests())
         arrival.identity = exchange.identity();
-    balancer.admit(ticket, arrival, priv::now());
+    balancer.admit(ticket, arrival, core::now());
     carryOut();
 }
 
@@ -91,13 +94,13 @@
 void Gateway::Impl::callerLeft(balance::Ticket ticket)
 {
     ++counters.callersLeft;
-    balancer.callerLeft(ticket, priv::now());
+    balancer.callerLeft(ticket, core::now());
     carryOut();
     const auto found = exchanges.find(ticket);
     if (found == exchanges.end() || !found->second.sends.empty())
         return;
     if (!found->second.ending)
-        found->second.end(0, "caller-left", priv::now());
+        found->second.end(0, "caller-left", core::now());
     answerLeaves(ticket);
 }
 
@@ -185,7 +188,7 @@
                       {"servers", quarantine.servers},
                       {"callers", quarantine.caller ? "one" : "all"},
                       {"source", quarantine.source},
-                      {"untilMs", core::toMilliseconds(quarantine.until - priv::now())}});
+                      {"untilMs", core::toMilliseconds(quarantine.until - core::now())}});
         if (quarantined)
             quarantined(std::move(quarantine));
     }
@@ -204,17 +207,17 @@
 void Gateway::Impl::arm()
 {
     const auto next = balancer.nextDue();
-    if (!next || (armed && *armed <= *next && *armed > priv::now()))
+    if (!next || (armed && *armed <= *next && *armed > core::now()))
         return;
     armed = next;
-    dueTimer.expires_at(std::chrono::steady_clock::time_point(next->time_since_epoch()));
+    dueTimer.expires_after(*next - core::now());
     dueTimer.async_wait(
         [this](const asio::error_code& error)
         {
             if (error)
                 return;
             armed.reset();
-            balancer.due(priv::now());
+            balancer.due(core::now());
             carryOut();
         });
 }
@@ -256,12 +259,12 @@
     Exchange& exchange = found->second;
     ++counters.attempts;
     counters.secondSends += step.attempt > 1 ? 1 : 0;
-    exchange.note(step, priv::now());
+    exchange.note(step, core::now());
     const auto connection = servers.take(step.instance, !step.repeatable);
     exchange.sends[step.attempt] = connection;
     const auto ticket = step.ticket;
     const auto attempt = step.attempt;
-    priv::Send send = exchange.request(*step.instance, step.deadline - priv::now(), dialect);
+    priv::Send send = exchange.request(*step.instance, step.deadline - core::now(), dialect);
     send.once = !step.repeatable;
     connection->send(std::move(send),
                      [this, ticket, attempt](const balance::Outcome& outcome, priv::ServerAnswer answer)
@@ -274,7 +277,7 @@
     servers.check(step.instance,
                   [this, instance = step.instance](balance::CheckResult result)
                   {
-                      balancer.checked(*instance, result, priv::now());
+                      balancer.checked(*instance, result, core::now());
                       carryOut();
                   });
 }
@@ -295,7 +298,7 @@
         ->send(std::move(send),
                [this, ticket, number](const balance::Outcome& outcome, const priv::ServerAnswer&)
                {
-                   balancer.probed(ticket, number, outcome, priv::now());
+                   balancer.probed(ticket, number, outcome, core::now());
                    carryOut();
                });
 }
@@ -304,16 +307,17 @@
 void Gateway::Impl::attemptEnded(balance::Ticket ticket, unsigned attempt, balance::Outcome outcome,
                                  priv::ServerAnswer answer)
 {
+    noteRun();
     const auto found = exchanges.find(ticket);
     if (found != exchanges.end())
     {
         if (outcome.connectionEnded || balancer.looksUpRequests())
             outcome.identity = found->second.identity();
         found->second.sends.erase(attempt);
-        found->second.ended(attempt, outcome, priv::now());
+        found->second.ended(attempt, outcome, core::now());
         found->second.answers[attempt] = std::move(answer);
     }
-    balancer.attemptEnded(ticket, attempt, outcome, priv::now());
+    balancer.attemptEnded(ticket, attempt, outcome, core::now());
     carryOut();
 }
 
@@ -330,7 +334,7 @@
     {
         priv::ServerAnswer answer = std::move(exchange.answers[step.attempt]);
         ++counters.answered;
-        exchange.end(answer.head.status, "answered", priv::now());
+        exchange.end(answer.head.status, "answered", core::now());
         due = caller && caller->answer(ticket, answer.head, std::move(answer.body));
     }
     else
@@ -342,7 +346,7 @@
             noteQuarantine(exchange);
         if (step.refusal.expectedMs > 0)
             exchange.noteEstimate(step.refusal);
-        exchange.end(own.status, own.reason, priv::now());
+        exchange.end(own.status, own.reason, core::now());
         due = caller && caller->answer(ticket, own);
     }
     // Nobody waits for it any more.
@@ -354,7 +358,7 @@
 void Gateway::Impl::noteQuarantine(Exchange& exchange)
 {
     ++counters.quarantined;
-    const auto  at = priv::now();
+    const auto  at = core::now();
     const auto* quarantine = balancer.crashes().find(exchange.identity(), at);
     if (quarantine == nullptr)
         return;
@@ -374,9 +378,9 @@
                       {"content", exchange.identity().content.text()},
                       {"caller", exchange.callerAddress}});
     const priv::Ending&  ending = *exchange.ending;
-    const core::Duration took = priv::now() - exchange.since;
+    const core::Duration took = core::now() - exchange.since;
     const core::Duration decision = *exchange.decidedAt - exchange.since;
-    const core::Duration turn = priv::now() - ending.at;
+    const core::Duration turn = core::now() - ending.at;
     const bool           usual = ending.status > 0 && ending.status < 400 && exchange.attempts == 1;
     latencies.record(exchange.host, usual ? "answered" : ending.reason, took);
     if (!exchange.route.empty())
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -1,5 +1,7 @@
 #include "ServerConnection.hpp"
 
+#include <sailpath/core/Clock.hpp>
+
 #include <asio/write.hpp>
 
 #include <algorithm>
@@ -106,7 +108,7 @@
 void ServerConnection::connect()
 {
     m_state = State::Connecting;
-    m_since = std::chrono::steady_clock::now();
+    m_since = core::now();
     asio::error_code ignored;
     m_socket.open(asio::ip::tcp::v4(), ignored);
     m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -143,7 +145,7 @@
     if (m_checked)
     {
         m_state = State::Idle;
-        m_since = std::chrono::steady_clock::now();
+        m_since = core::now();
         m_changed(*this);
         return tellCheck(balance::CheckResult::Accepts);
     }
@@ -154,9 +156,9 @@
     }
     // A server that takes no further connection resets it at once. Before anything is sent that says that the request
     // has not run; afterwards nobody could tell.
-    const auto tookToConnect = std::chrono::steady_clock::now() - m_since;
+    const auto tookToConnect = core::now() - m_since;
     auto       self = shared_from_this();
-    m_timer.expires_after(std::clamp<std::chrono::nanoseconds>(tookToConnect, leastProof, longestProof));
+    m_timer.expires_after(std::clamp<core::Duration>(tookToConnect, leastProof, longestProof));
     m_timer.async_wait(
         [self](const asio::error_code& error)
         {
@@ -341,7 +343,7 @@
     const Done done = std::move(m_done);
     m_done = nullptr;
     m_unread.clear();
-    m_since = std::chrono::steady_clock::now();
+    m_since = core::now();
     m_state = keep ? State::Idle : State::Closed;
     if (!keep)
     {
@@ -388,7 +390,7 @@
 ////////////////////////////////////////////////////////////
 core::Duration ServerConnection::rest() const
 {
-    return std::chrono::duration_cast<core::Duration>(std::chrono::steady_clock::now() - m_since);
+    return core::now() - m_since;
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/ServerConnection.hpp
+++ b/src/sailpath/gateway/ServerConnection.hpp
@@ -97,7 +97,7 @@
     std::unique_ptr<http::MessageReader>        m_reader;            //!< Of the answer
     std::string                                 m_unread;            //!< Bytes not taken yet
     std::array<char, 8192>                      m_buffer{};          //!< Bytes as they come
-    std::chrono::steady_clock::time_point       m_since{};           //!< Start of the rest, or of connecting
+    core::Timestamp                             m_since{};           //!< Start of the rest, or of connecting
     core::Duration                              m_restLimit{};       //!< As the server said; 0 when it did not
     State                                       m_state{State::New}; //!< What it does
     bool                                        m_written{false};    //!< The request is out
--- /dev/null
+++ b/test/balance/Suspension.test.cpp
@@ -0,0 +1,136 @@
+// A VM is suspended for seconds: the clock that decisions are given jumps, and nobody was called meanwhile.
+
+#include <sailpath/balance/Balancer.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace
+{
+using namespace sailpath;
+using namespace std::chrono_literals;
+using balance::AttemptEnd;
+using balance::RefusalReason;
+using balance::Step;
+using balance::StepKind;
+
+////////////////////////////////////////////////////////////
+struct Fixture
+{
+    Fixture()
+    {
+        auto deployment = std::make_shared<deployment::Deployment>();
+        deployment->version = 1;
+        deployment::HostRoute route;
+        route.name = "read";
+        route.host = "a.example";
+        route.pathPrefix = "/read/";
+        route.repeatable = true;
+        route.timeout = 900ms;
+        route.targetLatency = 200ms;
+        route.attempts = 3;
+        route.parts = {{"portal", 1}};
+        deployment->routes = {route};
+        deployment->services = {{"portal", "", 200}};
+        declared.deployment = deployment;
+        for (const char* id : {"s1", "s2", "s3", "s4"})
+            declared.instances.push_back({id, "portal", "10.0.0.1", 80, "dc", 3, false, {}});
+        balancer.configure(declared, now);
+        balancer.proved(now);
+        now += 20s;
+    }
+
+    static balance::Settings settingsOf()
+    {
+        balance::Settings settings;
+        settings.dataCentre = "dc";
+        settings.retryRatio = 0.2;
+        settings.retryExtra = 20;
+        settings.denyWithin = 25s;
+        return settings;
+    }
+
+    std::vector<Step> steps()
+    {
+        std::vector<Step> taken;
+        balancer.takeSteps(taken);
+        return taken;
+    }
+
+    std::vector<Step> admit(balance::Ticket ticket, const char* target = "/read/1")
+    {
+        balancer.admit(ticket, {"a.example", target, now, 800ms, {}}, now);
+        return steps();
+    }
+
+    static std::size_t count(const std::vector<Step>& steps, StepKind kind)
+    {
+        return static_cast<std::size_t>(
+            std::count_if(steps.begin(), steps.end(), [kind](const Step& step) { return step.kind == kind; }));
+    }
+
+    core::Timestamp      now{1h};
+    balance::Balancer    balancer{settingsOf(), now};
+    deployment::Declared declared;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(SuspensionTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(WhatIsDueGoesFirstAndNothingIsSentOnPastItsTime)
+{
+    balance::Ticket ticket = 0;
+    for (const core::Duration gap : {core::Duration(1s), core::Duration(5s), core::Duration(60s)})
+    {
+        const auto sent = admit(++ticket);
+        BOOST_REQUIRE_EQUAL(count(sent, StepKind::Forward), 1U);
+        now += gap;
+        balancer.due(now);
+        const auto after = steps();
+        BOOST_TEST(count(after, StepKind::Forward) == 0U);
+        BOOST_REQUIRE_EQUAL(count(after, StepKind::Refuse), 1U);
+        BOOST_TEST((after.back().refusal.reason == RefusalReason::TimedOut));
+        // What arrived meanwhile comes after that and changes nothing.
+        balance::Outcome lost;
+        lost.end = AttemptEnd::Lost;
+        balancer.attemptEnded(ticket, 1, lost, now);
+        BOOST_TEST(steps().empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(RetriesOfTheTimeBeforeAreNotSavedUp)
+{
+    const auto retries = [&](balance::Ticket first)
+    {
+        std::size_t further = 0;
+        for (balance::Ticket ticket = first; ticket < first + 60; ++ticket)
+        {
+            auto sent = admit(ticket);
+            while (!sent.empty() && sent.back().kind == StepKind::Forward)
+            {
+                balance::Outcome lost;
+                lost.end = AttemptEnd::Lost;
+                balancer.attemptEnded(ticket, sent.back().attempt, lost, now);
+                sent = steps();
+                further += count(sent, StepKind::Forward);
+            }
+            now += 1ms;
+        }
+        return further;
+    };
+    const std::size_t before = retries(1);
+    now += 60s;
+    balancer.due(now);
+    BOOST_TEST(retries(1000) <= before + 1);
+}
+
+BOOST_AUTO_TEST_CASE(AnOldConfigurationDeniesNothing)
+{
+    BOOST_TEST((admit(1, "/unknown/").back().refusal.reason == RefusalReason::NoRoute));
+    now += 60s;
+    BOOST_TEST((admit(2, "/unknown/").back().refusal.reason == RefusalReason::OldRoutes));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/replication/FailureNews.test.cpp
+++ b/test/replication/FailureNews.test.cpp
@@ -21,6 +21,15 @@
     return count;
 }
 
+////////////////////////////////////////////////////////////
+std::size_t knowingOfEnd(support::ReplicaGroup& group, std::size_t nodes, std::uint32_t server)
+{
+    std::size_t count = 0;
+    for (std::size_t node = 0; node < nodes; ++node)
+        count += group.heardOfEnds(node, server) > 0 ? 1 : 0;
+    return count;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(FailureNewsTest)
@@ -81,6 +90,45 @@
     BOOST_TEST(news.takeNews().empty());
 }
 
+BOOST_AUTO_TEST_CASE(ServersThatEndUnderRequestsAreToldAtOnce)
+{
+    FailureNews            news(1);
+    replication::EndRecord record{7, {}, 5, 80, 0};
+    news.saw(7);
+    news.tick(start);
+    news.sawEnd(record, start + 90ms);
+    news.tick(start + 100ms);
+    BOOST_REQUIRE_EQUAL(news.forRelay(0).size(), 2U);
+    BOOST_TEST(news.urgentSince(1));
+    BOOST_TEST(!news.urgentSince(2));
+    BOOST_REQUIRE_EQUAL(news.forRelay(1)[0].ends.size(), 1U);
+    BOOST_TEST(news.forRelay(1)[0].ends[0].agoMs == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(WhoTellsOfTooManyEndsIsNotBelieved)
+{
+    FailureNews   news(1);
+    FailureReport all{2, 10, {}, std::vector<replication::EndRecord>(100), {}};
+    news.heard(std::vector<FailureReport>{all}, {4, false}, start);
+    BOOST_TEST(news.takeNews().empty());
+}
+
+BOOST_AUTO_TEST_CASE(AFleetHearsOfEndsWithinHalfASecond)
+{
+    for (const std::size_t nodes : {13UL, 95UL, 300UL})
+    {
+        support::ReplicaGroup group(nodes, 21, 6);
+        group.write("config", "1");
+        group.pass(30s);
+        for (std::uint32_t server = 1; server <= 3; ++server)
+        {
+            group.serverEnded(nodes / 2, server);
+            group.pass(500ms);
+            BOOST_TEST(knowingOfEnd(group, nodes, server) == nodes - 1, nodes << " nodes, server " << server);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(AFleetHearsWithinTwoSecondsAndEachOnce)
 {
     constexpr std::size_t nodes = 120;
--- a/test/support/ReplicaGroup.cpp
+++ b/test/support/ReplicaGroup.cpp
@@ -355,6 +355,22 @@
     act(node);
 }
 
+////////////////////////////////////////////////////////////
+void ReplicaGroup::serverEnded(std::size_t node, std::uint32_t server)
+{
+    replication::EndRecord record;
+    record.server = server;
+    m_nodes[node].replica->serverEnded(record, m_now, m_now);
+    act(node);
+}
+
+////////////////////////////////////////////////////////////
+std::size_t ReplicaGroup::heardOfEnds(std::size_t node, std::uint32_t server) const
+{
+    const auto found = m_nodes[node].serverEnds.find(server);
+    return found == m_nodes[node].serverEnds.end() ? 0 : found->second;
+}
+
 ////////////////////////////////////////////////////////////
 std::size_t ReplicaGroup::heardOfFailures(std::size_t node, std::uint32_t server) const
 {
@@ -413,6 +429,8 @@
     {
         for (const std::uint32_t server : report.servers)
             ++node.failures[server];
+        for (const replication::EndRecord& end : report.ends)
+            ++node.serverEnds[end.server];
     }
     const std::vector<Item> changes = node.replica->takeChanges();
     if (timed() && node.replica->usable(m_now) && !node.usableAt)
--- a/test/support/ReplicaGroup.hpp
+++ b/test/support/ReplicaGroup.hpp
@@ -54,6 +54,7 @@
     void setStore(StoreMode mode);                                //!< For all nodes
     void turnAway(std::size_t node, StoreMode mode);              //!< For one node
     void serverFailed(std::size_t node, std::uint32_t server);    //!< A node sees an instance fail
+    void serverEnded(std::size_t node, std::uint32_t server);     //!< A node sees an instance end under a request
     void pass(core::Duration time);                               //!< Let time pass
 
     void slowStore(core::Duration most); //!< Answers of the store take up to so long on their way back
@@ -64,17 +65,18 @@
 
     [[nodiscard]] bool                        running(std::size_t node) const;
     [[nodiscard]] const replication::Replica& replica(std::size_t node) const;
-    [[nodiscard]] std::string     valueAt(std::size_t node, const std::string& key) const; //!< Empty when there is none
-    [[nodiscard]] std::string     value(const std::string& key) const;                     //!< In the store
-    [[nodiscard]] std::size_t     heardOfFailures(std::size_t   node,
-                                                  std::uint32_t server) const; //!< Reports that reached it
-    [[nodiscard]] std::uint64_t   calls() const;                               //!< Of the store, by all
-    [[nodiscard]] std::uint64_t   callsOf(std::size_t node) const;             //!< Of the store, in all lives
-    [[nodiscard]] std::uint64_t   oldReads() const;    //!< Of these, cheap readings that may be old
-    [[nodiscard]] std::size_t     watchers() const;    //!< Nodes that call the store
-    [[nodiscard]] std::uint64_t   itemsAcross() const; //!< Items sent between data centres
-    [[nodiscard]] bool            wentBack() const;    //!< Some node took a lower revision of a key in one life
-    [[nodiscard]] std::string     incomplete() const;  //!< First copy that lacked a change before its `at`; else empty
+    [[nodiscard]] std::string   valueAt(std::size_t node, const std::string& key) const; //!< Empty when there is none
+    [[nodiscard]] std::string   value(const std::string& key) const;                     //!< In the store
+    [[nodiscard]] std::size_t   heardOfFailures(std::size_t   node,
+                                                std::uint32_t server) const;               //!< Reports that reached it
+    [[nodiscard]] std::size_t   heardOfEnds(std::size_t node, std::uint32_t server) const; //!< Reports that reached it
+    [[nodiscard]] std::uint64_t calls() const;                                             //!< Of the store, by all
+    [[nodiscard]] std::uint64_t callsOf(std::size_t node) const; //!< Of the store, in all lives
+    [[nodiscard]] std::uint64_t oldReads() const;                //!< Of these, cheap readings that may be old
+    [[nodiscard]] std::size_t   watchers() const;                //!< Nodes that call the store
+    [[nodiscard]] std::uint64_t itemsAcross() const;             //!< Items sent between data centres
+    [[nodiscard]] bool          wentBack() const;   //!< Some node took a lower revision of a key in one life
+    [[nodiscard]] std::string   incomplete() const; //!< First copy that lacked a change before its `at`; else empty
     [[nodiscard]] core::Timestamp now() const;
     [[nodiscard]] core::Duration  overstated() const; //!< Most by which a copy said that it is fresher than it was
     [[nodiscard]] std::vector<core::Duration> startToUsable() const; //!< Of the nodes that run and got so far, sorted
@@ -102,8 +104,9 @@
         Line          up;       //!< Of its link
         Line          down;     //!< Of its link
         std::uint64_t calls{0}; //!< Of the store
-        std::map<std::uint32_t, std::size_t> failures; //!< Reports heard, by instance
-        core::Timestamp                      busy{};   //!< Its processor is taken until then
+        std::map<std::uint32_t, std::size_t> failures;   //!< Reports heard, by instance
+        std::map<std::uint32_t, std::size_t> serverEnds; //!< Reports heard of ends, by instance
+        core::Timestamp                      busy{};     //!< Its processor is taken until then
         core::Timestamp                      startedAt{};
         std::optional<core::Timestamp>       usableAt;   //!< In this life
         std::uint64_t                        givenUp{0}; //!< Calls of the store that it does not wait for any more
