--- a/test/platform/soak/callers.py
+++ b/test/platform/soak/callers.py
@@ -60,6 +60,16 @@
                 await self._one()
         self._drop()
 
+    async def send_again(self, target: str, until: float) -> None:
+        """Send the same request again and again, each time to some gateway."""
+        while self._now() < until:
+            with contextlib.suppress(OSError, asyncio.TimeoutError):
+                self._drop()
+                await self._connect()
+                await self._one(target)
+            await asyncio.sleep(self._random.uniform(0.1, 0.8))
+        self._drop()
+
     async def _connect(self) -> None:
         ready = [door for door in self._doors if door.ready]
         self._door = self._random.choice(ready or self._doors)
@@ -72,19 +82,19 @@
             self._writer.transport.abort()
         self._reader = self._writer = None
 
-    async def _one(self) -> None:
+    async def _one(self, target: str | None = None) -> None:
         assert self._reader is not None and self._writer is not None
         kind = self._random.choice(self._kinds)
         self._count += 1
         request = f"{self._number}-{self._count}-{self._random.randrange(1 << 30):x}"
-        body = self._random.randbytes(kind.body)
+        body = b"x" * kind.body if target else self._random.randbytes(kind.body)
         headers = {"Host": "soak.example", wire.REQUEST_ID: request, wire.DEADLINE_MS: str(int(PATIENCE_S * 1000)),
                    "x-work-ms": str(kind.work_ms)}
         call = Call(request, self._door.number, self._life, kind.path, kind.repeatable, self._now(), kind.timeout)
         self._history.calls.append(call)
         method = "GET" if kind.repeatable else "POST"
-        self._writer.write(wire.request_bytes(method, f"{kind.path}{self._count}", headers, body))
-        leaves = kind.work_ms > 100 and self._random.random() < 0.15
+        self._writer.write(wire.request_bytes(method, target or f"{kind.path}{self._count}", headers, body))
+        leaves = not target and kind.work_ms > 100 and self._random.random() < 0.15
         patience = kind.work_ms / 2000 if leaves else PATIENCE_S
         try:
             answer = await asyncio.wait_for(wire.read_message(self._reader), patience)
--- a/test/platform/soak/history.py
+++ b/test/platform/soak/history.py
@@ -36,6 +36,8 @@
     status: int = 0
     signature: str = ""
     work: float = 0.0          # seconds that the work takes
+    content: str = ""          # of a request that ends servers: what it is known by
+    ended_server: bool = False
 
 
 @dataclass
--- a/test/platform/soak/proxy.py
+++ b/test/platform/soak/proxy.py
@@ -35,6 +35,17 @@
         self._server = await asyncio.start_server(self._accepted, "127.0.0.1", 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    async def close(self) -> None:
+        """Refuse new connections, as a port does on which nothing listens; what is open stays."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    async def reopen(self) -> None:
+        """Listen on the same port again."""
+        if self._server is None:
+            self._server = await asyncio.start_server(self._accepted, "127.0.0.1", self.port, reuse_address=True)
+
     def set_mode(self, mode: Mode) -> None:
         """Misbehave from now on; RESET ends what is open."""
         self.mode = mode
--- a/test/platform/soak/rules.py
+++ b/test/platform/soak/rules.py
@@ -21,6 +21,7 @@
     retry_ratio: float = 0.2
     retry_extra: float = 20.0
     retry_window: float = 10.0
+    more_sends: int = 3
     slack: float = 0.3
 
 
@@ -179,6 +180,26 @@
     return broken
 
 
+def ended_servers(history: History, bounds: Bounds) -> list[str]:
+    """Gateways in touch send what has ended three servers to three more at the most, once that can be known."""
+    calls = {call.id: call for call in history.calls}
+    by_content = defaultdict(list)
+    for arrival in sorted(history.arrivals, key=lambda item: item.at):
+        if arrival.content:
+            by_content[arrival.content].append(arrival)
+    broken = []
+    for content, arrivals in by_content.items():
+        ends = sorted(arrival.ended_at for arrival in arrivals if arrival.ended_server and arrival.ended_at)
+        if len(ends) < 3:
+            continue
+        late = [arrival for arrival in arrivals
+                if arrival.at > ends[2] + bounds.contact + bounds.slack and arrival.id in calls and
+                not history.disturbed(arrival.at - bounds.contact, arrival.at, calls[arrival.id].gateway)]
+        if len(late) > bounds.more_sends:
+            broken.append(f"{content}: sent to servers {len(late)} times after it had ended three, {len(ends)} in all")
+    return broken
+
+
 def recovery(calls: list[Call]) -> list[str]:
     """Once all is well again, requests are served."""
     served = sum(call.status == 200 for call in calls)
@@ -195,4 +216,5 @@
     "retry-budget": retry_budget,
     "final-answer": final_answers,
     "cancellation": cancellation,
+    "ended-servers": ended_servers,
 }
--- a/test/platform/soak/rules_test.py
+++ b/test/platform/soak/rules_test.py
@@ -48,6 +48,17 @@
     def test_a_changed_status(self):
         self.assert_broken("whole-own-answer", History(calls=[call()], arrivals=[arrival(status=500)]))
 
+    def test_a_request_that_goes_on_ending_servers(self):
+        def history(count, gap):
+            times = [10.0 + gap * number for number in range(count)]
+            return History(
+                calls=[call(f"r{number}", repeatable=True, sent_at=at) for number, at in enumerate(times)],
+                arrivals=[arrival(f"r{number}", server=f"s{number}", at=at, content="/read/ends-1", ended_server=True,
+                                  ended_at=at + 0.05) for number, at in enumerate(times)])
+        self.assert_broken("ended-servers", history(9, 2.0))
+        self.assert_kept("ended-servers", history(6, 2.0))
+        self.assert_kept("ended-servers", history(9, 0.3))
+
     def test_two_runs(self):
         both = [arrival(), arrival(server="s2")]
         self.assert_broken("at-most-once", History(calls=[call()], arrivals=both))
--- a/test/platform/soak/servers.py
+++ b/test/platform/soak/servers.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import random
+import time
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import rules
@@ -12,6 +14,8 @@
 
 HEARTBEAT_S = 1.5
 QUEUE = 6
+ENDING = "/ends-"      # in the target of a request that ends the server that runs it
+ENDS_AFTER_S = 0.03
 
 
 @dataclass
@@ -38,7 +42,9 @@
         self.advertised = 0     # port of the proxy in front of it
         self.slots = 3
         self.life = 0
-        self.id = ""
+        self.id = ""            # as it announces itself
+        self.born = 0           # Unix milliseconds of the start of this life
+        self.unreachable: Callable[[bool], Awaitable[None]] | None = None  # told when it stops and begins to listen
         self.running = 0
         self.waiting = 0
         self.draining = False
@@ -55,29 +61,40 @@
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = server.sockets[0].getsockname()[1]
 
-    async def start(self, service: str | None = None) -> None:
+    @property
+    def identity(self) -> str:
+        """This life among all lives of all servers."""
+        return f"{self.id}@{self.born}"
+
+    async def start(self, service: str | None = None, same_id: bool = False) -> None:
         """Begin a life, of another service perhaps, and announce it."""
         self.service = service or self.service
         self.life += 1
-        self.id = f"i-{self.number}-{self.life}"
+        if not same_id or not self.id:
+            self.id = f"i-{self.number}-{self.life}"
+        self.born = max(int(time.time() * 1000), self.born + 1)
+        self.sequence = 0
         self.draining = False
         self.behaviour = Behaviour()
         self._free = asyncio.Semaphore(self.slots)
+        if self.unreachable is not None:
+            await self.unreachable(False)
         self._up = True
         await self.announce()
 
     async def announce(self) -> None:
         """Write the own entry."""
+        self.sequence += 1
         await self._store.put(f"servers/{self.id}", {
             "Service": self.service, "Address": f"127.0.0.1:{self.advertised}", "Zone": self.zone, "Version": "v1",
             "Slots": self.slots, "State": "draining" if self.draining else "ready", "WarmupLeftS": 0,
-            "Seq": self.life})
+            "Seq": self.sequence, "born": self.born})
 
     async def drain(self) -> None:
         """Say that it leaves."""
         self.draining = True
         await self.announce()
-        self._history.leavings.append(Leaving(self.id, self._now()))
+        self._history.leavings.append(Leaving(self.identity, self._now()))
 
     async def leave(self) -> None:
         """End after having drained."""
@@ -90,6 +107,15 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    async def end_under(self, arrival: Arrival) -> None:
+        """End at once, as nothing listens any more before the connections break."""
+        arrival.executed = arrival.ended_server = True
+        arrival.ended_at = self._now()
+        self._up = False
+        if self.unreachable is not None:
+            await self.unreachable(True)
+        self.crash()
+
     async def lapse(self) -> None:
         """Lose the entry in the store."""
         await self._store.remove(f"servers/{self.id}")
@@ -130,7 +156,8 @@
                       writer: asyncio.StreamWriter) -> bool:
         """Answer one request; false when the connection is to end."""
         request = message.headers.get(wire.REQUEST_ID, "")
-        arrival = Arrival(request, self.id, self.service, self._now())
+        arrival = Arrival(request, self.identity, self.service, self._now())
+        arrival.content = message.target if ENDING in message.target else ""
         self._history.arrivals.append(arrival)
         wanted = message.headers.get(wire.TARGET_INSTANCE, self.id)
         if wanted != self.id:
@@ -153,6 +180,11 @@
 
     async def _work(self, message: wire.Message, arrival: Arrival, reader: asyncio.StreamReader,
                     writer: asyncio.StreamWriter, life: int) -> bool:
+        if arrival.content:
+            await asyncio.sleep(ENDS_AFTER_S)
+            if self._up and life == self.life:
+                await self.end_under(arrival)
+            return False
         arrival.executed = True
         arrival.work = float(message.headers.get("x-work-ms", "30")) / 1000 * self.behaviour.slowdown
         left = float(message.headers.get(wire.DEADLINE_MS, "60000")) / 1000
@@ -168,7 +200,7 @@
             arrival.cut_at = self._now()
             return False
         if arrival.work > left:
-            arrival.signature = rules.sign(self.id, arrival.id, b"")
+            arrival.signature = rules.sign(arrival.server, arrival.id, b"")
             self._reply(writer, arrival, 504, {wire.SIGNATURE: arrival.signature}, b"")
             return True
         return self._answer(message, arrival, writer)
@@ -180,7 +212,7 @@
             arrival.ended_at = self._now()
             return False
         status = 500 if chance() < self.behaviour.fail else 200
-        arrival.signature = rules.sign(self.id, arrival.id, body)
+        arrival.signature = rules.sign(arrival.server, arrival.id, body)
         if chance() < self.behaviour.garble:
             arrival.ended_at = self._now()
             arrival.status = status
--- a/test/platform/soak/soak.py
+++ b/test/platform/soak/soak.py
@@ -6,6 +6,7 @@
 import argparse
 import asyncio
 import itertools
+import json
 import random
 import shutil
 import signal
@@ -46,6 +47,9 @@
         self._tasks: set[asyncio.Task] = set()
         self._counts: dict[str, int] = {}
         self._overdue_stops = 0
+        self._culprits = 0
+        self._ends_by = 0.0
+        self._returning: set[Server] = set()  # They start again soon
         self._readiness: list[asyncio.Task] = []
 
     async def run(self) -> list[str]:
@@ -63,7 +67,8 @@
         callers = [Caller(n, [gateway.door for gateway in self._gateways], KINDS, self._history, time.monotonic,
                           self._options.seed * 1000 + n) for n in range(self._options.callers)]
         traffic = [asyncio.create_task(caller.run(until)) for caller in callers]
-        await self._inject(until - QUIET_S - 4)
+        self._ends_by = until - QUIET_S - 4
+        await self._inject(self._ends_by)
         while self._tasks:
             await asyncio.wait(set(self._tasks))
         await asyncio.gather(*traffic)
@@ -87,6 +92,7 @@
             link = Proxy(("127.0.0.1", server.port))
             await link.start()
             server.advertised = link.port
+            server.unreachable = self._closer(link)
             self._servers.append(server)
             self._links[server] = link
             await server.start()
@@ -107,6 +113,12 @@
             await asyncio.sleep(0.1)
         raise RuntimeError("the gateways did not become ready")
 
+    @staticmethod
+    def _closer(link: Proxy):
+        async def unreachable(closed: bool) -> None:
+            await (link.close() if closed else link.reopen())
+        return unreachable
+
     async def _configure(self) -> None:
         self._version += 1
         service = MOVING[self._version % len(MOVING)]
@@ -195,7 +207,7 @@
 
     async def fault_server_link(self, seconds: float) -> None:
         server = self._random.choice(self._servers)
-        self._history.spans.append(Span(time.monotonic(), time.monotonic() + seconds + 0.5, server=server.id))
+        self._history.spans.append(Span(time.monotonic(), time.monotonic() + seconds + 0.5, server=server.identity))
         await self._break_link(self._links[server], seconds)
 
     async def _break_link(self, link: Proxy, seconds: float) -> None:
@@ -209,8 +221,10 @@
             return
         server.crash()
         await asyncio.sleep(seconds)
-        await server.lapse()
-        await server.start()
+        same_id = self._random.random() < 0.5
+        if not same_id:
+            await server.lapse()
+        await server.start(same_id=same_id)
 
     async def fault_server_behaves(self, seconds: float) -> None:
         server = self._random.choice(self._servers)
@@ -233,6 +247,61 @@
                                                    for other in self._servers) >= 2
         await server.start(self._random.choice(others) if swap else None)
 
+    async def fault_request_ends_servers(self, seconds: float) -> None:
+        self._culprits += 1
+        kind = self._random.choice(KINDS[:3])
+        caller = Caller(1000 + self._culprits, [gateway.door for gateway in self._gateways], [kind], self._history,
+                        time.monotonic, self._options.seed * 777 + self._culprits)
+        until = min(time.monotonic() + 4 * seconds + 4, self._ends_by)
+        sending = asyncio.create_task(caller.send_again(f"{kind.path}ends-{self._culprits}", until))
+        while time.monotonic() < until or not sending.done():
+            await asyncio.sleep(0.2)
+            for server in self._servers:
+                if not server.up and server not in self._returning and not server.draining:
+                    self._returning.add(server)
+                    task = asyncio.create_task(self._come_back(server))
+                    self._tasks.add(task)
+                    task.add_done_callback(self._tasks.discard)
+
+    async def _come_back(self, server: Server) -> None:
+        await asyncio.sleep(self._random.uniform(1, 3))
+        if not server.up:
+            same_id = self._random.random() < 0.5
+            if not same_id:
+                await server.lapse()
+            await server.start(same_id=same_id)
+        self._returning.discard(server)
+
+    async def fault_server_starts_again(self, seconds: float) -> None:
+        server = self._random.choice(self._servers)
+        if not server.up or server.draining or server in self._returning:
+            return
+        self._returning.add(server)
+        server.crash()
+        await asyncio.sleep(seconds / 4)
+        await server.start(same_id=True)
+        self._returning.discard(server)
+
+    async def fault_foreign_entries(self, seconds: float) -> None:
+        server = self._random.choice(self._servers)
+        whole = {"Service": "a", "Address": f"127.0.0.1:{server.advertised}", "Zone": "north", "Version": "v1",
+                 "Slots": 3, "State": "ready", "WarmupLeftS": 0, "Seq": 1, "born": 5}
+        name = self._random.choice(list(whole))
+        values = ["", "\xff\xfe", "[" * 5000, "null", json.dumps({**whole, name: {"x": [1]}}),
+                  json.dumps({key: value for key, value in whole.items() if key != name}),
+                  json.dumps({**whole, "State": "resting"})]
+        keys = [f"servers/foreign-{self._random.randrange(5)}", "servers/a/b", "other/key",
+                "sailpath/quarantine/none", f"sailpath/quarantine/{'0' * 32}"]
+        for key in keys:
+            await self._store.put_bytes(key, self._random.choice(values))
+        # Another writer's value in place of a server's own, until the server writes again.
+        await self._store.put_bytes(f"servers/{server.id}", self._random.choice(values[:5]))
+        await asyncio.sleep(seconds / 2)
+        if server.up:
+            await server.announce()
+        for key in keys:
+            await self._store.remove(key)
+
     async def fault_configuration(self, _: float) -> None:
         for _ in range(self._random.choice([1, 1, 4])):
             await self._configure()
@@ -255,7 +324,8 @@
             statuses[call.status] = statuses.get(call.status, 0) + 1
         print(f"seed={self._options.seed} seconds={seconds:.0f} requests={len(calls)} "
               f"arrivals={len(self._history.arrivals)} statuses={dict(sorted(statuses.items()))} "
-              f"faults={dict(sorted(self._counts.items()))} store-calls={self._store.calls} broken={len(findings)}")
+              f"faults={dict(sorted(self._counts.items()))} "
+              f"ended={sum(arrival.ended_server for arrival in self._history.arrivals)}/{self._culprits} store-calls={self._store.calls} broken={len(findings)}")
         for finding in findings[:20]:
             print("  " + finding)
 
--- a/test/platform/soak/store.py
+++ b/test/platform/soak/store.py
@@ -35,6 +35,7 @@
         self.revision = 1
         self.fault = Fault.NONE
         self.calls = 0
+        self.written: list[tuple[float, str]] = []  # by gateways
         self.port = 0
 
     async def start(self) -> None:
@@ -46,6 +47,10 @@
         """Write an item; the change has been taken when this returns."""
         await self._change(key, json.dumps(value))
 
+    async def put_bytes(self, key: str, value: str) -> None:
+        """Write an item as another writer does, whatever it is."""
+        await self._change(key, value)
+
     async def remove(self, key: str) -> None:
         """Remove an item, if it is there."""
         if key in self._items:
@@ -79,13 +84,13 @@
                     await asyncio.sleep(3600)
                 if self.fault == Fault.SLOW:
                     await asyncio.sleep(0.3)
-                status, body = await self._answer(message.target)
+                status, body = await self._answer(message.target, message.body)
                 writer.write(wire.answer_bytes(status, {"Content-Type": "application/json"},
                                                json.dumps(body).encode()))
                 await writer.drain()
         writer.close()
 
-    async def _answer(self, target: str) -> tuple[int, object]:
+    async def _answer(self, target: str, body: bytes) -> tuple[int, object]:
         if self.fault == Fault.DOWN:
             return 503, {}
         if self.fault == Fault.BUSY:
@@ -96,8 +101,21 @@
             return self._range(query)
         if parts.path == "/-/kv-watch":
             return await self._watch(query)
+        if parts.path == "/-/kv-txn":
+            return await self._write(json.loads(body))
         return 404, {}
 
+    async def _write(self, change: dict) -> tuple[int, object]:
+        for expected in change["ExpectedRev"]:
+            if self._items.get(expected["Key"], (0, ""))[0] != expected["Revision"]:
+                return 412, {"items": []}
+        for put in change["put"]:
+            self.written.append((self._now(), put["Key"]))
+            await self._change(put["Key"], base64.b64decode(put["Value"]).decode())
+        for key in change["Remove"]:
+            await self.remove(key)
+        return 200, {"Revision": self.revision}
+
     def _range(self, query: dict[str, str]) -> tuple[int, object]:
         prefix = query.get("PathPrefix", "")
         keys = sorted(key for key in self._items if key.startswith(prefix) and key > query.get("after", ""))
