--- a/include/sailpath/core/ContentHash.hpp
+++ b/include/sailpath/core/ContentHash.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <array>
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -25,7 +24,11 @@
     [[nodiscard]] static std::optional<ContentHash>
     fromText(std::string_view text); //!< Null unless it is as `text` gives
 
-    friend auto operator<=>(const ContentHash&, const ContentHash&) = default;
+    friend bool operator==(const ContentHash&, const ContentHash&) = default;
+    friend bool operator<(const ContentHash& left, const ContentHash& right)
+    {
+        return left.bytes < right.bytes;
+    }
 };
 
 ////////////////////////////////////////////////////////////
--- a/include/sailpath/deployment/RequestIdentity.hpp
+++ b/include/sailpath/deployment/RequestIdentity.hpp
@@ -14,7 +14,7 @@
     core::ContentHash content;   //!< Of host, method, target and body
     std::uint32_t     caller{0}; //!< Short hash of the caller's address
 
-    friend auto operator<=>(const RequestIdentity&, const RequestIdentity&) = default;
+    friend bool operator==(const RequestIdentity&, const RequestIdentity&) = default;
 };
 
 } // namespace sailpath::deployment
