--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -272,8 +272,8 @@
     void                      noteLost(const Request& request, const Attempt& attempt, core::Timestamp now);
     void                      noteServed(const deployment::RequestIdentity& identity, core::Timestamp now);
     [[nodiscard]] bool        quarantined(Ticket ticket, const Request& request, core::Timestamp now);
-    [[nodiscard]] bool        beside(const Request& request) const; //!< The same, suspected, is under way here
-    [[nodiscard]] bool        mayEndAnother(const Request& request, core::Timestamp now) const;
+    [[nodiscard]] bool        sameIsUnderWay(const Request& request) const; //!< And servers ended under it
+    [[nodiscard]] bool        mayEndAnother(const Request& request, core::Timestamp now) const; //!< If sent once more
     void                      noteFailure(ServicePool& pool, const ServerView& server, core::Timestamp now);
     void                      witness(ServicePool& pool, const deployment::ServerFailure& failure, core::Timestamp now);
     void                 learnLoad(ServicePool& pool, ServerView& server, const Outcome& outcome, core::Timestamp now);
--- a/include/sailpath/balance/CrashLedger.hpp
+++ b/include/sailpath/balance/CrashLedger.hpp
@@ -73,10 +73,13 @@
     [[nodiscard]] static bool follows(const Seen& last, const deployment::ServerEnd& end, core::Timestamp now);
     [[nodiscard]] bool        explained(std::uint32_t server, const core::ContentHash& content) const;
     [[nodiscard]] bool        shared(const core::ContentHash& content, const Evidence& evidence) const;
-    void                      conclude(const core::ContentHash& content, const Evidence& evidence, core::Timestamp now);
-    void                      widen(deployment::Quarantine& known, std::uint32_t caller);
-    void                      makeRoom(std::uint32_t caller, core::Timestamp now);
-    void                      forget(std::uint32_t server, const core::ContentHash* but);
+    void                      conclude(const core::ContentHash& content, core::Timestamp now);
+    void                      makeRoomForQuarantine(core::Timestamp now);
+    template <typename Condition>
+    void dropWhere(Condition condition); //!< Quarantines for which it holds
+    void widen(deployment::Quarantine& known, std::uint32_t caller);
+    void makeRoom(std::uint32_t caller, core::Timestamp now);
+    void forget(std::uint32_t server, const core::ContentHash* but);
 
     std::map<core::ContentHash, Evidence>               m_evidence;    //!< Not concluded
     std::map<core::ContentHash, deployment::Quarantine> m_quarantines; //!< In force or over
--- a/src/sailpath/balance/BalancerCrashes.cpp
+++ b/src/sailpath/balance/BalancerCrashes.cpp
@@ -82,7 +82,7 @@
     if (!request.identity)
         return false;
     const deployment::Quarantine* quarantine = m_crashes.find(*request.identity, now);
-    if (quarantine == nullptr && !beside(request))
+    if (quarantine == nullptr && !sameIsUnderWay(request))
         return false;
     Refusal refusal;
     refusal.reason = quarantine != nullptr ? RefusalReason::EndsServers : RefusalReason::MayEndServers;
@@ -92,7 +92,7 @@
 }
 
 ////////////////////////////////////////////////////////////
-bool Balancer::beside(const Request& request) const
+bool Balancer::sameIsUnderWay(const Request& request) const
 {
     if (m_crashes.suspicion(request.identity->content, request.since) < aloneFrom)
         return false;
--- a/src/sailpath/balance/CrashLedger.cpp
+++ b/src/sailpath/balance/CrashLedger.cpp
@@ -14,8 +14,9 @@
 constexpr std::size_t serversWhenShared = 4; // While another request was at all of the same servers
 constexpr auto        evidenceLife = std::chrono::minutes{10};
 constexpr auto        quarantineTime = std::chrono::minutes{10};
-constexpr std::size_t mostRequests = 1024;                         // With evidence: 100 KB
-constexpr std::size_t mostOfCaller = 16;                           // Of these, from one caller
+constexpr std::size_t mostRequests = 1024;    // With evidence: 100 KB
+constexpr std::size_t mostOfCaller = 16;      // Of these, from one caller
+constexpr std::size_t mostQuarantines = 1024; // Each stands for three servers that ended in the last ten minutes
 constexpr auto        newsSpread = std::chrono::milliseconds{100}; // By which news of the same moment come apart
 constexpr auto        clearlyAfter = std::chrono::milliseconds{300};
 constexpr auto        contradictedFrom = std::chrono::milliseconds{50}; // Answers that were on their way are no sign
@@ -61,7 +62,7 @@
     evidence.push_back({end.server, end.node, end.request.caller, now - end.ago});
     const std::size_t needed = shared(content, evidence) ? serversWhenShared : serversToConclude;
     if (evidence.size() >= needed)
-        conclude(content, evidence, now);
+        conclude(content, now);
 }
 
 ////////////////////////////////////////////////////////////
@@ -93,21 +94,22 @@
 }
 
 ////////////////////////////////////////////////////////////
-void CrashLedger::conclude(const core::ContentHash& content, const Evidence& evidence, core::Timestamp now)
+void CrashLedger::conclude(const core::ContentHash& content, core::Timestamp now)
 {
+    const Evidence ends = std::move(m_evidence.at(content));
+    m_evidence.erase(content);
+    const std::uint32_t caller = ends.front().caller;
+    const bool          oneCaller =
+        std::all_of(ends.begin(), ends.end(), [caller](const Seen& seen) { return seen.caller == caller; });
     deployment::Quarantine quarantine;
     quarantine.content = content;
-    quarantine.servers = evidence.size();
+    quarantine.servers = ends.size();
     quarantine.since = now;
     quarantine.until = now + quarantineTime;
-    quarantine.source = evidence.back().node == 0 ? "here" : "peers";
-    const std::uint32_t caller = evidence.front().caller;
-    const bool          oneCaller =
-        std::all_of(evidence.begin(), evidence.end(), [caller](const Seen& seen) { return seen.caller == caller; });
+    quarantine.source = ends.back().node == 0 ? "here" : "peers";
     if (oneCaller)
         quarantine.caller = caller;
-    const Evidence ends = std::move(m_evidence[content]);
-    m_evidence.erase(content);
+    makeRoomForQuarantine(now);
     m_quarantines[content] = quarantine;
     m_endedUnder[content] = ends;
     for (const Seen& seen : ends)
@@ -115,6 +117,27 @@
     m_concluded.push_back(quarantine);
 }
 
+////////////////////////////////////////////////////////////
+void CrashLedger::makeRoomForQuarantine(core::Timestamp now)
+{
+    dropWhere([now](const deployment::Quarantine& item) { return now >= item.until; });
+    if (m_quarantines.size() < mostQuarantines)
+        return;
+    const auto first =
+        std::min_element(m_quarantines.begin(), m_quarantines.end(),
+                         [](const auto& left, const auto& right) { return left.second.until < right.second.until; });
+    m_endedUnder.erase(first->first);
+    m_quarantines.erase(first);
+}
+
+////////////////////////////////////////////////////////////
+template <typename Condition>
+void CrashLedger::dropWhere(Condition condition)
+{
+    std::erase_if(m_quarantines, [&](const auto& item) { return condition(item.second); });
+    std::erase_if(m_endedUnder, [this](const auto& item) { return !m_quarantines.contains(item.first); });
+}
+
 ////////////////////////////////////////////////////////////
 void CrashLedger::widen(deployment::Quarantine& known, std::uint32_t caller)
 {
@@ -188,17 +211,8 @@
         return std::any_of(stored.begin(), stored.end(),
                            [&](const deployment::Quarantine& item) { return item.content == content; });
     };
-    std::vector<core::ContentHash> over;
-    for (const auto& [content, quarantine] : m_quarantines)
-    {
-        if ((quarantine.stored && !holds(content)) || now >= quarantine.until)
-            over.push_back(content);
-    }
-    for (const core::ContentHash& content : over)
-    {
-        m_quarantines.erase(content);
-        m_endedUnder.erase(content);
-    }
+    dropWhere([&](const deployment::Quarantine& item)
+              { return now >= item.until || (item.stored && !holds(item.content)); });
     for (const deployment::Quarantine& item : stored)
     {
         deployment::Quarantine& known = m_quarantines[item.content];
