--- a/src/sailpath/balance/BalancerCrashes.cpp
+++ b/src/sailpath/balance/BalancerCrashes.cpp
@@ -117,7 +117,8 @@
 ////////////////////////////////////////////////////////////
 bool Balancer::looksUpRequests() const
 {
-    return !m_crashes.empty();
+    // What comes before the first configuration is decided about with it, and with what stands in the store then.
+    return !m_crashes.empty() || !configured();
 }
 
 ////////////////////////////////////////////////////////////
--- /dev/null
+++ b/test/balance/crashes/Quarantined.test.cpp
@@ -0,0 +1,192 @@
+// What a node does with requests under which servers have ended.
+
+#include <sailpath/balance/Balancer.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+
+namespace
+{
+using namespace sailpath;
+using namespace std::chrono_literals;
+using balance::AttemptEnd;
+using balance::CheckResult;
+using balance::RefusalReason;
+using balance::Step;
+using balance::StepKind;
+using balance::Ticket;
+
+////////////////////////////////////////////////////////////
+deployment::RequestIdentity requestOf(std::string_view text, std::uint32_t caller = 1)
+{
+    return {core::contentHash(std::array<std::string_view, 1>{text}), caller};
+}
+
+////////////////////////////////////////////////////////////
+struct Fixture
+{
+    Fixture()
+    {
+        auto deployment = std::make_shared<deployment::Deployment>();
+        deployment->version = 1;
+        deployment::HostRoute route;
+        route.name = "read";
+        route.host = "a.example";
+        route.pathPrefix = "/read/";
+        route.repeatable = true;
+        route.timeout = 2s;
+        route.targetLatency = 500ms;
+        route.attempts = 4;
+        route.parts = {{"portal", 1}};
+        deployment->routes = {route};
+        deployment->services = {{"portal", "", 200}};
+        declared.deployment = deployment;
+        for (int i = 0; i < 8; ++i)
+            declared.instances.push_back({"s" + std::to_string(i), "portal", "10.0.0.1", 80, "dc", 3, false, {}});
+    }
+
+    static balance::Settings settingsOf()
+    {
+        balance::Settings settings;
+        settings.dataCentre = "dc";
+        settings.retryRatio = 0.2;
+        settings.retryExtra = 50;
+        return settings;
+    }
+
+    std::vector<Step> steps()
+    {
+        std::vector<Step> taken;
+        balancer.takeSteps(taken);
+        return taken;
+    }
+
+    std::vector<Step> admit(Ticket ticket, const deployment::RequestIdentity& identity)
+    {
+        balancer.admit(ticket, {"a.example", "/read/1", now, 1800ms, identity}, now);
+        return steps();
+    }
+
+    /// \brief The server of the last send ends under its request; the steps that follow
+    std::vector<Step> endServer(const Step& sent, const deployment::RequestIdentity& identity,
+                                CheckResult result = CheckResult::Refuses)
+    {
+        now += 50ms;
+        balance::Outcome lost;
+        lost.end = AttemptEnd::Lost;
+        lost.connectionEnded = true;
+        lost.identity = identity;
+        balancer.attemptEnded(sent.ticket, sent.attempt, lost, now);
+        auto all = steps();
+        now += 1ms;
+        balancer.checked(*sent.instance, result, now);
+        for (Step& step : steps())
+            all.push_back(std::move(step));
+        return all;
+    }
+
+    static const Step* find(const std::vector<Step>& steps, StepKind kind)
+    {
+        for (const Step& step : steps)
+        {
+            if (step.kind == kind)
+                return &step;
+        }
+        return nullptr;
+    }
+
+    core::Timestamp      now{1h};
+    balance::Balancer    balancer{settingsOf(), now};
+    deployment::Declared declared;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(QuarantinedTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(OneThatCameBeforeTheFirstConfigurationIsRefusedWithIt)
+{
+    BOOST_TEST(balancer.looksUpRequests());
+    BOOST_TEST(admit(1, requestOf("culprit")).empty());
+    deployment::Quarantine quarantine;
+    quarantine.content = requestOf("culprit").content;
+    quarantine.servers = 3;
+    quarantine.until = now + 10min;
+    quarantine.stored = true;
+    declared.quarantines = {quarantine};
+    balancer.configure(declared, now);
+    const auto taken = steps();
+    BOOST_REQUIRE_EQUAL(taken.size(), 1U);
+    BOOST_TEST((taken[0].refusal.reason == RefusalReason::EndsServers));
+    BOOST_TEST(!taken[0].refusal.mayHaveRun);
+    BOOST_TEST((taken[0].refusal.comeBack > 9min));
+    BOOST_TEST(find(admit(2, requestOf("other")), StepKind::Forward) != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(ItIsSentTwiceInATryAndOnceInTheNext)
+{
+    balancer.configure(declared, now);
+    now += 20s;
+    const auto culprit = requestOf("culprit");
+    auto       taken = admit(1, culprit);
+    BOOST_REQUIRE(find(taken, StepKind::Forward) != nullptr);
+    taken = endServer(*find(taken, StepKind::Forward), culprit);
+    BOOST_REQUIRE(find(taken, StepKind::Forward) != nullptr);
+    taken = endServer(*find(taken, StepKind::Forward), culprit);
+    // The third send has left before the second end was known; it is the last one.
+    while (const Step* sent = find(taken, StepKind::Forward))
+        taken = endServer(*sent, culprit);
+    BOOST_REQUIRE(find(taken, StepKind::Refuse) != nullptr);
+    BOOST_TEST(find(taken, StepKind::Refuse)->refusal.mayHaveRun);
+    const auto concluded = balancer.takeQuarantined();
+    BOOST_REQUIRE_EQUAL(concluded.size(), 1U);
+    BOOST_TEST(concluded[0].servers == 3U);
+    BOOST_TEST(balancer.takeCrashNews().ends.size() == 3U);
+    taken = admit(2, culprit);
+    BOOST_REQUIRE(find(taken, StepKind::Refuse) != nullptr);
+    BOOST_TEST((find(taken, StepKind::Refuse)->refusal.reason == RefusalReason::EndsServers));
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatStillTakesConnectionsHasNotEnded)
+{
+    balancer.configure(declared, now);
+    now += 20s;
+    for (Ticket ticket = 1; ticket <= 6; ++ticket)
+    {
+        auto taken = admit(ticket, requestOf("unlucky"));
+        while (const Step* sent = find(taken, StepKind::Forward))
+            taken = endServer(*sent, requestOf("unlucky"), CheckResult::Accepts);
+        now += 1s;
+    }
+    BOOST_TEST(balancer.takeQuarantined().empty());
+    BOOST_TEST(balancer.takeCrashNews().empty());
+}
+
+BOOST_AUTO_TEST_CASE(WithTwoEndsItGoesOutOnceAtATime)
+{
+    balancer.configure(declared, now);
+    now += 20s;
+    const auto                  culprit = requestOf("culprit");
+    const deployment::CrashNews news{{{5, 71, culprit, 80ms, 1ms}}, {}};
+    balancer.heardCrashes(news, now);
+    now += 1s;
+    balancer.heardCrashes({{{6, 72, culprit, 80ms, 1ms}}, {}}, now);
+    now += 1s;
+    BOOST_REQUIRE(find(admit(1, culprit), StepKind::Forward) != nullptr);
+    const auto second = admit(2, culprit);
+    BOOST_REQUIRE(find(second, StepKind::Refuse) != nullptr);
+    BOOST_TEST((find(second, StepKind::Refuse)->refusal.reason == RefusalReason::MayEndServers));
+    // It is answered: what was believed is over, here and, as told, elsewhere.
+    balance::Outcome good;
+    good.end = AttemptEnd::Answered;
+    good.status = 200;
+    good.identity = culprit;
+    balancer.attemptEnded(1, 1, good, now);
+    (void)steps();
+    BOOST_TEST(balancer.takeCrashNews().served.size() == 1U);
+    BOOST_TEST(find(admit(3, culprit), StepKind::Forward) != nullptr);
+    BOOST_TEST(find(admit(4, culprit), StepKind::Forward) != nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
