What arrived while a node stood still is not sent on past its time

Cause: a request counted from when it was read, so after a suspension all that had come meanwhile was sent to servers, for callers that had gone. Change: what is read right after a gap counts from the gap's beginning; a request whose time is up is refused as not run. Test failed before (200 for 503, and the server had got it).

--- a/src/sailpath/balance/BalancerAdmission.cpp
+++ b/src/sailpath/balance/BalancerAdmission.cpp
@@ -55,6 +55,9 @@
     // of 4 runs, model of 13 nodes before 10 servers); each took two other requests along.
     if (quarantined(ticket, request, now))
         return;
+    // A caller whose time is up has gone, and a server that works for him is kept from others.
+    if (request.deadline <= now)
+        return refuse(ticket, {RefusalReason::TimedOut, false, m_settings.comeBackSoon});
     request.pool->retries().requested(now);
     request.firstTry = request.since - request.pool->arrived(*route, arrival.timeLeft, now);
     seek(ticket, m_requests.emplace(ticket, std::move(request)).first->second, now);
--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -71,7 +71,7 @@
 void CallerConnection::received(std::size_t bytes)
 {
     m_activity = core::now();
-    m_reader.received({m_buffer.data(), bytes}, m_activity);
+    m_reader.received({m_buffer.data(), bytes}, m_events.earliestArrival());
     takeRequests();
     read();
 }
--- a/src/sailpath/gateway/CallerEvents.hpp
+++ b/src/sailpath/gateway/CallerEvents.hpp
@@ -35,6 +35,13 @@
     ////////////////////////////////////////////////////////////
     virtual void refusedUnread(const http::Head* head, unsigned status, std::string_view reason) = 0;
 
+    ////////////////////////////////////////////////////////////
+    /// \brief The earliest time at which bytes that are read now may have come
+    ///
+    /// Now, but after the loop has stood still.
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] virtual core::Timestamp earliestArrival() = 0;
+
     [[nodiscard]] virtual std::string workspaceOf(const http::Head& head) const = 0; //!< Whose request it is
     [[nodiscard]] virtual bool        mayRepeat(const http::Head& head) const = 0;   //!< It may run more than once
     [[nodiscard]] virtual const deployment::CallerLimits& limits() const = 0;        //!< In force
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -9,10 +9,12 @@
 using priv::CallerConnection;
 using Socket = asio::ip::tcp::socket;
 
-constexpr auto          sweepEvery = std::chrono::milliseconds{500};
-constexpr auto          stoodStill = std::chrono::milliseconds{1000}; // Twice the time between sweeps
-constexpr auto          acceptPause = std::chrono::milliseconds{20};  // After a failure, for descriptors to come free
-constexpr std::uint32_t mostEarlyHead = 64U * 1024;                   // Before the operator's limit is known
+constexpr auto sweepEvery = std::chrono::milliseconds{500};
+constexpr auto stoodStill = std::chrono::milliseconds{1000}; // Twice the time between sweeps
+constexpr auto catchUp =
+    std::chrono::milliseconds{50}; // For what had come to be read; the buffers of some hundred callers
+constexpr auto          acceptPause = std::chrono::milliseconds{20}; // After a failure, for descriptors to come free
+constexpr std::uint32_t mostEarlyHead = 64U * 1024;                  // Before the operator's limit is known
 
 ////////////////////////////////////////////////////////////
 asio::ip::tcp::acceptor listenOn(asio::io_context& context, const adapters::settings::Endpoint& where)
@@ -146,11 +148,20 @@
     if (gap < stoodStill)
         return;
     events.write(ports::Level::Warning, "stood-still", {{"ms", core::toMilliseconds(gap)}});
+    stoodSince = at - gap;
+    caughtUpAt = at + catchUp;
     // What has fallen due meanwhile goes before what has arrived: else a request whose time is up is sent once more.
     balancer.due(at);
     carryOut();
 }
 
+////////////////////////////////////////////////////////////
+core::Timestamp Gateway::Impl::earliestArrival()
+{
+    noteRun();
+    return ranAt < caughtUpAt ? stoodSince : ranAt;
+}
+
 ////////////////////////////////////////////////////////////
 std::string Gateway::Impl::quarantineList() const
 {
--- a/src/sailpath/gateway/GatewayImpl.hpp
+++ b/src/sailpath/gateway/GatewayImpl.hpp
@@ -48,6 +48,7 @@
     [[nodiscard]] std::string quarantineList() const; //!< A line each, for operators
 
     [[nodiscard]] balance::Ticket newTicket() override;
+    [[nodiscard]] core::Timestamp earliestArrival() override;
     void requestRead(priv::CallerConnection& caller, balance::Ticket ticket, priv::CallerRequest request) override;
     void answerLeaves(balance::Ticket ticket) override;
     void callerLeft(balance::Ticket ticket) override;
@@ -79,18 +80,20 @@
     std::shared_ptr<priv::BodyMemory>                   bodies;
     std::uint64_t                                       version{0};
     core::Timestamp                                     ranAt{core::Timestamp::max()}; // When the loop ran last
-    bool                                                ready{false};
-    bool                                                isLeaving{false};
-    bool                                                carrying{false};
-    metrics::TrafficMetrics                             latencies;
-    metrics::StageTimes                                 stages;
-    std::function<std::string()>                        furtherMetrics;
-    std::function<std::optional<core::Timestamp>()>     provedAt;
-    std::function<void(std::vector<std::uint32_t>)>     failed;
-    std::function<void(deployment::CrashNews)>          crashed;
-    std::function<void(deployment::Quarantine)>         quarantined;
-    priv::StatusServer                                  readiness;
-    std::optional<priv::StatusServer>                   metricsPage;
+    core::Timestamp                                     stoodSince{}; // When it ran last before it stood still
+    core::Timestamp              caughtUpAt{}; // What is read until then may have come while it stood still
+    bool                         ready{false};
+    bool                         isLeaving{false};
+    bool                         carrying{false};
+    metrics::TrafficMetrics      latencies;
+    metrics::StageTimes          stages;
+    std::function<std::string()> furtherMetrics;
+    std::function<std::optional<core::Timestamp>()> provedAt;
+    std::function<void(std::vector<std::uint32_t>)> failed;
+    std::function<void(deployment::CrashNews)>      crashed;
+    std::function<void(deployment::Quarantine)>     quarantined;
+    priv::StatusServer                              readiness;
+    std::optional<priv::StatusServer>               metricsPage;
 };
 
 } // namespace sailpath::gateway
