--- a/test/balance/Suspension.test.cpp
+++ b/test/balance/Suspension.test.cpp
@@ -1,11 +1,9 @@
 // A VM is suspended for seconds: the clock that decisions are given jumps, and nobody was called meanwhile.
 
-#include <sailpath/balance/Balancer.hpp>
+#include <support/OneRouteFixture.hpp>
 
 #include <boost/test/unit_test.hpp>
 
-#include <algorithm>
-
 namespace
 {
 using namespace sailpath;
@@ -16,63 +14,21 @@
 using balance::StepKind;
 
 ////////////////////////////////////////////////////////////
-struct Fixture
+struct Fixture : support::OneRouteFixture
 {
-    Fixture()
+    Fixture() :
+    OneRouteFixture(900ms, 3, 4)
     {
-        auto deployment = std::make_shared<deployment::Deployment>();
-        deployment->version = 1;
-        deployment::HostRoute route;
-        route.name = "read";
-        route.host = "a.example";
-        route.pathPrefix = "/read/";
-        route.repeatable = true;
-        route.timeout = 900ms;
-        route.targetLatency = 200ms;
-        route.attempts = 3;
-        route.parts = {{"portal", 1}};
-        deployment->routes = {route};
-        deployment->services = {{"portal", "", 200}};
-        declared.deployment = deployment;
-        for (const char* id : {"s1", "s2", "s3", "s4"})
-            declared.instances.push_back({id, "portal", "10.0.0.1", 80, "dc", 3, false, {}});
         balancer.configure(declared, now);
         balancer.proved(now);
         now += 20s;
     }
 
-    static balance::Settings settingsOf()
-    {
-        balance::Settings settings;
-        settings.dataCentre = "dc";
-        settings.retryRatio = 0.2;
-        settings.retryExtra = 20;
-        settings.denyWithin = 25s;
-        return settings;
-    }
-
-    std::vector<Step> steps()
-    {
-        std::vector<Step> taken;
-        balancer.takeSteps(taken);
-        return taken;
-    }
-
     std::vector<Step> admit(balance::Ticket ticket, const char* target = "/read/1")
     {
         balancer.admit(ticket, {"a.example", target, now, 800ms, {}}, now);
         return steps();
     }
-
-    static std::size_t count(const std::vector<Step>& steps, StepKind kind)
-    {
-        return static_cast<std::size_t>(
-            std::count_if(steps.begin(), steps.end(), [kind](const Step& step) { return step.kind == kind; }));
-    }
-
-    core::Timestamp      now{1h};
-    balance::Balancer    balancer{settingsOf(), now};
-    deployment::Declared declared;
 };
 
 } // namespace
--- a/test/balance/crashes/Quarantined.test.cpp
+++ b/test/balance/crashes/Quarantined.test.cpp
@@ -1,6 +1,6 @@
 // What a node does with requests under which servers have ended.
 
-#include <sailpath/balance/Balancer.hpp>
+#include <support/OneRouteFixture.hpp>
 
 #include <boost/test/unit_test.hpp>
 
@@ -24,42 +24,11 @@
 }
 
 ////////////////////////////////////////////////////////////
-struct Fixture
+struct Fixture : support::OneRouteFixture
 {
-    Fixture()
+    Fixture() :
+    OneRouteFixture(2s, 4, 8)
     {
-        auto deployment = std::make_shared<deployment::Deployment>();
-        deployment->version = 1;
-        deployment::HostRoute route;
-        route.name = "read";
-        route.host = "a.example";
-        route.pathPrefix = "/read/";
-        route.repeatable = true;
-        route.timeout = 2s;
-        route.targetLatency = 500ms;
-        route.attempts = 4;
-        route.parts = {{"portal", 1}};
-        deployment->routes = {route};
-        deployment->services = {{"portal", "", 200}};
-        declared.deployment = deployment;
-        for (int i = 0; i < 8; ++i)
-            declared.instances.push_back({"s" + std::to_string(i), "portal", "10.0.0.1", 80, "dc", 3, false, {}});
-    }
-
-    static balance::Settings settingsOf()
-    {
-        balance::Settings settings;
-        settings.dataCentre = "dc";
-        settings.retryRatio = 0.2;
-        settings.retryExtra = 50;
-        return settings;
-    }
-
-    std::vector<Step> steps()
-    {
-        std::vector<Step> taken;
-        balancer.takeSteps(taken);
-        return taken;
     }
 
     std::vector<Step> admit(Ticket ticket, const deployment::RequestIdentity& identity)
@@ -85,20 +54,6 @@
             all.push_back(std::move(step));
         return all;
     }
-
-    static const Step* find(const std::vector<Step>& steps, StepKind kind)
-    {
-        for (const Step& step : steps)
-        {
-            if (step.kind == kind)
-                return &step;
-        }
-        return nullptr;
-    }
-
-    core::Timestamp      now{1h};
-    balance::Balancer    balancer{settingsOf(), now};
-    deployment::Declared declared;
 };
 
 } // namespace
