--- a/include/sailpath/deployment/ServerEnd.hpp
+++ b/include/sailpath/deployment/ServerEnd.hpp
@@ -13,7 +13,7 @@
 struct ServerEnd
 {
     std::uint32_t   node{0};   //!< Short hash of the node's address; 0 is this node
-    std::uint32_t   server{0}; //!< Short hash of the instance's id
+    std::uint32_t   server{0}; //!< `lifeHash` of the instance
     RequestIdentity request;   //!< What ran there
     core::Duration  ran{};     //!< From its sending to the server's end
     core::Duration  ago{};     //!< From the server's end until this was told
--- a/include/sailpath/deployment/ServerFailure.hpp
+++ b/include/sailpath/deployment/ServerFailure.hpp
@@ -11,7 +11,7 @@
 struct ServerFailure
 {
     std::uint32_t node{0};   //!< Short hash of the node's address; 0 is this node
-    std::uint32_t server{0}; //!< Short hash of the instance's id
+    std::uint32_t server{0}; //!< `lifeHash` of the instance
 };
 
 ////////////////////////////////////////////////////////////
--- a/include/sailpath/replication/Message.hpp
+++ b/include/sailpath/replication/Message.hpp
@@ -28,7 +28,7 @@
 ////////////////////////////////////////////////////////////
 struct EndRecord
 {
-    std::uint32_t     server{0}; //!< Hash of the instance's id
+    std::uint32_t     server{0}; //!< Hash of the server's life
     core::ContentHash content;   //!< Of the request
     std::uint32_t     caller{0}; //!< Hash of its caller's address
     std::uint32_t     ranMs{0};  //!< From its sending to the server's end
@@ -46,7 +46,7 @@
 {
     std::uint32_t                  origin{0}; //!< Hash of the node's address
     std::uint32_t                  number{0}; //!< Rises with each report of the node
-    std::vector<std::uint32_t>     servers;   //!< Hashes of the instances' ids
+    std::vector<std::uint32_t>     servers;   //!< Hashes of the servers' lives
     std::vector<EndRecord>         ends{};    //!< Servers that ended, and what ran there
     std::vector<core::ContentHash> served{};  //!< Requests that had been at such servers and were answered since
 
--- a/src/sailpath/balance/CrashLedger.cpp
+++ b/src/sailpath/balance/CrashLedger.cpp
@@ -8,9 +8,9 @@
 {
 namespace
 {
-constexpr std::size_t serversToConclude =
-    3; // Of what is lost 1.5% is lost twice by chance while one of ten servers ends
-       // each second, at 150 ms a run (estimated); three times nearly nothing
+// While one of ten servers ends each second, 1.5% of what is lost is lost twice by chance, at 150 ms a run (estimated);
+// hardly anything three times.
+constexpr std::size_t serversToConclude = 3;
 constexpr std::size_t serversWhenShared = 4; // While another request was at all of the same servers
 constexpr auto        evidenceLife = std::chrono::minutes{10};
 constexpr auto        quarantineTime = std::chrono::minutes{10};
