--- a/src/sailpath/fleet/FleetThread.cpp
+++ b/src/sailpath/fleet/FleetThread.cpp
@@ -401,8 +401,9 @@
         }
         if (!book.announced(*read))
         {
-            log.write(ports::Level::Warning, "instance-late",
-                      {{"instance", read->instance.id}, {"born", read->instance.born}, {"revision", item.revision}});
+            log.write(
+                ports::Level::Warning, "instance-late",
+                {{"instance", read->instance.id}, {"lifeStartMs", read->instance.born}, {"revision", item.revision}});
             return false;
         }
         log.write(ports::Level::Info, "instance-announced",
@@ -410,7 +411,7 @@
                    {"service", read->instance.service},
                    {"draining", read->instance.draining ? 1 : 0},
                    {"warmUpMs", core::toMilliseconds(read->instance.warmUp)},
-                   {"born", read->instance.born},
+                   {"lifeStartMs", read->instance.born},
                    {"revision", item.revision}});
         return true;
     }
