Notices of servers on their answers are read, logged and counted; no decision uses them yet

What callers saw: requests went to servers that had said that they leave, or that asked for rest. Logs could not tell whether the word was read and lost again or never acted on: Retry-After left no trace at all, Server-Leaving one line a life (server-field-unknown).

Each answer's head is heard now as soon as it is whole, whatever becomes of its request: late, repeated, cut short, to callers that left, health answers. Not heard: 421 and answers that name another instance or do not repeat the id. New: server-leaving, server-backs-off, /leaving-for and /back-off-left on each send, three metrics, /notices.

--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <sailpath/balance/CrashLedger.hpp>
+#include <sailpath/balance/ServerNotice.hpp>
 #include <sailpath/balance/ServicePool.hpp>
 #include <sailpath/balance/Settings.hpp>
 #include <sailpath/balance/Step.hpp>
@@ -127,6 +128,18 @@
     ////////////////////////////////////////////////////////////
     void probed(Ticket ticket, unsigned probe, const Outcome& outcome, core::Timestamp now);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Hear what the head of an answer says of the requests that its server wants
+    ///
+    /// Holds whatever becomes of the request that was answered, so it is told
+    /// for each answer, before its end is.
+    ////////////////////////////////////////////////////////////
+    void noticed(const std::shared_ptr<const deployment::Instance>& instance, const ServerNotice& notice,
+                 NoticeSource source, core::Timestamp now);
+
+    [[nodiscard]] std::vector<NoticeChange>  takeNotices(); //!< That changed what is believed, since the last call
+    [[nodiscard]] std::vector<NoticeInForce> notices(core::Timestamp now) const; //!< Those that hold
+
     ////////////////////////////////////////////////////////////
     /// \brief Note that the caller of a request has left
     ////////////////////////////////////////////////////////////
@@ -355,6 +368,7 @@
     std::vector<std::uint32_t>                                    m_failures;    //!< Instances that failed, not taken
     std::vector<std::shared_ptr<const deployment::Instance>>      m_suspects;    //!< New ones, not taken
     std::vector<WarmthNews>                                       m_warmth;      //!< Not taken
+    std::vector<NoticeChange>                                     m_notices;     //!< Not taken
     std::vector<LimitChange>                                      m_limits;      //!< Not taken
     std::vector<deployment::LimitNews>                            m_limitNews;   //!< Not taken, one for each instance
     std::vector<Step>                                             m_steps;       //!< Decided, not taken
--- a/include/sailpath/balance/ServerView.hpp
+++ b/include/sailpath/balance/ServerView.hpp
@@ -2,6 +2,7 @@
 
 #include <sailpath/balance/LimitState.hpp>
 #include <sailpath/balance/Load.hpp>
+#include <sailpath/balance/NoticeState.hpp>
 #include <sailpath/balance/Settings.hpp>
 #include <sailpath/balance/SharedLimit.hpp>
 #include <sailpath/balance/Usual.hpp>
@@ -59,6 +60,8 @@
 
     void sentElsewhere(double requests, double doublings, core::Timestamp now); //!< See `SharedLimit::sentElsewhere`
 
+    ServerNotice noticed(const ServerNotice& notice, core::Timestamp now); //!< See `NoticeState::hear`
+
     void sent(core::Timestamp now);                       //!< A request was sent
     void ended(core::Timestamp now);                      //!< A request came to an end
     void reported(const Load& load, core::Timestamp now); //!< A load report arrived
@@ -115,6 +118,7 @@
     [[nodiscard]] bool   ejected(core::Timestamp now) const; //!< Whether it is to be left alone for now
     [[nodiscard]] double recent(core::Timestamp now) const;  //!< Requests of this node of late: of the last half second
     [[nodiscard]] const SharedLimit* limit(core::Timestamp now) const; //!< Null when it takes everything
+    [[nodiscard]] const NoticeState& notices() const;                  //!< What it said of the requests that it wants
     [[nodiscard]] double reportAgeMs(core::Timestamp now) const;       //!< Age of the last report; negative without one
     [[nodiscard]] std::optional<double> reportedOthers() const;        //!< Others' requests as of the last report
 
@@ -145,6 +149,7 @@
     double                                      m_recent{0};        //!< Requests of this node, fading
     core::Timestamp                             m_recentAt{};       //!< Time of that figure
     std::optional<SharedLimit>                  m_limit;            //!< While it takes only so much
+    NoticeState                                 m_notices;          //!< What it said of the requests that it wants
     unsigned                                    m_inFlight{0};      //!< Own requests there
     unsigned                                    m_idle{0};          //!< Connections at rest
     unsigned                                    m_open{0};          //!< All connections
--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -141,6 +141,13 @@
     std::shared_ptr<const deployment::Instance> failedElsewhere(const deployment::ServerFailure& failure,
                                                                 core::Timestamp                  now);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief An instance said which requests it still wants; what an earlier life of it said is passed over
+    ///
+    /// \return What of it is new
+    ////////////////////////////////////////////////////////////
+    ServerNotice noticed(const deployment::Instance& instance, const ServerNotice& notice, core::Timestamp now);
+
     void letIn(unsigned rank, core::Timestamp now);      //!< What could be in time was sent
     void turnedAway(unsigned rank, core::Timestamp now); //!< What could be in time was refused for load
 
@@ -188,6 +195,7 @@
     [[nodiscard]] double   openness(core::Timestamp now) const; //!< Chance to be let to the most open limited instance
 
     void addLimits(std::vector<LimitState>& all, core::Timestamp now) const;         //!< Add those of limited instances
+    void addNotices(std::vector<NoticeInForce>& all, core::Timestamp now) const;     //!< Add those that hold
     [[nodiscard]] std::shared_ptr<ServerView> find(std::string_view instance) const; //!< Null when there is none
 
 private:
--- a/include/sailpath/balance/Step.hpp
+++ b/include/sailpath/balance/Step.hpp
@@ -86,6 +86,8 @@
     core::Duration                              trying{};          //!< For `Forward`: how long its caller tried before
     double                                      expectedMs{0};     //!< For `Forward`: estimated time to the answer
     double                                      reportAgeMs{-1};   //!< For `Forward`: age of the load report behind it
+    core::Duration                              leavingFor{};      //!< For `Forward`: since `instance` said it leaves
+    core::Duration                              backOffLeft{};     //!< For `Forward`: time that it asked to be spared
     Refusal                                     refusal;           //!< For `Refuse`
 };
 
--- a/include/sailpath/gateway/Dialect.hpp
+++ b/include/sailpath/gateway/Dialect.hpp
@@ -28,10 +28,12 @@
     std::string warmUpMs;            //!< Header: how many milliseconds longer the instance that answers a probe is cold
     std::vector<std::string> limits; //!< Headers, spelled either way: requests a second that the server takes from all
                                      //!< nodes together
+    std::vector<std::string> leaving; //!< Headers, spelled either way: the server shuts down and wants no new requests
     std::string              readinessPath; //!< Path that asks whether this node takes new connections
 
     std::optional<balance::Load> (*parseLoad)(std::string_view text){nullptr}; //!< Reads a load report
     std::optional<double> (*parseLimit)(std::string_view text){nullptr};       //!< Reads a limit; null: unreadable
+    bool (*parseLeaving)(std::string_view text){nullptr};                      //!< Whether a value says so
 };
 
 } // namespace sailpath::gateway
--- a/include/sailpath/gateway/Metrics.hpp
+++ b/include/sailpath/gateway/Metrics.hpp
@@ -18,6 +18,7 @@
     std::uint64_t failed{0};        //!< Own answers: outcome unknown or time up
     std::uint64_t callersLeft{0};   //!< Callers that left before their answer
     std::uint64_t attempts{0};      //!< Sends to servers
+    std::uint64_t againstNotice{0}; //!< Of these to a server that leaves or asked for no requests
     std::uint64_t probes{0};        //!< Servers asked for their load
     std::uint64_t secondSends{0};   //!< Sends beyond the first
     std::uint64_t restingClosed{0}; //!< Callers at rest whose connections were closed for others
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -368,6 +368,8 @@
     step.trying = request.since - request.firstTry;
     step.expectedMs = choice.finishMs;
     step.reportAgeMs = choice.server->reportAgeMs(now);
+    step.leavingFor = choice.server->notices().leavingFor(now);
+    step.backOffLeft = choice.server->notices().backOffLeft(now);
     m_steps.push_back(std::move(step));
 }
 
--- a/src/sailpath/balance/ServerView.cpp
+++ b/src/sailpath/balance/ServerView.cpp
@@ -126,6 +126,18 @@
     return m_limit && !m_limit->over(now) ? &*m_limit : nullptr;
 }
 
+////////////////////////////////////////////////////////////
+ServerNotice ServerView::noticed(const ServerNotice& notice, core::Timestamp now)
+{
+    return m_notices.hear(notice, now);
+}
+
+////////////////////////////////////////////////////////////
+const NoticeState& ServerView::notices() const
+{
+    return m_notices;
+}
+
 ////////////////////////////////////////////////////////////
 void ServerView::sent(core::Timestamp now)
 {
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -203,6 +203,26 @@
     }
 }
 
+////////////////////////////////////////////////////////////
+ServerNotice ServicePool::noticed(const deployment::Instance& instance, const ServerNotice& notice, core::Timestamp now)
+{
+    const auto server = find(instance.id);
+    if (!server || !deployment::sameLife(*server->instance(), instance))
+        return {};
+    return server->noticed(notice, now);
+}
+
+////////////////////////////////////////////////////////////
+void ServicePool::addNotices(std::vector<NoticeInForce>& all, core::Timestamp now) const
+{
+    for (const auto& [id, server] : m_byId)
+    {
+        const NoticeState& notices = server->notices();
+        if (notices.inForce(now))
+            all.push_back({server->instance(), notices.leaving(), notices.leavingFor(now), notices.backOffLeft(now)});
+    }
+}
+
 ////////////////////////////////////////////////////////////
 std::shared_ptr<ServerView> ServicePool::find(std::uint32_t life) const
 {
--- a/src/sailpath/gateway/Exchange.cpp
+++ b/src/sailpath/gateway/Exchange.cpp
@@ -94,6 +94,10 @@
              std::to_string(static_cast<int>(core::toMilliseconds(now - since))) +
              "ms/expected=" + std::to_string(static_cast<int>(step.expectedMs)) +
              "ms/report=" + std::to_string(static_cast<int>(step.reportAgeMs)) + "ms";
+    if (step.leavingFor.count() > 0)
+        trail += "/leaving-for=" + std::to_string(static_cast<int>(core::toMilliseconds(step.leavingFor))) + "ms";
+    if (step.backOffLeft.count() > 0)
+        trail += "/back-off-left=" + std::to_string(static_cast<int>(core::toMilliseconds(step.backOffLeft))) + "ms";
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/FieldWatch.cpp
+++ b/src/sailpath/gateway/FieldWatch.cpp
@@ -40,6 +40,7 @@
                                     &dialect.load, &dialect.warmUpMs})
         m_known.insert(*name);
     m_known.insert(dialect.limits.begin(), dialect.limits.end());
+    m_known.insert(dialect.leaving.begin(), dialect.leaving.end());
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -2,6 +2,8 @@
 
 #include <sailpath/core/Clock.hpp>
 
+#include <algorithm>
+
 namespace sailpath::gateway
 {
 namespace
@@ -32,9 +34,12 @@
 dialect(names),
 events(log),
 balancer(settings.balance, core::now()),
-servers(loop, settings, names,
-        [this](const deployment::Instance& instance, unsigned idle, unsigned open)
-        { balancer.connections(instance, idle, open); }),
+servers(
+    loop, settings, names,
+    [this](const deployment::Instance& instance, unsigned idle, unsigned open)
+    { balancer.connections(instance, idle, open); },
+    [this](const std::shared_ptr<const deployment::Instance>& instance, const balance::ServerNotice& notice,
+           balance::NoticeSource source) { noticed(instance, notice, source); }),
 acceptor(listenOn(loop, settings.listen)),
 acceptTimer(loop),
 dueTimer(loop),
@@ -59,6 +64,10 @@
                                                        [this] {
                                                            return priv::StatusAnswer{200, limitList()};
                                                        }},
+                                                      {"/notices",
+                                                       [this] {
+                                                           return priv::StatusAnswer{200, noticeList()};
+                                                       }},
                                                       {"/quotas", [this] {
                                                            return priv::StatusAnswer{200, quotaList()};
                                                        }}});
@@ -206,6 +215,21 @@
     return text;
 }
 
+////////////////////////////////////////////////////////////
+std::string Gateway::Impl::noticeList() const
+{
+    std::string text;
+    for (const balance::NoticeInForce& item : balancer.notices(core::now()))
+    {
+        text.append("instance=").append(item.instance->id);
+        text.append(" service=").append(item.instance->service);
+        text.append(" leaving=").append(item.leaving ? "1" : "0");
+        text.append(" leavingForS=").append(std::to_string(core::toSeconds(item.leavingFor)));
+        text.append(" backOffLeftS=").append(std::to_string(core::toSeconds(item.backOffLeft))).append("\n");
+    }
+    return text;
+}
+
 ////////////////////////////////////////////////////////////
 std::string Gateway::Impl::quotaList() const
 {
@@ -241,6 +265,12 @@
     add("quarantined_requests_refused_total", "counter", counters.quarantined);
     add("quarantines", "gauge", balancer.crashes().list(core::now()).size());
     add("servers_limited", "gauge", balancer.limits(core::now()).size());
+    const auto notices = balancer.notices(core::now());
+    add("servers_leaving", "gauge",
+        std::count_if(notices.begin(), notices.end(), [](const auto& item) { return item.leaving; }));
+    add("servers_backing_off", "gauge",
+        std::count_if(notices.begin(), notices.end(), [](const auto& item) { return item.backOffLeft.count() > 0; }));
+    add("attempts_against_notice_total", "counter", counters.againstNotice);
     add("callers", "gauge", callers.size());
     add("requests_unfinished", "gauge", exchanges.size());
     add("body_bytes_held", "gauge", bodies->used());
--- a/src/sailpath/gateway/GatewayImpl.hpp
+++ b/src/sailpath/gateway/GatewayImpl.hpp
@@ -28,17 +28,20 @@
 {
     Impl(asio::io_context& loop, GatewaySettings given, const Dialect& names, ports::EventLog& events);
 
-    void                           accept();
-    void                           admitCaller(asio::ip::tcp::socket socket);
-    void                           acceptAgain(const std::string& why);
-    bool                           closeLongestResting(); //!< False when no caller rests
-    void                           scheduleSweep();
-    void                           noteRun(); //!< The loop runs; it may have stood still, with the VM or alone
-    void                           arm();
-    void                           logBeliefs(); //!< What changed of what is believed of servers
-    void                           logLimit(const balance::LimitChange& change);
-    void                           noteQuota(priv::Exchange& exchange); //!< What it is refused by, for the log
-    void                           noteContact();                       //!< When other nodes could be heard
+    void accept();
+    void admitCaller(asio::ip::tcp::socket socket);
+    void acceptAgain(const std::string& why);
+    bool closeLongestResting(); //!< False when no caller rests
+    void scheduleSweep();
+    void noteRun(); //!< The loop runs; it may have stood still, with the VM or alone
+    void arm();
+    void logBeliefs(); //!< What changed of what is believed of servers
+    void logLimit(const balance::LimitChange& change);
+    void logNotice(const balance::NoticeChange& change);
+    void noticed(const std::shared_ptr<const deployment::Instance>& instance, const balance::ServerNotice& notice,
+                 balance::NoticeSource source); //!< An answer says which requests its server wants
+    void noteQuota(priv::Exchange& exchange);   //!< What it is refused by, for the log
+    void noteContact();                         //!< When other nodes could be heard
     [[nodiscard]] std::string_view keyOf(const http::Head& head) const; //!< Empty without one, or with several
     [[nodiscard]] std::string      quotaList() const; //!< A line for each workspace that has one, for operators
     void noteFields(const deployment::Instance& instance, const http::Head& head); //!< Those that nobody here reads
@@ -54,6 +57,7 @@
     [[nodiscard]] std::string metrics() const;
     [[nodiscard]] std::string quarantineList() const; //!< A line each, for operators
     [[nodiscard]] std::string limitList() const;      //!< A line for each limited server, for operators
+    [[nodiscard]] std::string noticeList() const; //!< A line for each server that leaves or backs off, for operators
 
     [[nodiscard]] balance::Ticket newTicket() override;
     [[nodiscard]] core::Timestamp earliestArrival() override;
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -237,6 +237,8 @@
                       {"leftMs", core::toMilliseconds(news.left)}});
     for (const balance::LimitChange& change : balancer.takeLimitChanges())
         logLimit(change);
+    for (const balance::NoticeChange& change : balancer.takeNotices())
+        logNotice(change);
 }
 
 ////////////////////////////////////////////////////////////
@@ -254,6 +256,30 @@
                   {"source", source}});
 }
 
+////////////////////////////////////////////////////////////
+void Gateway::Impl::logNotice(const balance::NoticeChange& change)
+{
+    const deployment::Instance& instance = *change.instance;
+    const std::string_view      source = balance::toString(change.source);
+    if (change.notice.leaving)
+        events.write(ports::Level::Info, "server-leaving",
+                     {{"instance", instance.id}, {"service", instance.service}, {"source", source}});
+    if (change.notice.backOff.count() > 0)
+        events.write(ports::Level::Info, "server-backs-off",
+                     {{"instance", instance.id},
+                      {"service", instance.service},
+                      {"source", source},
+                      {"forMs", core::toMilliseconds(change.notice.backOff)}});
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::noticed(const std::shared_ptr<const deployment::Instance>& instance,
+                            const balance::ServerNotice& notice, balance::NoticeSource source)
+{
+    balancer.noticed(instance, notice, source, core::now());
+    logBeliefs();
+}
+
 ////////////////////////////////////////////////////////////
 void Gateway::Impl::noteFields(const deployment::Instance& instance, const http::Head& head)
 {
@@ -318,6 +344,7 @@
     Exchange& exchange = found->second;
     ++counters.attempts;
     counters.secondSends += step.attempt > 1 ? 1 : 0;
+    counters.againstNotice += step.leavingFor.count() > 0 || step.backOffLeft.count() > 0 ? 1 : 0;
     exchange.note(step, core::now());
     const auto connection = servers.take(step.instance, !step.repeatable);
     exchange.sends[step.attempt] = connection;
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <netinet/tcp.h>
+#include <utility>
 
 namespace sailpath::gateway::priv
 {
@@ -34,6 +36,20 @@
     return core::fromMilliseconds(value * 1000);
 }
 
+////////////////////////////////////////////////////////////
+/// \brief Seconds in a `Retry-After` field, an hour at the most; 0 when it is no number of 0 or more
+////////////////////////////////////////////////////////////
+core::Duration retryAfterOf(std::string_view text)
+{
+    constexpr double longestSeconds = 3600; // A mistaken value ends by itself
+    double           value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool whole = error == std::errc{} && end == text.data() + text.size();
+    if (!whole || !std::isfinite(value) || value < 0)
+        return {};
+    return core::fromMilliseconds(std::min(value, longestSeconds) * 1000);
+}
+
 ////////////////////////////////////////////////////////////
 /// \brief A number of milliseconds, of a day at the most; null when there is none
 ////////////////////////////////////////////////////////////
@@ -81,17 +97,64 @@
     return named ? lowest : whenSilent;
 }
 
+////////////////////////////////////////////////////////////
+/// \brief Whether an answer speaks for the instance that was asked
+///
+/// One that says the request is for somebody else speaks of another instance; one to a request that does not repeat
+/// its id may be anybody's.
+////////////////////////////////////////////////////////////
+bool speaksForInstance(const http::Head& head, bool probe, std::string_view instance, const Dialect& dialect)
+{
+    const std::string_view who = head.field(dialect.instanceId);
+    if (head.status == statusMisdirected || (!who.empty() && who != instance))
+        return false;
+    return probe || head.has(dialect.requestId);
+}
+
+////////////////////////////////////////////////////////////
+/// \brief How long an answer asks for no further requests: of several values the longest
+///
+/// Only with a 503: a 429 speaks to the caller whose request it was.
+////////////////////////////////////////////////////////////
+core::Duration backOffOf(const http::Head& head)
+{
+    core::Duration longest{};
+    for (const http::HeaderField& field : head.fields)
+    {
+        if (head.status == statusUnavailable && http::sameName(field.name, "Retry-After"))
+            longest = std::max(longest, retryAfterOf(field.value));
+    }
+    return longest;
+}
+
+////////////////////////////////////////////////////////////
+balance::ServerNotice noticeOf(const http::Head& head, const Dialect& dialect)
+{
+    balance::ServerNotice notice;
+    notice.backOff = backOffOf(head);
+    for (const http::HeaderField& field : head.fields)
+    {
+        const bool names = std::any_of(dialect.leaving.begin(), dialect.leaving.end(),
+                                       [&](const std::string& name) { return http::sameName(field.name, name); });
+        notice.leaving =
+            notice.leaving || (names && dialect.parseLeaving != nullptr && dialect.parseLeaving(field.value));
+    }
+    return notice;
+}
+
 } // namespace
 
 ////////////////////////////////////////////////////////////
 ServerConnection::ServerConnection(asio::io_context& context, std::shared_ptr<const deployment::Instance> instance,
-                                   const GatewaySettings& settings, const Dialect& dialect, Changed changed) :
+                                   const GatewaySettings& settings, const Dialect& dialect, Changed changed,
+                                   Noticed noticed) :
 m_socket(context),
 m_timer(context),
 m_instance(std::move(instance)),
 m_settings(settings),
 m_dialect(dialect),
-m_changed(std::move(changed))
+m_changed(std::move(changed)),
+m_noticed(std::move(noticed))
 {
 }
 
@@ -126,6 +189,7 @@
 {
     const auto kind = m_request.headOnly ? http::MessageKind::AnswerNoBody : http::MessageKind::Answer;
     m_reader = std::make_unique<http::MessageReader>(kind, headLimit, m_settings.answerBytes);
+    m_headHeard = false;
 }
 
 ////////////////////////////////////////////////////////////
@@ -237,6 +301,8 @@
     {
         m_unread.erase(0, m_reader->read(m_unread));
         const http::ReadState state = m_reader->state();
+        if (state == http::ReadState::Body || state == http::ReadState::Done)
+            hearNotice();
         if (state == http::ReadState::Head || state == http::ReadState::Body)
             return;
         if (state != http::ReadState::Done)
@@ -255,6 +321,21 @@
     return id.empty() ? !success : id == m_request.id;
 }
 
+////////////////////////////////////////////////////////////
+void ServerConnection::hearNotice()
+{
+    if (std::exchange(m_headHeard, true))
+        return;
+    // An answer that nobody waits for any more, or that comes twice, speaks for its server all the same.
+    const http::Head& head = m_reader->head();
+    if (!speaksForInstance(head, m_request.probe, m_instance->id, m_dialect))
+        return;
+    const balance::ServerNotice notice = noticeOf(head, m_dialect);
+    if (!notice.empty())
+        m_noticed(m_instance, notice,
+                  m_request.probe ? balance::NoticeSource::HealthAnswer : balance::NoticeSource::Answer);
+}
+
 ////////////////////////////////////////////////////////////
 void ServerConnection::answered()
 {
@@ -295,7 +376,7 @@
     // Only a whole answer that names no limit ends one: what turns a request away may say less.
     if (m_dialect.parseLimit && itsOwn)
         outcome.limit = limitOf(head, m_dialect, success ? std::optional(balance::unlimited) : std::nullopt);
-    outcome.comeBack = secondsOf(head.field("Retry-After"));
+    outcome.comeBack = retryAfterOf(head.field("Retry-After"));
     if (success)
     {
         const bool whole = head.has(m_dialect.signature) && !head.has("Content-Encoding");
--- a/src/sailpath/gateway/ServerConnection.hpp
+++ b/src/sailpath/gateway/ServerConnection.hpp
@@ -46,9 +46,11 @@
     using Done = std::function<void(const balance::Outcome&, ServerAnswer)>;
     using Changed = std::function<void(ServerConnection&)>;
     using Checked = std::function<void(balance::CheckResult)>;
+    using Noticed = std::function<void(const std::shared_ptr<const deployment::Instance>&, const balance::ServerNotice&,
+                                       balance::NoticeSource)>;
 
     ServerConnection(asio::io_context& context, std::shared_ptr<const deployment::Instance> instance,
-                     const GatewaySettings& settings, const Dialect& dialect, Changed changed);
+                     const GatewaySettings& settings, const Dialect& dialect, Changed changed, Noticed noticed);
 
     void send(Send request, Done done); //!< Connect if needed, send, report the end once
     void check(Checked checked);        //!< Connect and come to rest; report once whether that could be done
@@ -83,6 +85,7 @@
     void               judgeProbe(balance::Outcome& outcome, const http::Head& head) const;
     void               finish(const balance::Outcome& outcome, ServerAnswer answer, bool keep);
     void               startReader();
+    void               hearNotice(); //!< From the head that is being read, once it is whole
     [[nodiscard]] bool belongs(const http::Head& head) const;
 
     asio::ip::tcp::socket                       m_socket;            //!< Connection
@@ -91,6 +94,7 @@
     const GatewaySettings&                      m_settings;          //!< Constants
     const Dialect&                              m_dialect;           //!< Names
     Changed                                     m_changed;           //!< Told when it comes to rest or closes
+    Noticed                                     m_noticed;           //!< Told of notices on answers
     Done                                        m_done;              //!< Told of the end of the request
     Checked                                     m_checked;           //!< Told of the end of a check
     Send                                        m_request;           //!< Under way
@@ -101,6 +105,7 @@
     core::Duration                              m_restLimit{};       //!< As the server said; 0 when it did not
     State                                       m_state{State::New}; //!< What it does
     bool                                        m_written{false};    //!< The request is out
+    bool                                        m_headHeard{false};  //!< The notice of this answer was told
     bool                                        m_poisoned{false};   //!< Must not be used again
 };
 
--- a/src/sailpath/gateway/ServerConnections.cpp
+++ b/src/sailpath/gateway/ServerConnections.cpp
@@ -6,11 +6,12 @@
 {
 ////////////////////////////////////////////////////////////
 ServerConnections::ServerConnections(asio::io_context& context, const GatewaySettings& settings, const Dialect& dialect,
-                                     Counted counted) :
+                                     Counted counted, ServerConnection::Noticed noticed) :
 m_context(context),
 m_settings(settings),
 m_dialect(dialect),
-m_counted(std::move(counted))
+m_counted(std::move(counted)),
+m_noticed(std::move(noticed))
 {
 }
 
@@ -37,8 +38,9 @@
 std::shared_ptr<ServerConnection> ServerConnections::add(const std::shared_ptr<const deployment::Instance>& instance)
 {
     ++m_opened;
-    auto added = std::make_shared<ServerConnection>(m_context, instance, m_settings, m_dialect,
-                                                    [this](ServerConnection& connection) { changed(connection); });
+    auto added = std::make_shared<ServerConnection>(
+        m_context, instance, m_settings, m_dialect, [this](ServerConnection& connection) { changed(connection); },
+        m_noticed);
     m_byInstance[instance->id].push_back(added);
     return added;
 }
--- a/src/sailpath/gateway/ServerConnections.hpp
+++ b/src/sailpath/gateway/ServerConnections.hpp
@@ -21,7 +21,7 @@
     using Counted = std::function<void(const deployment::Instance&, unsigned idle, unsigned open)>;
 
     ServerConnections(asio::io_context& context, const GatewaySettings& settings, const Dialect& dialect,
-                      Counted counted);
+                      Counted counted, ServerConnection::Noticed noticed);
 
     ////////////////////////////////////////////////////////////
     /// \brief A connection at rest, or a new one
@@ -63,6 +63,7 @@
     const GatewaySettings&                m_settings;   //!< Constants
     const Dialect&                        m_dialect;    //!< Names
     Counted                               m_counted;    //!< Told the counts
+    ServerConnection::Noticed             m_noticed;    //!< Told of notices on answers
     std::unordered_map<std::string, List> m_byInstance; //!< Open ones
     std::uint64_t                         m_opened{0};  //!< Since the start
     std::set<std::string>                 m_evacuated;  //!< Data centres
--- /dev/null
+++ b/test/gateway/ServerNotices.test.cpp
@@ -0,0 +1,112 @@
+#include <support/GatewayFixture.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+namespace
+{
+using namespace sailpath;
+using namespace sailpath::support;
+
+////////////////////////////////////////////////////////////
+/// \brief A gateway before a server that answers as a test says
+////////////////////////////////////////////////////////////
+struct NoticeFixture
+{
+    NoticeFixture() :
+    fixture([this](const std::string& request) { return answer(request); })
+    {
+    }
+
+    Script answer(const std::string& request)
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        const std::string                 id = fieldOf(request, "X-Id");
+        const std::string                 known = omitsId ? std::string() : "X-Id: " + id + "\r\n";
+        const std::string                 body = "HTTP/1.1 " + status + "\r\n" + known + "X-Mark: m\r\n" + lines +
+                                 "Content-Length: " + std::to_string(length) + "\r\n\r\n" + std::string(sent, 'b');
+        return {body, {}, sent < length};
+    }
+
+    /// \brief Let one request be answered with a status and further lines
+    void ask(const std::string& answerStatus, const std::string& more)
+    {
+        {
+            const std::lock_guard<std::mutex> lock(mutex);
+            status = answerStatus;
+            lines = more;
+        }
+        // After refusals the gateway sends only now and then.
+        const std::size_t before = fixture.server.requests().size();
+        for (int tries = 0; tries < 200 && fixture.server.requests().size() == before; ++tries)
+        {
+            if (tries > 0)
+                std::this_thread::sleep_for(50ms);
+            TestCaller caller(fixture.gateway->port());
+            caller.write(Fixture::request("/pay/1", "r" + std::to_string(++asked), {}, "POST"));
+            (void)caller.readAnswer();
+        }
+        BOOST_TEST(fixture.server.requests().size() > before);
+    }
+
+    std::size_t count(const std::string& line)
+    {
+        const std::lock_guard<std::mutex> lock(fixture.log.mutex);
+        std::size_t                       found = 0;
+        for (auto at = fixture.log.text.find(line); at != std::string::npos; at = fixture.log.text.find(line, at + 1))
+            ++found;
+        return found;
+    }
+
+    std::mutex  mutex;
+    std::string status{"200 OK"};
+    std::string lines;
+    bool        omitsId{false};
+    std::size_t length{0}; //!< That the head tells
+    std::size_t sent{0};   //!< Bytes of the body that follow
+    unsigned    asked{0};
+    Fixture     fixture;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ServerNoticesTest)
+
+BOOST_FIXTURE_TEST_CASE(AServerThatLeavesIsLoggedOnce, NoticeFixture)
+{
+    ask("200 OK", "X-Leaving: no\r\n");
+    BOOST_TEST(count("server-leaving") == 0U);
+    ask("200 OK", "Leaving: yes\r\n");
+    BOOST_TEST(count("server-leaving instance=i-1 service=portal source=answer") == 1U);
+    ask("500 Oops", "X-Leaving: yes\r\n");
+    BOOST_TEST(count("server-leaving") == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnswersOfOthersAreNoNotices, NoticeFixture)
+{
+    ask("421 Misdirected", "X-Not-Run: other\r\nX-Leaving: yes\r\n");
+    ask("200 OK", "X-Who: i-2\r\nX-Leaving: yes\r\n");
+    omitsId = true;
+    ask("500 Oops", "X-Leaving: yes\r\n");
+    BOOST_TEST(count("server-leaving") == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAnswerThatIsCutShortIsHeard, NoticeFixture)
+{
+    length = 1000;
+    sent = 10;
+    ask("200 OK", "X-Leaving: yes\r\n");
+    BOOST_TEST(count("server-leaving instance=i-1") == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(OnlyWhatTurnsAwayAsksForABackOff, NoticeFixture)
+{
+    ask("200 OK", "Retry-After: 2\r\n");
+    ask("429 Slow", "X-Not-Run: full\r\nRetry-After: 2\r\n");
+    for (const char* unreadable : {"soon", "-1", "2s", "nan", "inf", ""})
+        ask("503 Full", "X-Not-Run: full\r\nRetry-After: " + std::string(unreadable) + "\r\n");
+    BOOST_TEST(count("server-backs-off") == 0U);
+    ask("503 Full", "X-Not-Run: full\r\nRetry-After: 0.5\r\nRetry-After: 1.5\r\n");
+    BOOST_TEST(count("server-backs-off instance=i-1 service=portal source=answer forMs=1500") == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/support/GatewayFixture.hpp
+++ b/test/support/GatewayFixture.hpp
@@ -62,6 +62,8 @@
         return text.find_first_not_of("0123456789.") == text.npos ? std::optional(std::stod(std::string(text)))
                                                                   : std::nullopt;
     };
+    dialect.leaving = {"X-Leaving", "Leaving"};
+    dialect.parseLeaving = [](std::string_view text) { return text == "yes"; };
     dialect.readinessPath = "/ready";
     return dialect;
 }
