--- /dev/null
+++ b/test/balance/notices/Incident.test.cpp
@@ -0,0 +1,108 @@
+// Servers that had said in their answers that they leave, or asked by Retry-After for no requests, went on getting them.
+
+#include <support/ServiceModel.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <iostream>
+
+namespace
+{
+using namespace sailpath;
+using namespace std::chrono_literals;
+using support::KindOfRequest;
+using support::ModelServer;
+using support::ModelSettings;
+using support::ServiceModel;
+
+constexpr auto     drain = 2s;       // From the word of a server that it leaves to the last request it may get
+constexpr auto     reaction = 500ms; // From a refusal to the last request that was under way
+constexpr auto     backOff = 3s;     // That servers ask for
+constexpr unsigned nodes = 18;
+constexpr auto     seeds = {1U, 2U, 3U, 4U};
+
+////////////////////////////////////////////////////////////
+ServiceModel modelOf(std::uint64_t seed, double perSecond)
+{
+    ModelSettings settings;
+    settings.nodes = nodes;
+    settings.dataCentres = 4;
+    settings.seed = seed;
+    KindOfRequest kind;
+    kind.name = "read";
+    kind.target = 250ms;
+    kind.timeout = 2s;
+    kind.patience = 2s;
+    kind.workMs = 90;
+    kind.retries = 2;
+    kind.perSecond = perSecond;
+    std::vector<ModelServer> servers;
+    for (unsigned i = 0; i < 10; ++i)
+        servers.push_back({"s" + std::to_string(i), "portal", "dc" + std::to_string(i % 4)});
+    return {settings, {kind}, servers};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ServerNoticesIncidentTest)
+
+BOOST_AUTO_TEST_CASE(AServerWhoseAnswersSayThatItLeavesGetsNothingOnceThatIsKnown)
+{
+    for (const std::uint64_t seed : seeds)
+    {
+        ServiceModel model = modelOf(seed, 73);
+        model.run(4s);
+        model.setLeaving("s3");
+        model.setLeaving("s6");
+        model.run(8s);
+        for (const char* id : {"s3", "s6"})
+        {
+            BOOST_TEST_REQUIRE(!model.noticed(id).toldLeft.empty());
+            const std::size_t late = model.noticed(id).lateAfterLeaving(drain);
+            std::cout << "seed " << seed << ": " << late << " requests at " << id << " that had said it leaves\n";
+            BOOST_TEST(late == 0U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatAsksForABackOffGetsNothingUntilItIsOver)
+{
+    for (const std::uint64_t seed : seeds)
+    {
+        ServiceModel model = modelOf(seed, 73);
+        model.run(4s);
+        model.setBackOff("s3", backOff);
+        model.setBackOff("s6", backOff);
+        model.run(12s);
+        for (const char* id : {"s3", "s6"})
+        {
+            BOOST_TEST_REQUIRE(!model.noticed(id).backOffs.empty());
+            const std::size_t most = model.noticed(id).mostInBackOff(reaction);
+            std::cout << "seed " << seed << ": at most " << most << " requests of a node in a back-off of " << id
+                      << '\n';
+            BOOST_TEST(most == 0U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(CallersAreServedByTheOthersWhileSomeServersBackOff)
+{
+    for (const std::uint64_t seed : seeds)
+    {
+        ServiceModel model = modelOf(seed, 73);
+        model.run(4s);
+        model.setBackOff("s3", backOff);
+        model.setBackOff("s6", backOff);
+        model.beginCount();
+        model.run(12s);
+        model.setRate(0, 0.001); // What is under way comes to its end
+        model.run(3s);
+        const std::size_t wasted = model.noticed("s3").backOffs.size();
+        std::cout << "seed " << seed << ": " << model.tally(0).servedShare() << " served, " << wasted
+                  << " requests at s3 turned away\n";
+        BOOST_TEST(model.tally(0).servedShare() >= 0.99);
+        BOOST_TEST(wasted <= nodes * (12s / backOff + 1));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/support/ServiceModel.hpp
+++ b/test/support/ServiceModel.hpp
@@ -104,6 +104,18 @@
         m_servers.at(id)->model.limit = perSecond;
     }
 
+    /// \brief Let a server say in all its answers from now on that it shuts down; its entry does not tell
+    void setLeaving(const std::string& id)
+    {
+        m_servers.at(id)->model.leaving = true;
+    }
+
+    /// \brief Let a server turn all requests away from now on and ask for none for a while; 0: it takes them again
+    void setBackOff(const std::string& id, core::Duration backOff)
+    {
+        m_servers.at(id)->model.backOff = backOff;
+    }
+
     /// \brief Let a server end at once, by itself; another one takes its place
     void end(const std::string& id)
     {
@@ -198,6 +210,10 @@
     {
         return m_servers.at(server)->limited;
     }
+    [[nodiscard]] const ModelNoticed& noticed(const std::string& server) const
+    {
+        return m_servers.at(server)->noticed;
+    }
     [[nodiscard]] core::Timestamp firstGot(const std::string& server) const
     {
         return m_servers.at(server)->firstGot;
@@ -228,8 +244,9 @@
         bool            dropped{false};
         bool            reached{false}; //!< Its server
 
-        deployment::RequestIdentity identity;
-        std::optional<std::size_t>  culprit; //!< It ends its server
+        std::shared_ptr<const deployment::Instance> instance; //!< That it was sent to
+        deployment::RequestIdentity                 identity;
+        std::optional<std::size_t>                  culprit; //!< It ends its server
     };
 
     struct Server
@@ -245,6 +262,7 @@
         std::deque<core::Timestamp>       gotCold; //!< In the last second
         core::Timestamp                   firstGot{core::Timestamp::max()};
         ModelLimited                      limited;
+        ModelNoticed                      noticed;
     };
 
     /// \brief What relays know of a limited server
@@ -754,12 +772,15 @@
         Server&    server = *m_servers.at(step.instance->id);
         const auto there = m_now + connect(node, server);
         at(there + std::chrono::milliseconds{1},
-           [this, &node, &server, ticket = step.ticket, number = step.attempt]
+           [this, &node, &server, ticket = step.ticket, number = step.attempt, instance = step.instance]
            {
                const auto load = loadOf(server);
+               const bool leaving = server.model.leaving;
                at(m_now + trip(node, server),
-                  [this, &node, &server, ticket, number, load]
+                  [this, &node, &server, ticket, number, load, leaving, instance]
                   {
+                      if (leaving)
+                          node.balancer->noticed(instance, {true, {}}, balance::NoticeSource::HealthAnswer, m_now);
                       const bool refused = server.ended;
                       release(node, server, !refused);
                       balance::Outcome outcome;
@@ -790,6 +811,7 @@
         auto work = std::make_shared<Work>();
         work->node = node.index;
         work->server = server.model.id;
+        work->instance = step.instance;
         work->ticket = step.ticket;
         work->attempt = step.attempt;
         work->workMs = call == node.calls.end() ? 0 : call->second.workMs;
@@ -814,11 +836,14 @@
             m_culprits[*work->culprit].sends.push_back(m_now);
         ++server.got;
         server.limited.got.push_back(m_now);
+        server.noticed.got.emplace_back(work->node, m_now);
         server.limited.from.push_back(work->node);
         countCold(server);
         server.firstGot = std::min(server.firstGot, m_now);
         if (server.model.failing || server.gone)
             return answer(server, work, balance::AttemptEnd::Lost, 0);
+        if (server.model.backOff.count() > 0)
+            return answer(server, work, balance::AttemptEnd::NotRun, 503);
         if (server.running < server.model.slots)
             return begin(server, work);
         if (server.waiting.size() >= server.model.queue)
@@ -869,9 +894,14 @@
         Node&      node = m_nodes[work->node];
         const auto load = loadOf(server);
         const auto limit = server.model.limit;
+        const auto notice = noticeOf(server, *work, end);
         at(m_now + trip(node, server),
-           [this, &node, &server, work, end, status, load, limit, serverEnded]
+           [this, &node, &server, work, end, status, load, limit, notice, serverEnded]
            {
+               if (!notice.empty())
+                   node.balancer->noticed(work->instance, notice, balance::NoticeSource::Answer, m_now);
+               if (notice.leaving)
+                   server.noticed.toldLeft.emplace(node.index, m_now);
                if (node.sent.erase({work->ticket, work->attempt}) == 0)
                    return;
                const bool answered = end == balance::AttemptEnd::Answered || end == balance::AttemptEnd::NotRun;
@@ -897,6 +927,17 @@
            });
     }
 
+    /// \brief What an answer that a server gives now says of the requests that it wants
+    balance::ServerNotice noticeOf(Server& server, const Work& work, balance::AttemptEnd end)
+    {
+        if (end != balance::AttemptEnd::Answered && end != balance::AttemptEnd::NotRun)
+            return {};
+        const bool turnsAway = end == balance::AttemptEnd::NotRun && server.model.backOff.count() > 0;
+        if (turnsAway)
+            server.noticed.backOffs.push_back({work.node, m_now, server.model.backOff});
+        return {server.model.leaving, turnsAway ? server.model.backOff : core::Duration{}};
+    }
+
     void abandon(Node& node, const balance::Step& step)
     {
         const auto found = node.sent.find({step.ticket, step.attempt});
--- a/test/support/ServiceModelTypes.hpp
+++ b/test/support/ServiceModelTypes.hpp
@@ -45,7 +45,9 @@
     bool            failing{false};    //!< Loses what it is sent
     core::Timestamp joined{};          //!< When its entry was first written
 
-    std::optional<double> limit{}; //!< Requests a second from all nodes together that its answers name
+    std::optional<double> limit{};        //!< Requests a second from all nodes together that its answers name
+    bool                  leaving{false}; //!< All its answers say that it shuts down
+    core::Duration        backOff{};      //!< It turns requests away and asks for none for so long; 0: it takes them
 };
 
 ////////////////////////////////////////////////////////////
@@ -151,6 +153,66 @@
     }
 };
 
+////////////////////////////////////////////////////////////
+/// \brief What a server got against its own notices
+////////////////////////////////////////////////////////////
+struct ModelNoticed
+{
+    /// \brief A node that was turned away and asked to back off
+    struct BackOff
+    {
+        std::size_t     node{0};  //!< Which
+        core::Timestamp at{};     //!< When the server answered it
+        core::Duration  length{}; //!< For how long
+    };
+
+    std::vector<std::pair<std::size_t, core::Timestamp>> got;      //!< Requests: from which node, when
+    std::map<std::size_t, core::Timestamp>               toldLeft; //!< When nodes first had an answer that it leaves
+    std::vector<BackOff>                                 backOffs; //!< All that it asked for
+
+    /// \brief Requests from nodes that had known for a time that it leaves
+    [[nodiscard]] std::size_t lateAfterLeaving(core::Duration knew) const
+    {
+        const auto late = [&](const auto& request)
+        {
+            const auto told = toldLeft.find(request.first);
+            return told != toldLeft.end() && request.second > told->second + knew;
+        };
+        return static_cast<std::size_t>(std::count_if(got.begin(), got.end(), late));
+    }
+
+    /// \brief Most requests of one node in one back-off, later than a time after it was asked for
+    [[nodiscard]] std::size_t mostInBackOff(core::Duration later) const
+    {
+        std::size_t most = 0;
+        for (const BackOff& backOff : backOffs)
+        {
+            const auto within = [&](const auto& request)
+            {
+                return request.first == backOff.node && request.second > backOff.at + later &&
+                       request.second <= backOff.at + backOff.length;
+            };
+            most = std::max(most, static_cast<std::size_t>(std::count_if(got.begin(), got.end(), within)));
+        }
+        return most;
+    }
+
+    /// \brief Most requests in any span of a length that begins at a time or later
+    [[nodiscard]] std::size_t mostIn(core::Duration span, core::Timestamp from) const
+    {
+        std::size_t most = 0;
+        for (const auto& first : got)
+        {
+            if (first.second < from)
+                continue;
+            const auto within = [&](const auto& request)
+            { return request.second >= first.second && request.second < first.second + span; };
+            most = std::max(most, static_cast<std::size_t>(std::count_if(got.begin(), got.end(), within)));
+        }
+        return most;
+    }
+};
+
 ////////////////////////////////////////////////////////////
 /// \brief One try of a caller
 ////////////////////////////////////////////////////////////
