A server whose answers say that it leaves gets nothing new for the rest of its life

What callers saw: while the store was down, requests went to a server for 3.5 to 4.5 s after its own answers had told the node that it leaves (2 s allowed); they ran at a server that may end at any moment. Cause: leaving was known from the store only. The field on answers was read by nobody, and a server's state belonged to its entry, so what an entry says would have undone it. The mend: the notice belongs to one life of the server (id and start). It holds until that life is over: an entry that still says ready, that goes and comes back, or a whole copy told anew does not undo it; 256 lives whose entries went are remembered for each service. Such servers get no first, second or further send and no probe. Where no other server may be given a request, one that leaves still gets it for half of the drain time: it serves at least the whole of it after the store took its word, and an answer is better than a refusal. After that requests are refused at once (all-leaving, 503). No other node is told: each hears it with the first answer, and one node's word could not shut a server off for all.

--- a/include/sailpath/balance/NoticeState.hpp
+++ b/include/sailpath/balance/NoticeState.hpp
@@ -28,6 +28,7 @@
     [[nodiscard]] bool           backsOff(core::Timestamp now) const;    //!< It wants nothing now
     [[nodiscard]] core::Duration leavingFor(core::Timestamp now) const;  //!< Since it said so; 0 when it did not
     [[nodiscard]] core::Duration backOffLeft(core::Timestamp now) const; //!< Until it wants requests again
+    [[nodiscard]] bool           empty() const;                          //!< Nothing was ever heard
     [[nodiscard]] bool           inForce(core::Timestamp now) const;     //!< Something of it still holds
 
 private:
--- a/include/sailpath/balance/ServerView.hpp
+++ b/include/sailpath/balance/ServerView.hpp
@@ -119,8 +119,9 @@
     [[nodiscard]] double recent(core::Timestamp now) const;  //!< Requests of this node of late: of the last half second
     [[nodiscard]] const SharedLimit* limit(core::Timestamp now) const; //!< Null when it takes everything
     [[nodiscard]] const NoticeState& notices() const;                  //!< What it said of the requests that it wants
-    [[nodiscard]] double reportAgeMs(core::Timestamp now) const;       //!< Age of the last report; negative without one
-    [[nodiscard]] std::optional<double> reportedOthers() const;        //!< Others' requests as of the last report
+    void                             keepNotices(const NoticeState& notices); //!< Of an earlier view of the same life
+    [[nodiscard]] double reportAgeMs(core::Timestamp now) const; //!< Age of the last report; negative without one
+    [[nodiscard]] std::optional<double> reportedOthers() const;  //!< Others' requests as of the last report
 
     [[nodiscard]] const std::shared_ptr<const deployment::Instance>& instance() const; //!< As announced
     [[nodiscard]] unsigned                                           inFlight() const; //!< Own requests there
--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -12,6 +12,7 @@
 #include <sailpath/deployment/Deployment.hpp>
 #include <sailpath/deployment/ServerFailure.hpp>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -39,6 +40,7 @@
     core::Duration freshest{core::Duration::max()};       //!< Only servers that told their load this lately
     std::uint32_t  draw{0};                               //!< Of the request's search, for chances that are taken once
     unsigned       rank{0};                               //!< Kinds of request of the service that are more urgent
+    bool           lastResort{false};                     //!< Without another server, one that leaves may be given it
 };
 
 ////////////////////////////////////////////////////////////
@@ -189,6 +191,7 @@
     [[nodiscard]] bool allLimited(core::Timestamp now) const; //!< All are limited, or some are and the others cold
     [[nodiscard]] bool anyLimited(core::Timestamp now) const; //!< Some instance takes only so much
     [[nodiscard]] bool allCold(core::Timestamp now) const;    //!< No instance is known to be warm
+    [[nodiscard]] bool allLeaving() const;                    //!< All have said that they leave
     [[nodiscard]] std::shared_ptr<ServerView>
                            find(std::uint32_t life) const; //!< By `lifeHash`; null when there is none
     [[nodiscard]] unsigned moreUrgent(unsigned rank, core::Timestamp now) const; //!< Ranks that sent requests of late
@@ -204,13 +207,17 @@
     using Ranking = std::vector<std::pair<double, std::shared_ptr<ServerView>>>; //!< By cost
 
     /// \brief Let a server that joined and was never heard of take the last place among the first now and then
-    void               placeNewcomer(Ranking& ranked, const Wish& wish, std::size_t most, core::Timestamp now,
-                                     core::Random& random) const;
-    [[nodiscard]] bool mayBeGiven(const ServerView& server, const Wish& wish, core::Timestamp now) const;
-    [[nodiscard]] bool mayBeAsked(const ServerView& server, const Wish& wish, core::Timestamp now) const;
-    [[nodiscard]] bool bears(const ServerView& server, core::Timestamp now) const;
-    [[nodiscard]] bool takes(const ServerView& server, const Wish& wish, core::Timestamp now) const;
-    [[nodiscard]] bool hasRoomFor(const ServerView& server, const Wish& wish) const;
+    void                 placeNewcomer(Ranking& ranked, const Wish& wish, std::size_t most, core::Timestamp now,
+                                       core::Random& random) const;
+    [[nodiscard]] bool   mayBeGiven(const ServerView& server, const Wish& wish, core::Timestamp now) const;
+    [[nodiscard]] bool   mayBeAsked(const ServerView& server, const Wish& wish, core::Timestamp now) const;
+    [[nodiscard]] bool   bears(const ServerView& server, core::Timestamp now) const;
+    [[nodiscard]] bool   takes(const ServerView& server, const Wish& wish, core::Timestamp now) const;
+    [[nodiscard]] bool   hasRoomFor(const ServerView& server, const Wish& wish) const;
+    /// \brief Whether the instance still wants requests; with `leavers`, also for a while after it said that it leaves
+    [[nodiscard]] bool   wantsRequests(const ServerView& server, bool leavers, core::Timestamp now) const;
+    [[nodiscard]] Choice chooseAmong(const Wish& wish, bool leavers, core::Timestamp now, core::Random& random) const;
+    void remember(const std::shared_ptr<ServerView>& server); //!< Keep its notices for its entry's return
     void add(deployment::Instance instance, bool joins, core::Timestamp now, const std::set<std::string>& evacuated);
     [[nodiscard]] static bool toldWithin(const ServerView& server, core::Duration age, core::Timestamp now);
     [[nodiscard]] bool        near(const ServerView& server) const;
@@ -220,12 +227,13 @@
     const Settings&                                                m_settings; //!< Constants
     std::unordered_map<std::string, std::shared_ptr<ServerView>>   m_byId;     //!< The same by id
     std::unordered_map<std::uint32_t, std::shared_ptr<ServerView>> m_byHash;   //!< By short hash of their ids
-    double                                     m_witnesses{0};          //!< Decaying count of failures that nodes saw
-    core::Timestamp                            m_witnessesAt{};         //!< It is as of then
-    std::vector<std::shared_ptr<ServerView>>   m_servers;               //!< Those that take requests
-    ServerSubset                               m_own;                   //!< Of these, where this node looks first
-    RetryWindow                                m_retries;               //!< Budget
-    std::string                                m_healthPath;            //!< What a probe asks for
+    std::deque<std::shared_ptr<ServerView>>    m_removed;       //!< Whose notices still hold if their entries come back
+    double                                     m_witnesses{0};  //!< Decaying count of failures that nodes saw
+    core::Timestamp                            m_witnessesAt{}; //!< It is as of then
+    std::vector<std::shared_ptr<ServerView>>   m_servers;       //!< Those that take requests
+    ServerSubset                               m_own;           //!< Of these, where this node looks first
+    RetryWindow                                m_retries;       //!< Budget
+    std::string                                m_healthPath;    //!< What a probe asks for
     bool                                       m_tellsLoad{false};      //!< Some answer carried a load report
     unsigned                                   m_answersWithoutLoad{0}; //!< Before the first one that did
     unsigned                                   m_nodes{1};              //!< That share the budget for probes
--- a/include/sailpath/balance/Settings.hpp
+++ b/include/sailpath/balance/Settings.hpp
@@ -33,6 +33,8 @@
     core::Duration firstWork{std::chrono::milliseconds{100}};     //!< Assumed work before anything was measured
     core::Duration earlyWait{std::chrono::milliseconds{100}}; //!< Longest wait of a request for the first configuration
     core::Duration comeBackSoon{std::chrono::milliseconds{200}}; //!< When a lack of servers may be over
+    core::Duration leavingGrace{
+        std::chrono::seconds{1}};                     //!< A server that leaves still gets what no other may be given
     core::Duration denyWithin{core::Duration::max()}; //!< Age of the configuration up to which it denies a request
     double         hopelessWorks{3};                  //!< Expected times after which a send is taken for stuck
     double         probeRate{20};                     //!< Probes that a server may get a second, from all nodes
--- a/include/sailpath/balance/Step.hpp
+++ b/include/sailpath/balance/Step.hpp
@@ -30,6 +30,7 @@
     Evacuated,     //!< All servers are in data centres that operators had evacuated
     AllCold,       //!< All servers are cold, and other nodes send what these bear
     AllLimited,    //!< All servers take only so much, and others send it
+    AllLeaving,    //!< All servers have said that they shut down
     Overloaded,    //!< It would be answered too late
     EndsServers,   //!< It is quarantined: servers ended one after the other that ran it
     MayEndServers, //!< Servers ended that ran it, and it is being tried once more just now
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -42,6 +42,8 @@
         return "all-cold";
     case RefusalReason::AllLimited:
         return "all-limited";
+    case RefusalReason::AllLeaving:
+        return "all-leaving";
     case RefusalReason::Overloaded:
         return "overloaded";
     case RefusalReason::EndsServers:
@@ -459,6 +461,8 @@
     wish.asked = request.search.probes;
     wish.draw = request.draw;
     wish.rank = request.rank;
+    wish.lastResort = std::none_of(request.attempts.begin(), request.attempts.end(),
+                                   [](const Attempt& attempt) { return attempt.running; });
     return wish;
 }
 
--- a/src/sailpath/balance/BalancerSearch.cpp
+++ b/src/sailpath/balance/BalancerSearch.cpp
@@ -24,6 +24,8 @@
 {
     if (pool.size() > 0 && pool.allLimited(now))
         return RefusalReason::AllLimited;
+    if (pool.size() > 0 && pool.allLeaving())
+        return RefusalReason::AllLeaving;
     if (pool.size() > 0)
         return pool.allCold(now) ? RefusalReason::AllCold : RefusalReason::NoServer;
     return pool.evacuated() > 0 ? RefusalReason::Evacuated : RefusalReason::NoServer;
--- a/src/sailpath/balance/NoticeState.cpp
+++ b/src/sailpath/balance/NoticeState.cpp
@@ -45,6 +45,12 @@
     return std::max<core::Duration>(core::Duration{}, m_backOffUntil - now);
 }
 
+////////////////////////////////////////////////////////////
+bool NoticeState::empty() const
+{
+    return !leaving() && m_backOffUntil == core::Timestamp{};
+}
+
 ////////////////////////////////////////////////////////////
 bool NoticeState::inForce(core::Timestamp now) const
 {
--- a/src/sailpath/balance/ServerView.cpp
+++ b/src/sailpath/balance/ServerView.cpp
@@ -132,6 +132,12 @@
     return m_notices.hear(notice, now);
 }
 
+////////////////////////////////////////////////////////////
+void ServerView::keepNotices(const NoticeState& notices)
+{
+    m_notices = notices;
+}
+
 ////////////////////////////////////////////////////////////
 const NoticeState& ServerView::notices() const
 {
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -7,12 +7,13 @@
 {
 namespace
 {
-constexpr double   goodGain = 0.05;        // Share of one probe in the share of good servers
-constexpr double   mostSuspects = 1.0 / 3; // Of a service's servers at once: the others could hardly bear more
-constexpr double   witnessFadeMs = 4000;   // How fast failures that nodes saw are forgotten, on average
-constexpr double   probeShare = 0.8;       // Of the budget for probes that is used
-constexpr unsigned leastConnections = 2;
-constexpr auto     urgentFor = std::chrono::seconds{5}; // After its last request a route counts as under way
+constexpr double      goodGain = 0.05;        // Share of one probe in the share of good servers
+constexpr double      mostSuspects = 1.0 / 3; // Of a service's servers at once: the others could hardly bear more
+constexpr double      witnessFadeMs = 4000;   // How fast failures that nodes saw are forgotten, on average
+constexpr double      probeShare = 0.8;       // Of the budget for probes that is used
+constexpr unsigned    leastConnections = 2;
+constexpr std::size_t mostRemembered = 256; // Removed instances; what is forgotten is heard again with one answer
+constexpr auto        urgentFor = std::chrono::seconds{5}; // After its last request a route counts as under way
 
 } // namespace
 
@@ -107,6 +108,14 @@
         remove(std::string(instance.id));
     const std::string id = instance.id;
     const auto        server = std::make_shared<ServerView>(std::move(instance), m_settings, now);
+    const auto        removed = std::find_if(m_removed.begin(), m_removed.end(),
+                                             [&](const auto& known) { return known->instance()->id == id; });
+    if (removed != m_removed.end())
+    {
+        if (deployment::sameLife(*(*removed)->instance(), *server->instance()))
+            server->keepNotices((*removed)->notices());
+        m_removed.erase(removed);
+    }
     if (joins)
         server->joined();
     m_byId.emplace(id, server);
@@ -130,6 +139,7 @@
     if (known == m_byId.end())
         return;
     known->second->retire();
+    remember(known->second);
     const auto hash = m_byHash.find(deployment::lifeHash(*known->second->instance()));
     if (hash != m_byHash.end() && hash->second == known->second)
         m_byHash.erase(hash);
@@ -143,6 +153,16 @@
     m_byId.erase(known);
 }
 
+////////////////////////////////////////////////////////////
+void ServicePool::remember(const std::shared_ptr<ServerView>& server)
+{
+    if (server->notices().empty())
+        return;
+    m_removed.push_back(server);
+    if (m_removed.size() > mostRemembered)
+        m_removed.pop_front();
+}
+
 ////////////////////////////////////////////////////////////
 std::uint64_t ServicePool::looked() const
 {
@@ -206,10 +226,13 @@
 ////////////////////////////////////////////////////////////
 ServerNotice ServicePool::noticed(const deployment::Instance& instance, const ServerNotice& notice, core::Timestamp now)
 {
-    const auto server = find(instance.id);
-    if (!server || !deployment::sameLife(*server->instance(), instance))
-        return {};
-    return server->noticed(notice, now);
+    const auto sameLife = [&](const std::shared_ptr<ServerView>& server)
+    { return deployment::sameLife(*server->instance(), instance); };
+    if (const auto server = find(instance.id))
+        return sameLife(server) ? server->noticed(notice, now) : ServerNotice{};
+    // Its entry may be gone only for a while: answers that are still under way speak for it.
+    const auto removed = std::find_if(m_removed.begin(), m_removed.end(), sameLife);
+    return removed != m_removed.end() ? (*removed)->noticed(notice, now) : ServerNotice{};
 }
 
 ////////////////////////////////////////////////////////////
@@ -402,6 +425,13 @@
     return std::all_of(m_servers.begin(), m_servers.end(), [now](const auto& server) { return server->cold(now); });
 }
 
+////////////////////////////////////////////////////////////
+bool ServicePool::allLeaving() const
+{
+    return std::all_of(m_servers.begin(), m_servers.end(),
+                       [](const auto& server) { return server->notices().leaving(); });
+}
+
 ////////////////////////////////////////////////////////////
 std::shared_ptr<ServerView> ServicePool::find(std::string_view instance) const
 {
--- a/src/sailpath/balance/ServicePoolPlacement.cpp
+++ b/src/sailpath/balance/ServicePoolPlacement.cpp
@@ -40,7 +40,8 @@
     const auto   consider = [&](const std::shared_ptr<ServerView>& server)
     {
         ++m_looked;
-        if (!mayBeAsked(*server, wish, now) || std::find(asked.begin(), asked.end(), server.get()) != asked.end())
+        if (!mayBeAsked(*server, wish, now) || !wantsRequests(*server, false, now) ||
+            std::find(asked.begin(), asked.end(), server.get()) != asked.end())
             return;
         const double far = wish.nearFirst && !near(*server) ? farPenalty * work : 0;
         const double connect = server->idle() == 0 ? connectPenalty * work : 0;
@@ -90,6 +91,14 @@
 
 ////////////////////////////////////////////////////////////
 Choice ServicePool::choose(const Wish& wish, core::Timestamp now, core::Random& random) const
+{
+    const Choice choice = chooseAmong(wish, false, now, random);
+    // A server that leaves serves on for a while, and an answer is better than a refusal.
+    return choice.server || !wish.lastResort ? choice : chooseAmong(wish, true, now, random);
+}
+
+////////////////////////////////////////////////////////////
+Choice ServicePool::chooseAmong(const Wish& wish, bool leavers, core::Timestamp now, core::Random& random) const
 {
     const double work = m_work.ms(wish.route);
     Choice       best;
@@ -97,7 +106,8 @@
     const auto   consider = [&](const std::shared_ptr<ServerView>& server)
     {
         ++m_looked;
-        if (!mayBeGiven(*server, wish, now) || !toldWithin(*server, wish.freshest, now))
+        if (!mayBeGiven(*server, wish, now) || !toldWithin(*server, wish.freshest, now) ||
+            !wantsRequests(*server, leavers, now))
             return;
         const double value = cost(*server, wish, work, now) * (1 + spread * random.unit());
         if (best.server && value >= bestCost)
@@ -145,6 +155,13 @@
     return m_connections == 0 || server.inFlight() < m_connections;
 }
 
+////////////////////////////////////////////////////////////
+bool ServicePool::wantsRequests(const ServerView& server, bool leavers, core::Timestamp now) const
+{
+    const NoticeState& notices = server.notices();
+    return !notices.leaving() || (leavers && notices.leavingFor(now) <= m_settings.leavingGrace);
+}
+
 ////////////////////////////////////////////////////////////
 bool ServicePool::bears(const ServerView& server, core::Timestamp now) const
 {
--- a/test/gateway/ServerNotices.test.cpp
+++ b/test/gateway/ServerNotices.test.cpp
@@ -24,7 +24,7 @@
         const std::string                 known = omitsId ? std::string() : "X-Id: " + id + "\r\n";
         const std::string                 body = "HTTP/1.1 " + status + "\r\n" + known + "X-Mark: m\r\n" + lines +
                                  "Content-Length: " + std::to_string(length) + "\r\n\r\n" + std::string(sent, 'b');
-        return {body, {}, sent < length};
+        return {body, delay, sent < length};
     }
 
     /// \brief Let one request be answered with a status and further lines
@@ -64,7 +64,9 @@
     std::size_t length{0}; //!< That the head tells
     std::size_t sent{0};   //!< Bytes of the body that follow
     unsigned    asked{0};
-    Fixture     fixture;
+
+    std::chrono::milliseconds delay{0}; //!< Before an answer
+    Fixture                   fixture;
 };
 
 } // namespace
@@ -81,6 +83,38 @@
     BOOST_TEST(count("server-leaving") == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(AServerThatLeavesGetsNothingOnceItsGraceIsOver, NoticeFixture)
+{
+    ask("200 OK", "X-Leaving: yes\r\n");
+    std::this_thread::sleep_for(1100ms);
+    const std::size_t before = fixture.server.requests().size();
+    TestCaller        caller(fixture.gateway->port());
+    caller.write(Fixture::request("/read/1", "late"));
+    const std::string answer = caller.readAnswer();
+    BOOST_TEST(statusOf(answer) == 503);
+    BOOST_TEST(!fieldOf(answer, "Retry-After").empty());
+    BOOST_TEST(fixture.server.requests().size() == before);
+}
+
+BOOST_FIXTURE_TEST_CASE(ANoticeOnAnAnswerThatNobodyWaitsForHolds, NoticeFixture)
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        lines = "X-Leaving: yes\r\n";
+        delay = 300ms;
+    }
+    {
+        TestCaller caller(fixture.gateway->port());
+        caller.write(Fixture::request("/pay/1", "left", {}, "POST"));
+        while (fixture.server.requests().empty())
+            std::this_thread::sleep_for(1ms);
+        caller.close();
+    }
+    for (int tries = 0; tries < 500 && count("server-leaving") == 0; ++tries)
+        std::this_thread::sleep_for(10ms);
+    BOOST_TEST(count("server-leaving instance=i-1") == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(AnswersOfOthersAreNoNotices, NoticeFixture)
 {
     ask("421 Misdirected", "X-Not-Run: other\r\nX-Leaving: yes\r\n");
