A server that asks for a back-off gets nothing from this node until it is over

What callers saw: two of ten servers turned everything away and asked for three seconds of rest; requests went to the one, then to the other, and were refused while eight had room. What turns everything away answers in 2 ms and reports no load, so it looked like the best choice. Cause: Retry-After of a 503 was kept for the one request that got it and passed on to its caller as if it had been asked of him. A refusal itself paused a server for 60 ms to 1 s. The mend: the back-off is a notice of the server's life, as leaving is. Until it is over the server gets no first, second or further send and no probe; of several the one that ends last holds, an answer of before does not end it. Nodes draw up to a quarter more, and begin with one request at a time until the server has taken one. Where all servers back off callers are refused at once (all-back-off, 503) with the time that is left, spread over half as much again; a caller whom one server turned away is told when the service may take him, not what that server asked of this node. A 429 speaks to the caller and stays his. Why a service has no server is one function now (ServicePool::shortage).

--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -348,6 +348,8 @@
     [[nodiscard]] Wish   wishOf(const Request& request) const;
     [[nodiscard]] double retryExtra() const;
     [[nodiscard]] core::Duration comeBackForTurn(double openness);
+    [[nodiscard]] core::Duration comeBackAfter(core::Duration backOff);
+    [[nodiscard]] core::Duration comeBackFrom(Shortage shortage, const ServicePool& pool, core::Timestamp now);
     [[nodiscard]] core::Duration comeBack(const ServicePool& pool, double expectedMs);
 
     Settings                                      m_settings;   //!< Constants
--- a/include/sailpath/balance/NoticeState.hpp
+++ b/include/sailpath/balance/NoticeState.hpp
@@ -10,6 +10,9 @@
 /// \brief What one instance has said of the requests that it still wants from this node
 ///
 /// Belongs to one life of the instance: a new life begins without.
+///
+/// After a back-off the instance gets one request at a time until it has taken one: that all nodes and callers come
+/// back in the same instant would overload it again.
 ////////////////////////////////////////////////////////////
 class NoticeState
 {
@@ -20,9 +23,21 @@
     /// An instance that leaves does not come back in the same life. Of several
     /// back-offs the one that ends last holds.
     ///
+    /// \param spread By how much a back-off is made longer, 0 to 1: drawn, so that nodes that were told at the same
+    ///               time do not come back at the same time
+    ///
     /// \return What of it is new
     ////////////////////////////////////////////////////////////
-    ServerNotice hear(const ServerNotice& notice, core::Timestamp now);
+    ServerNotice hear(const ServerNotice& notice, double spread, core::Timestamp now);
+
+    void accepted(core::Timestamp now); //!< It took a request and answered it
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Whether it wants one more request, as far as back-offs go
+    ///
+    /// \param inFlight Requests of this node that it works on
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] bool takesOneMore(unsigned inFlight, core::Timestamp now) const;
 
     [[nodiscard]] bool           leaving() const;                        //!< It shuts down
     [[nodiscard]] bool           backsOff(core::Timestamp now) const;    //!< It wants nothing now
@@ -34,6 +49,7 @@
 private:
     std::optional<core::Timestamp> m_leavingSince;   //!< When it was first heard that it shuts down
     core::Timestamp                m_backOffUntil{}; //!< It wants nothing before
+    bool                           m_onTrial{false}; //!< It has not taken a request since its last back-off
 };
 
 } // namespace sailpath::balance
--- a/include/sailpath/balance/ServerView.hpp
+++ b/include/sailpath/balance/ServerView.hpp
@@ -60,8 +60,9 @@
 
     void sentElsewhere(double requests, double doublings, core::Timestamp now); //!< See `SharedLimit::sentElsewhere`
 
-    ServerNotice noticed(const ServerNotice& notice, core::Timestamp now); //!< See `NoticeState::hear`
+    ServerNotice noticed(const ServerNotice& notice, double spread, core::Timestamp now); //!< See `NoticeState::hear`
 
+    void accepted(core::Timestamp now);                   //!< It took a request and answered it
     void sent(core::Timestamp now);                       //!< A request was sent
     void ended(core::Timestamp now);                      //!< A request came to an end
     void reported(const Load& load, core::Timestamp now); //!< A load report arrived
--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -53,6 +53,21 @@
     double                      crowding{0}; //!< How nearly all its slots are taken with the request, 0 to 1
 };
 
+////////////////////////////////////////////////////////////
+/// \brief Why a service has no instance that may be given a request
+///
+/// Where several hold for its instances, the one that is over soonest as a rule.
+////////////////////////////////////////////////////////////
+enum class Shortage
+{
+    Other,     //!< Some instance is none of the following
+    Evacuated, //!< All are in evacuated data centres
+    Limited,   //!< They take only so much, and others send it
+    Cold,      //!< Other nodes send what they bear while cold
+    BackOff,   //!< They asked for no requests for a while
+    Leaving    //!< They have said that they leave
+};
+
 ////////////////////////////////////////////////////////////
 /// \brief A route that sent requests to a service
 ////////////////////////////////////////////////////////////
@@ -146,9 +161,12 @@
     ////////////////////////////////////////////////////////////
     /// \brief An instance said which requests it still wants; what an earlier life of it said is passed over
     ///
+    /// \param spread See `NoticeState::hear`
+    ///
     /// \return What of it is new
     ////////////////////////////////////////////////////////////
-    ServerNotice noticed(const deployment::Instance& instance, const ServerNotice& notice, core::Timestamp now);
+    ServerNotice noticed(const deployment::Instance& instance, const ServerNotice& notice, double spread,
+                         core::Timestamp now);
 
     void letIn(unsigned rank, core::Timestamp now);      //!< What could be in time was sent
     void turnedAway(unsigned rank, core::Timestamp now); //!< What could be in time was refused for load
@@ -180,18 +198,21 @@
     ////////////////////////////////////////////////////////////
     void learnLoad(double pace, std::optional<double> others);
 
-    [[nodiscard]] UsualWork&         work();                  //!< What is usual at its instances
-    [[nodiscard]] const UsualWork&   work() const;            //!< What is usual at its instances
-    [[nodiscard]] RetryWindow&       retries();               //!< Budget
-    [[nodiscard]] const std::string& name() const;            //!< Of the service
-    [[nodiscard]] const std::string& healthPath() const;      //!< What a probe asks for
-    [[nodiscard]] std::size_t        size() const;            //!< Instances that take requests
-    [[nodiscard]] std::size_t        evacuated() const;       //!< Instances in evacuated data centres
-    void                             limited();               //!< An instance has named a limit
-    [[nodiscard]] bool allLimited(core::Timestamp now) const; //!< All are limited, or some are and the others cold
-    [[nodiscard]] bool anyLimited(core::Timestamp now) const; //!< Some instance takes only so much
-    [[nodiscard]] bool allCold(core::Timestamp now) const;    //!< No instance is known to be warm
-    [[nodiscard]] bool allLeaving() const;                    //!< All have said that they leave
+    [[nodiscard]] UsualWork&         work();                                //!< What is usual at its instances
+    [[nodiscard]] const UsualWork&   work() const;                          //!< What is usual at its instances
+    [[nodiscard]] RetryWindow&       retries();                             //!< Budget
+    [[nodiscard]] const std::string& name() const;                          //!< Of the service
+    [[nodiscard]] const std::string& healthPath() const;                    //!< What a probe asks for
+    [[nodiscard]] std::size_t        size() const;                          //!< Instances that take requests
+    [[nodiscard]] std::size_t        evacuated() const;                     //!< Instances in evacuated data centres
+    void                             limited();                             //!< An instance has named a limit
+    [[nodiscard]] bool               anyLimited(core::Timestamp now) const; //!< Some instance takes only so much
+    [[nodiscard]] Shortage shortage(core::Timestamp now) const; //!< Why none of its instances may be given a request
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Time until the first of the instances that asked for a back-off may be given a request
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] core::Duration shortestBackOff(core::Timestamp now) const;
     [[nodiscard]] std::shared_ptr<ServerView>
                            find(std::uint32_t life) const; //!< By `lifeHash`; null when there is none
     [[nodiscard]] unsigned moreUrgent(unsigned rank, core::Timestamp now) const; //!< Ranks that sent requests of late
@@ -202,7 +223,8 @@
     [[nodiscard]] std::shared_ptr<ServerView> find(std::string_view instance) const; //!< Null when there is none
 
 private:
-    [[nodiscard]] bool mayAvoidOneMore(core::Timestamp now) const; //!< Few enough servers are suspects
+    [[nodiscard]] static Shortage shortageOf(const ServerView& server, core::Timestamp now);
+    [[nodiscard]] bool            mayAvoidOneMore(core::Timestamp now) const; //!< Few enough servers are suspects
 
     using Ranking = std::vector<std::pair<double, std::shared_ptr<ServerView>>>; //!< By cost
 
--- a/include/sailpath/balance/Step.hpp
+++ b/include/sailpath/balance/Step.hpp
@@ -31,6 +31,7 @@
     AllCold,       //!< All servers are cold, and other nodes send what these bear
     AllLimited,    //!< All servers take only so much, and others send it
     AllLeaving,    //!< All servers have said that they shut down
+    AllBackOff,    //!< All servers asked for no requests for a while
     Overloaded,    //!< It would be answered too late
     EndsServers,   //!< It is quarantined: servers ended one after the other that ran it
     MayEndServers, //!< Servers ended that ran it, and it is being tried once more just now
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -10,6 +10,7 @@
 {
 constexpr auto     leastComeBack = std::chrono::milliseconds{50};
 constexpr auto     longestComeBack = std::chrono::seconds{2};
+constexpr double   comeBackSpread = 0.5;  // Part of a back-off that callers' returns are spread over
 constexpr unsigned mostUnsent = 4;        // Connections that may fail to come up before a request is refused
 constexpr double   retryExtraShare = 0.6; // Of the extra; the rest covers nodes not known of
 constexpr double   worksInTarget = 0.35;  // Usual work as a part of its target latency, until answers tell
@@ -44,6 +45,8 @@
         return "all-limited";
     case RefusalReason::AllLeaving:
         return "all-leaving";
+    case RefusalReason::AllBackOff:
+        return "all-back-off";
     case RefusalReason::Overloaded:
         return "overloaded";
     case RefusalReason::EndsServers:
@@ -246,6 +249,8 @@
     ServerView& server = *attempt.server;
     if (outcome.end == AttemptEnd::Answered || outcome.end == AttemptEnd::NotRun)
         m_crashes.answers(deployment::lifeHash(*server.instance()), now);
+    if (outcome.end == AttemptEnd::Answered)
+        server.accepted(now);
     learnLoad(*request.pool, server, outcome, now);
     const double latency = core::toMilliseconds(now - attempt.sentAt);
     switch (outcome.end)
@@ -376,7 +381,7 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Balancer::conclude(Ticket ticket, Request& request, core::Timestamp)
+void Balancer::conclude(Ticket ticket, Request& request, core::Timestamp now)
 {
     if (request.lastAnswer != 0)
     {
@@ -389,7 +394,12 @@
     else if (request.mayHaveRun)
         refuse(ticket, {RefusalReason::Unknown, true, {}});
     else
-        refuse(ticket, {RefusalReason::NotRun, false, std::max(request.comeBack, comeBack(*request.pool, 0))});
+    {
+        const bool           backOff = request.pool->shortage(now) == Shortage::BackOff;
+        const core::Duration wait =
+            backOff ? comeBackFrom(Shortage::BackOff, *request.pool, now) : comeBack(*request.pool, 0);
+        refuse(ticket, {RefusalReason::NotRun, false, std::max(request.comeBack, wait)});
+    }
     close(ticket);
 }
 
@@ -488,6 +498,14 @@
                                       longestComeBack);
 }
 
+////////////////////////////////////////////////////////////
+core::Duration Balancer::comeBackAfter(core::Duration backOff)
+{
+    // Not all in the same instant: the servers begin with one request of each node.
+    const double length = core::toMilliseconds(std::max<core::Duration>(backOff, leastComeBack));
+    return core::fromMilliseconds(length * (1 + comeBackSpread * m_random.unit()));
+}
+
 ////////////////////////////////////////////////////////////
 void Balancer::connections(const deployment::Instance& instance, unsigned idle, unsigned open)
 {
--- a/src/sailpath/balance/BalancerSearch.cpp
+++ b/src/sailpath/balance/BalancerSearch.cpp
@@ -18,17 +18,24 @@
                                         // take slots
 
 ////////////////////////////////////////////////////////////
-/// \brief Why a service has no server that may be given a request
-////////////////////////////////////////////////////////////
-RefusalReason reasonOfNone(const ServicePool& pool, core::Timestamp now)
+RefusalReason reasonOf(Shortage shortage)
 {
-    if (pool.size() > 0 && pool.allLimited(now))
+    switch (shortage)
+    {
+    case Shortage::Evacuated:
+        return RefusalReason::Evacuated;
+    case Shortage::Limited:
         return RefusalReason::AllLimited;
-    if (pool.size() > 0 && pool.allLeaving())
+    case Shortage::Cold:
+        return RefusalReason::AllCold;
+    case Shortage::BackOff:
+        return RefusalReason::AllBackOff;
+    case Shortage::Leaving:
         return RefusalReason::AllLeaving;
-    if (pool.size() > 0)
-        return pool.allCold(now) ? RefusalReason::AllCold : RefusalReason::NoServer;
-    return pool.evacuated() > 0 ? RefusalReason::Evacuated : RefusalReason::NoServer;
+    case Shortage::Other:
+        break;
+    }
+    return RefusalReason::NoServer;
 }
 
 } // namespace
@@ -207,10 +214,8 @@
     }
     if (!choice.server)
     {
-        const RefusalReason  reason = reasonOfNone(*request.pool, now);
-        const core::Duration wait = reason == RefusalReason::AllLimited ? comeBackForTurn(request.pool->openness(now))
-                                                                        : m_settings.comeBackSoon;
-        refuse(ticket, {reason, false, wait});
+        const Shortage shortage = request.pool->shortage(now);
+        refuse(ticket, {reasonOf(shortage), false, comeBackFrom(shortage, *request.pool, now)});
         return close(ticket);
     }
     if (turnsAway(request, choice, now))
@@ -223,4 +228,14 @@
     plan(ticket, request, now);
 }
 
+////////////////////////////////////////////////////////////
+core::Duration Balancer::comeBackFrom(Shortage shortage, const ServicePool& pool, core::Timestamp now)
+{
+    if (shortage == Shortage::Limited)
+        return comeBackForTurn(pool.openness(now));
+    if (shortage == Shortage::BackOff)
+        return comeBackAfter(pool.shortestBackOff(now));
+    return m_settings.comeBackSoon;
+}
+
 } // namespace sailpath::balance
--- a/src/sailpath/balance/NoticeState.cpp
+++ b/src/sailpath/balance/NoticeState.cpp
@@ -4,8 +4,14 @@
 
 namespace sailpath::balance
 {
+namespace
+{
+constexpr double longestSpread = 0.25; // Part of a back-off that it is made longer by at the most
+
+} // namespace
+
 ////////////////////////////////////////////////////////////
-ServerNotice NoticeState::hear(const ServerNotice& notice, core::Timestamp now)
+ServerNotice NoticeState::hear(const ServerNotice& notice, double spread, core::Timestamp now)
 {
     ServerNotice news;
     if (notice.leaving && !m_leavingSince)
@@ -16,11 +22,26 @@
     if (notice.backOff.count() > 0)
     {
         news.backOff = backsOff(now) ? core::Duration{} : notice.backOff;
-        m_backOffUntil = std::max<core::Timestamp>(m_backOffUntil, now + notice.backOff);
+        const auto length = core::fromMilliseconds(core::toMilliseconds(notice.backOff) * (1 + longestSpread * spread));
+        m_backOffUntil = std::max<core::Timestamp>(m_backOffUntil, now + length);
+        m_onTrial = true;
     }
     return news;
 }
 
+////////////////////////////////////////////////////////////
+void NoticeState::accepted(core::Timestamp now)
+{
+    // What it took before it asked for a back-off says nothing of the time after.
+    m_onTrial = m_onTrial && backsOff(now);
+}
+
+////////////////////////////////////////////////////////////
+bool NoticeState::takesOneMore(unsigned inFlight, core::Timestamp now) const
+{
+    return !backsOff(now) && (!m_onTrial || inFlight == 0);
+}
+
 ////////////////////////////////////////////////////////////
 bool NoticeState::leaving() const
 {
--- a/src/sailpath/balance/ServerView.cpp
+++ b/src/sailpath/balance/ServerView.cpp
@@ -127,9 +127,15 @@
 }
 
 ////////////////////////////////////////////////////////////
-ServerNotice ServerView::noticed(const ServerNotice& notice, core::Timestamp now)
+ServerNotice ServerView::noticed(const ServerNotice& notice, double spread, core::Timestamp now)
 {
-    return m_notices.hear(notice, now);
+    return m_notices.hear(notice, spread, now);
+}
+
+////////////////////////////////////////////////////////////
+void ServerView::accepted(core::Timestamp now)
+{
+    m_notices.accepted(now);
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -224,15 +224,16 @@
 }
 
 ////////////////////////////////////////////////////////////
-ServerNotice ServicePool::noticed(const deployment::Instance& instance, const ServerNotice& notice, core::Timestamp now)
+ServerNotice ServicePool::noticed(const deployment::Instance& instance, const ServerNotice& notice, double spread,
+                                  core::Timestamp now)
 {
     const auto sameLife = [&](const std::shared_ptr<ServerView>& server)
     { return deployment::sameLife(*server->instance(), instance); };
     if (const auto server = find(instance.id))
-        return sameLife(server) ? server->noticed(notice, now) : ServerNotice{};
+        return sameLife(server) ? server->noticed(notice, spread, now) : ServerNotice{};
     // Its entry may be gone only for a while: answers that are still under way speak for it.
     const auto removed = std::find_if(m_removed.begin(), m_removed.end(), sameLife);
-    return removed != m_removed.end() ? (*removed)->noticed(notice, now) : ServerNotice{};
+    return removed != m_removed.end() ? (*removed)->noticed(notice, spread, now) : ServerNotice{};
 }
 
 ////////////////////////////////////////////////////////////
@@ -253,14 +254,6 @@
     return found == m_byHash.end() ? nullptr : found->second;
 }
 
-////////////////////////////////////////////////////////////
-bool ServicePool::allLimited(core::Timestamp now) const
-{
-    return anyLimited(now) &&
-           std::all_of(m_servers.begin(), m_servers.end(),
-                       [now](const auto& server) { return server->limit(now) != nullptr || server->cold(now); });
-}
-
 ////////////////////////////////////////////////////////////
 bool ServicePool::anyLimited(core::Timestamp now) const
 {
@@ -420,16 +413,43 @@
 }
 
 ////////////////////////////////////////////////////////////
-bool ServicePool::allCold(core::Timestamp now) const
+Shortage ServicePool::shortage(core::Timestamp now) const
+{
+    if (m_servers.empty())
+        return m_evacuated > 0 ? Shortage::Evacuated : Shortage::Other;
+    Shortage soonest = Shortage::Leaving;
+    for (const auto& server : m_servers)
+    {
+        const Shortage its = shortageOf(*server, now);
+        if (its == Shortage::Other)
+            return its;
+        soonest = std::min(soonest, its);
+    }
+    return soonest;
+}
+
+////////////////////////////////////////////////////////////
+Shortage ServicePool::shortageOf(const ServerView& server, core::Timestamp now)
 {
-    return std::all_of(m_servers.begin(), m_servers.end(), [now](const auto& server) { return server->cold(now); });
+    if (server.notices().leaving())
+        return Shortage::Leaving;
+    if (!server.notices().takesOneMore(server.inFlight(), now))
+        return Shortage::BackOff;
+    if (server.limit(now) != nullptr)
+        return Shortage::Limited;
+    return server.cold(now) ? Shortage::Cold : Shortage::Other;
 }
 
 ////////////////////////////////////////////////////////////
-bool ServicePool::allLeaving() const
+core::Duration ServicePool::shortestBackOff(core::Timestamp now) const
 {
-    return std::all_of(m_servers.begin(), m_servers.end(),
-                       [](const auto& server) { return server->notices().leaving(); });
+    auto shortest = core::Duration::max();
+    for (const auto& server : m_servers)
+    {
+        if (shortageOf(*server, now) == Shortage::BackOff)
+            shortest = std::min(shortest, server->notices().backOffLeft(now));
+    }
+    return shortest == core::Duration::max() ? core::Duration{} : shortest;
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/balance/ServicePoolPlacement.cpp
+++ b/src/sailpath/balance/ServicePoolPlacement.cpp
@@ -159,6 +159,8 @@
 bool ServicePool::wantsRequests(const ServerView& server, bool leavers, core::Timestamp now) const
 {
     const NoticeState& notices = server.notices();
+    if (!notices.takesOneMore(server.inFlight(), now))
+        return false;
     return !notices.leaving() || (leavers && notices.leavingFor(now) <= m_settings.leavingGrace);
 }
 
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -376,7 +376,9 @@
     // Only a whole answer that names no limit ends one: what turns a request away may say less.
     if (m_dialect.parseLimit && itsOwn)
         outcome.limit = limitOf(head, m_dialect, success ? std::optional(balance::unlimited) : std::nullopt);
-    outcome.comeBack = retryAfterOf(head.field("Retry-After"));
+    // What a 503 asks for is asked of this node; other servers may take the caller's request before.
+    if (head.status != statusUnavailable)
+        outcome.comeBack = retryAfterOf(head.field("Retry-After"));
     if (success)
     {
         const bool whole = head.has(m_dialect.signature) && !head.has("Content-Encoding");
--- /dev/null
+++ b/test/balance/notices/BackOff.test.cpp
@@ -0,0 +1,245 @@
+#include <support/OneRouteFixture.hpp>
+#include <support/ServiceModel.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <set>
+
+namespace
+{
+using namespace sailpath;
+using namespace std::chrono_literals;
+using balance::AttemptEnd;
+using balance::NoticeSource;
+using balance::Outcome;
+using balance::RefusalReason;
+using balance::Step;
+using balance::StepKind;
+
+constexpr double longest = 1.25; // Times what was asked for, as nodes draw
+
+////////////////////////////////////////////////////////////
+/// \brief A node before servers that may ask for a back-off
+////////////////////////////////////////////////////////////
+struct Fixture : support::OneRouteFixture
+{
+    Fixture() :
+    OneRouteFixture(4s, 2, 2)
+    {
+        balancer.configure(declared, now);
+    }
+
+    void backsOff(std::size_t server, core::Duration length, NoticeSource source = NoticeSource::Answer)
+    {
+        const auto instance = std::make_shared<const deployment::Instance>(declared.instances[server]);
+        balancer.noticed(instance, {false, length}, source, now);
+    }
+
+    /// \brief What becomes of a request that arrives now
+    Step arrive()
+    {
+        balancer.admit(++ticket, {"a.example", "/read/1", now, 2s, {}}, now);
+        return steps().at(0);
+    }
+
+    std::vector<Step> end(balance::Ticket which, AttemptEnd how, unsigned status)
+    {
+        Outcome outcome;
+        outcome.end = how;
+        outcome.status = status;
+        balancer.attemptEnded(which, 1, outcome, now);
+        return steps();
+    }
+
+    /// \brief Whether a request that arrives now, and is answered, gets to a server
+    bool served()
+    {
+        const Step step = arrive();
+        if (step.kind != StepKind::Forward)
+            return false;
+        (void)end(ticket, AttemptEnd::Answered, 200);
+        return true;
+    }
+
+    balance::Ticket ticket{0};
+};
+
+////////////////////////////////////////////////////////////
+/// \brief Five nodes before ten servers, with short requests
+////////////////////////////////////////////////////////////
+support::ServiceModel busyModel(std::uint64_t seed, double perSecond)
+{
+    support::ModelSettings settings;
+    settings.nodes = 5;
+    settings.seed = seed;
+    support::KindOfRequest kind;
+    kind.name = "read";
+    kind.target = 250ms;
+    kind.timeout = 2s;
+    kind.patience = 2s;
+    kind.workMs = 15;
+    kind.retries = 2;
+    kind.perSecond = perSecond;
+    std::vector<support::ModelServer> servers;
+    for (unsigned i = 0; i < 10; ++i)
+        servers.push_back({"s" + std::to_string(i), "portal", "dc" + std::to_string(i % 3)});
+    return {settings, {kind}, servers};
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(BackOffTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(WhenAllBackOffCallersAreRefusedAtOnceAndToldWhenToComeBack)
+{
+    backsOff(0, 3s);
+    backsOff(1, 5s);
+    now += 1s;
+    std::set<core::Duration> comeBacks;
+    for (int i = 0; i < 20; ++i)
+    {
+        const Step step = arrive();
+        BOOST_REQUIRE((step.kind == StepKind::Refuse));
+        BOOST_TEST((step.refusal.reason == RefusalReason::AllBackOff));
+        BOOST_TEST(!step.refusal.mayHaveRun);
+        BOOST_TEST(step.refusal.comeBack >= 2s);
+        BOOST_TEST(step.refusal.comeBack <= core::fromMilliseconds(1.5 * (longest * 3000 - 1000)));
+        comeBacks.insert(step.refusal.comeBack);
+    }
+    BOOST_TEST(comeBacks.size() > 10U);
+}
+
+BOOST_AUTO_TEST_CASE(AfterItAServerGetsOneRequestAtATimeUntilItHasTakenOne)
+{
+    backsOff(0, 1s);
+    backsOff(1, 60s);
+    now += core::fromMilliseconds(longest * 1000);
+    const Step trial = arrive();
+    BOOST_REQUIRE((trial.kind == StepKind::Forward));
+    BOOST_TEST(trial.instance->id == "s0");
+    const auto first = ticket;
+    const Step beside = arrive();
+    BOOST_REQUIRE((beside.kind == StepKind::Refuse));
+    BOOST_TEST((beside.refusal.reason == RefusalReason::AllBackOff));
+    BOOST_TEST(beside.refusal.comeBack <= 1s);
+    now += 50ms;
+    (void)end(first, AttemptEnd::Answered, 200);
+    BOOST_TEST((arrive().kind == StepKind::Forward));
+    BOOST_TEST((arrive().kind == StepKind::Forward));
+}
+
+BOOST_AUTO_TEST_CASE(NeitherAShorterWordNorAnOlderAnswerEndsIt)
+{
+    const Step older = arrive();
+    const auto first = ticket;
+    backsOff(0, 3s);
+    backsOff(1, 3s);
+    now += 1s;
+    backsOff(0, 100ms);
+    backsOff(1, 100ms, NoticeSource::HealthAnswer);
+    (void)end(first, AttemptEnd::Answered, 200);
+    now += 1900ms;
+    BOOST_TEST(!served());
+    // What was answered before its end does not spare the server the trial after it.
+    now += 1s;
+    (void)arrive();
+    (void)arrive();
+    BOOST_TEST((arrive().kind == StepKind::Refuse));
+    BOOST_TEST((older.kind == StepKind::Forward));
+}
+
+BOOST_AUTO_TEST_CASE(ALongerWordOfALaterAnswerHolds)
+{
+    backsOff(0, 1s);
+    backsOff(1, 1s);
+    now += 500ms;
+    backsOff(0, 4s);
+    backsOff(1, 4s);
+    now += 3900ms;
+    BOOST_TEST(!served());
+    now += 1200ms;
+    BOOST_TEST(served());
+}
+
+BOOST_AUTO_TEST_CASE(ACallerThatOneServerTurnedAwayIsNotToldToWaitForThatServer)
+{
+    const Step step = arrive();
+    const auto which = static_cast<std::size_t>(step.instance->id == "s0" ? 0 : 1);
+    backsOff(which, 30s);
+    // A young node has no retries to give, so the caller is to come back; the other server may take it then.
+    const auto next = end(ticket, AttemptEnd::NotRun, 503);
+    BOOST_REQUIRE((next.at(0).kind == StepKind::Refuse));
+    BOOST_TEST(next[0].refusal.comeBack <= 2s);
+    BOOST_TEST(served());
+}
+
+BOOST_AUTO_TEST_CASE(AnEntryThatComesBackDoesNotEndItAndANewLifeDoes)
+{
+    backsOff(0, 10s);
+    backsOff(1, 10s);
+    deployment::Declared without = declared;
+    without.instances.clear();
+    balancer.configure(without, now);
+    balancer.configure(declared, now);
+    BOOST_TEST(!served());
+    declared.instances[1].born = 9;
+    balancer.configure(declared, now);
+    BOOST_TEST(served());
+}
+
+BOOST_AUTO_TEST_CASE(ServersThatLeaveAndOthersThatBackOffMakeCallersWaitForTheLatter)
+{
+    const auto instance = std::make_shared<const deployment::Instance>(declared.instances[0]);
+    balancer.noticed(instance, {true, {}}, NoticeSource::Answer, now);
+    now += 5s;
+    backsOff(1, 3s);
+    const Step step = arrive();
+    BOOST_REQUIRE((step.kind == StepKind::Refuse));
+    BOOST_TEST((step.refusal.reason == RefusalReason::AllBackOff));
+    BOOST_TEST(step.refusal.comeBack >= 3s);
+}
+
+// All servers of a service ask five busy nodes for three seconds and take requests again after half a second.
+BOOST_AUTO_TEST_CASE(NodesDoNotAllComeBackInTheSameInstant)
+{
+    constexpr double perSecond = 600;
+    constexpr auto   first = 50ms; // From the first request after the back-off on
+    for (const std::uint64_t seed : {1U, 2U, 3U})
+    {
+        support::ServiceModel model = busyModel(seed, perSecond);
+        model.run(4s);
+        for (const std::string& id : model.present())
+            model.setBackOff(id, 3s);
+        model.run(500ms);
+        for (const std::string& id : model.present())
+            model.setBackOff(id, 0s);
+        const core::Timestamp mended = model.now() + 1s; // Nothing is under way any more
+        model.run(5s);
+        std::vector<core::Timestamp> got;
+        for (const std::string& id : model.present())
+        {
+            BOOST_TEST(model.noticed(id).mostInBackOff(500ms) == 0U);
+            for (const auto& [node, at] : model.noticed(id).got)
+            {
+                if (at > mended)
+                    got.push_back(at);
+            }
+        }
+        BOOST_REQUIRE(!got.empty());
+        const core::Timestamp begin = *std::min_element(got.begin(), got.end());
+        const auto            atOnce =
+            std::count_if(got.begin(), got.end(), [&](core::Timestamp at) { return at < begin + first; });
+        std::cout << "seed " << seed << ": " << atOnce << " requests in the first 50 ms after a back-off of all\n";
+        // No more than at any other time.
+        BOOST_TEST(static_cast<double>(atOnce) <= perSecond * core::toSeconds(first));
+        model.beginCount();
+        model.run(3s);
+        model.setRate(0, 0.001); // What is under way comes to its end
+        model.run(3s);
+        BOOST_TEST(model.tally(0).servedShare() >= 0.99);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/gateway/ServerNotices.test.cpp
+++ b/test/gateway/ServerNotices.test.cpp
@@ -20,9 +20,11 @@
     Script answer(const std::string& request)
     {
         const std::lock_guard<std::mutex> lock(mutex);
-        const std::string                 id = fieldOf(request, "X-Id");
-        const std::string                 known = omitsId ? std::string() : "X-Id: " + id + "\r\n";
-        const std::string                 body = "HTTP/1.1 " + status + "\r\n" + known + "X-Mark: m\r\n" + lines +
+        if (request.starts_with("GET /health"))
+            return {"HTTP/1.1 200 OK\r\n" + health + "Content-Length: 0\r\n\r\n"};
+        const std::string id = fieldOf(request, "X-Id");
+        const std::string known = omitsId ? std::string() : "X-Id: " + id + "\r\n";
+        const std::string body = "HTTP/1.1 " + status + "\r\n" + known + "X-Mark: m\r\n" + lines +
                                  "Content-Length: " + std::to_string(length) + "\r\n\r\n" + std::string(sent, 'b');
         return {body, delay, sent < length};
     }
@@ -60,6 +62,7 @@
     std::mutex  mutex;
     std::string status{"200 OK"};
     std::string lines;
+    std::string health; //!< Lines of health answers
     bool        omitsId{false};
     std::size_t length{0}; //!< That the head tells
     std::size_t sent{0};   //!< Bytes of the body that follow
@@ -115,6 +118,53 @@
     BOOST_TEST(count("server-leaving instance=i-1") == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(AServerThatAsksForABackOffGetsNothingUntilItIsOver, NoticeFixture)
+{
+    ask("503 Full", "X-Not-Run: full\r\nRetry-After: 0.6\r\n");
+    const std::size_t before = fixture.server.requests().size();
+    const auto        begun = std::chrono::steady_clock::now();
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        status = "200 OK";
+        lines.clear();
+    }
+    int refused = 0;
+    while (fixture.server.requests().size() == before && refused < 200)
+    {
+        TestCaller caller(fixture.gateway->port());
+        caller.write(Fixture::request("/read/1", "again" + std::to_string(refused)));
+        if (statusOf(caller.readAnswer()) == 200)
+            break;
+        ++refused;
+        std::this_thread::sleep_for(20ms);
+    }
+    BOOST_TEST(refused > 1);
+    BOOST_TEST((std::chrono::steady_clock::now() - begun >= 550ms));
+    BOOST_TEST(count("reason=all-back-off") > 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(HealthAnswersAreHeardToo, NoticeFixture)
+{
+    fixture.onLoop(
+        [this]
+        {
+            auto deployment = std::make_shared<deployment::Deployment>(*fixture.declared.deployment);
+            deployment->version += 1;
+            deployment->services = {{"portal", "/health", 0}};
+            fixture.declared.deployment = deployment;
+            fixture.gateway->configure(fixture.declared);
+        });
+    health = "X-Who: i-2\r\nX-Leaving: yes\r\n";
+    ask("200 OK", "");
+    BOOST_TEST(count("server-leaving") == 0U);
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        health = "X-Who: i-1\r\nX-Leaving: yes\r\n";
+    }
+    ask("200 OK", "");
+    BOOST_TEST(count("server-leaving instance=i-1 service=portal source=health-answer") == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(AnswersOfOthersAreNoNotices, NoticeFixture)
 {
     ask("421 Misdirected", "X-Not-Run: other\r\nX-Leaving: yes\r\n");
--- a/test/support/ServiceModelTypes.hpp
+++ b/test/support/ServiceModelTypes.hpp
@@ -196,21 +196,6 @@
         }
         return most;
     }
-
-    /// \brief Most requests in any span of a length that begins at a time or later
-    [[nodiscard]] std::size_t mostIn(core::Duration span, core::Timestamp from) const
-    {
-        std::size_t most = 0;
-        for (const auto& first : got)
-        {
-            if (first.second < from)
-                continue;
-            const auto within = [&](const auto& request)
-            { return request.second >= first.second && request.second < first.second + span; };
-            most = std::max(most, static_cast<std::size_t>(std::count_if(got.begin(), got.end(), within)));
-        }
-        return most;
-    }
 };
 
 ////////////////////////////////////////////////////////////
