sailpath-entry keeps to the back-off that a server asks for, as the gateway does

The same cause elsewhere: Sailpath-Retry-After-Ms beside a refusal was passed on to the caller of that one request, and the next request went to the same server. A server that asks for a back-off gets nothing from this VM until it is over (Standing::BackOff), then a share that grows over the ramp, as after an ejection; where all do, requests are refused at once. Values are bounded to an hour: a larger one overflowed on its way to microseconds.

--- a/include/sailpath/routing/ServerHealth.hpp
+++ b/include/sailpath/routing/ServerHealth.hpp
@@ -13,6 +13,7 @@
     Ramping, //!< A growing share, as it may be cold
     Trial,   //!< One request, to see whether it works again
     Ejected, //!< Nothing
+    BackOff, //!< Nothing, it asked for that
     Draining //!< Nothing, it is leaving
 };
 
@@ -79,6 +80,11 @@
     ////////////////////////////////////////////////////////////
     bool draining(bool leaving, core::Timestamp at);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Note that the server asked this node for no requests until a time; the latest holds
+    ////////////////////////////////////////////////////////////
+    void backOff(core::Timestamp until);
+
     ////////////////////////////////////////////////////////////
     /// \brief Note that a server that was leaving has closed its connections; trials tell when it is back
     ////////////////////////////////////////////////////////////
@@ -113,6 +119,7 @@
     core::Timestamp m_ejectedUntil{};       //!< No trial before this
     core::Timestamp m_rampEnd{};            //!< Full share from here on
     core::Timestamp m_drainUntil{};         //!< Believed to be leaving until then
+    core::Timestamp m_backOffUntil{};       //!< It asked for nothing before
     core::Timestamp m_drainHeardAt{};       //!< When it was last said whether it is leaving
 };
 
--- a/src/sailpath/entry/Attempt.cpp
+++ b/src/sailpath/entry/Attempt.cpp
@@ -15,7 +15,8 @@
 using adapters::http::sameName;
 using retries::AttemptResult;
 
-constexpr std::size_t mostKept = 64UL * 1024; // Larger answers are passed on without waiting for a decision
+constexpr std::int64_t longestBackOffMs = 3'600'000; // A mistaken value of a server ends by itself
+constexpr std::size_t  mostKept = 64UL * 1024;       // Larger answers are passed on without waiting for a decision
 
 ////////////////////////////////////////////////////////////
 template <typename Number>
@@ -129,7 +130,8 @@
         else if (sameName(header.name, headerRan))
             m_shed = m_failure && header.value == "not-run";
         else if (sameName(header.name, headerRetryAfterMs))
-            m_outcome.comeBack = std::chrono::milliseconds{toNumber<std::int64_t>(header.value, 0)};
+            m_outcome.comeBack = std::chrono::milliseconds{
+                std::clamp<std::int64_t>(toNumber<std::int64_t>(header.value, 0), 0, longestBackOffMs)};
     }
 }
 
--- a/src/sailpath/routing/ServerHealth.cpp
+++ b/src/sailpath/routing/ServerHealth.cpp
@@ -73,6 +73,13 @@
     return news;
 }
 
+////////////////////////////////////////////////////////////
+void ServerHealth::backOff(core::Timestamp until)
+{
+    m_backOffUntil = std::max(m_backOffUntil, until);
+    m_rampEnd = std::max(m_rampEnd, m_backOffUntil + m_settings.ramp);
+}
+
 ////////////////////////////////////////////////////////////
 void ServerHealth::gone(core::Timestamp now)
 {
@@ -90,6 +97,8 @@
 {
     if (now < m_drainUntil)
         return Standing::Draining;
+    if (now < m_backOffUntil)
+        return Standing::BackOff;
     if (m_ejected)
         return now < m_ejectedUntil || m_trialInFlight ? Standing::Ejected : Standing::Trial;
     return now < m_rampEnd ? Standing::Ramping : Standing::Healthy;
--- a/test/node/Dispatcher.test.cpp
+++ b/test/node/Dispatcher.test.cpp
@@ -243,6 +243,57 @@
     BOOST_TEST(news.empty());
 }
 
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(aServerThatShedsAndSaysForHowLongGetsNothingBefore)
+{
+    const Step shed = admit();
+    Outcome    outcome;
+    outcome.result = AttemptResult::Shed;
+    outcome.comeBack = 3s;
+    const Step again = dispatcher.finish(shed.ticket, outcome, now);
+    BOOST_REQUIRE((again.verdict == Verdict::Forward));
+    BOOST_TEST((finish(again, AttemptResult::Answered).verdict == Verdict::Answer));
+    std::set<std::string> got;
+    const auto            serve = [&](core::Duration time)
+    {
+        for (const core::Timestamp until = now + time; now < until; now += 20ms)
+        {
+            const Step step = admit();
+            BOOST_REQUIRE((step.verdict == Verdict::Forward));
+            got.insert(step.target->server);
+            (void)finish(step, AttemptResult::Answered);
+        }
+    };
+    serve(2900ms);
+    BOOST_TEST(!got.contains(shed.target->server));
+    // With the others busy it is used again, once its share has grown.
+    now += 3s;
+    for (int i = 0; i < 9; ++i)
+    {
+        if (const Step step = admit(); step.verdict == Verdict::Forward)
+            got.insert(step.target->server);
+    }
+    BOOST_TEST(got.contains(shed.target->server));
+}
+
+////////////////////////////////////////////////////////////
+BOOST_AUTO_TEST_CASE(whenAllServersShedAndSayForHowLongRequestsAreRefusedAtOnce)
+{
+    Outcome outcome;
+    outcome.result = AttemptResult::Shed;
+    outcome.comeBack = 3s;
+    for (int i = 0; i < 4; ++i)
+    {
+        const Step step = admit("POST", "/fees");
+        if (step.verdict == Verdict::Forward)
+            (void)dispatcher.finish(step.ticket, outcome, now);
+    }
+    const Step step = admit();
+    BOOST_REQUIRE((step.verdict == Verdict::Refuse));
+    BOOST_TEST((step.refusal.ran == Ran::No));
+    BOOST_TEST(step.refusal.retryAfter.count() > 0);
+}
+
 ////////////////////////////////////////////////////////////
 BOOST_AUTO_TEST_CASE(aNewConfigurationKeepsWhatIsUnderWay)
 {
