Soak: servers that ask for a back-off, and servers that leave by their answers only, one or all of a service

Stand-ins did neither, so the soak could not see the incident. Now a server that drains says so in all answers, some say so while the store does not know, and servers that turn all away ask for 1, 3 or 7 s. Two rules judge each gateway by what it passed on or was told itself: leaving-answer (2 s) and back-off (two requests, from half a second on); both are shown on histories made by hand.

--- a/test/platform/soak/history.py
+++ b/test/platform/soak/history.py
@@ -38,6 +38,8 @@
     work: float = 0.0          # seconds that the work takes
     content: str = ""          # of a request that ends servers: what it is known by
     ended_server: bool = False
+    leaving: bool = False      # the answer said that the server leaves
+    back_off: float = 0.0      # seconds for which the answer asked for no requests
 
 
 @dataclass
@@ -99,6 +101,10 @@
     spans: list[Span] = field(default_factory=list)
     stops: list[Stop] = field(default_factory=list)
 
+    def frozen(self, start: float, end: float, gateway: int) -> bool:
+        """Whether that gateway was disturbed at any time from start to end."""
+        return any(span.gateway == gateway and span.start <= end and span.end >= start for span in self.spans)
+
     def disturbed(self, start: float, end: float, gateway: int | None, server: str | None = None) -> bool:
         """Whether the store, that gateway or that server was disturbed at any time from start to end."""
         for span in self.spans:
--- a/test/platform/soak/rules.py
+++ b/test/platform/soak/rules.py
@@ -23,6 +23,8 @@
     retry_window: float = 10.0
     more_sends: int = 3
     told: float = 1.0
+    reaction: float = 0.5
+    in_back_off: int = 2
     limit_span: float = 4.0
     limit_excess: float = 1.1
     limit_slack: float = 5.0
@@ -104,6 +106,48 @@
     return broken
 
 
+def leaving_by_answers(history: History, bounds: Bounds) -> list[str]:
+    """A gateway that has passed on an answer which says that its server leaves soon sends nothing more there."""
+    calls = {call.id: call for call in history.calls}
+    answers = {arrival.signature: arrival for arrival in history.arrivals if arrival.leaving and arrival.signature}
+    told: dict[tuple[str, int, int], float] = {}
+    for call in history.calls:
+        arrival = answers.get(call.signature) if call.answered_at is not None else None
+        if arrival is not None:
+            key = (arrival.server, call.gateway, call.life)
+            told[key] = min(told.get(key, float("inf")), call.answered_at)
+    broken = []
+    for arrival in history.arrivals:
+        call = calls.get(arrival.id)
+        since = told.get((arrival.server, call.gateway, call.life)) if call is not None else None
+        if since is None or arrival.status == 421 or call.sent_at <= since + bounds.drain + bounds.slack:
+            continue
+        if not history.frozen(since, arrival.at, call.gateway):
+            broken.append(f"{arrival.id} reached {arrival.server} {arrival.at - since:.2f} s after gateway "
+                          f"{call.gateway} had passed on that it leaves")
+    return broken
+
+
+def back_offs(history: History, bounds: Bounds) -> list[str]:
+    """A server that turns a gateway away and asks for a back-off gets next to nothing from it until that is over."""
+    calls = {call.id: call for call in history.calls}
+    by_server = defaultdict(list)
+    for arrival in history.arrivals:
+        if arrival.id in calls:
+            by_server[arrival.server].append((arrival.at, calls[arrival.id]))
+    broken = []
+    for arrival in history.arrivals:
+        call = calls.get(arrival.id)
+        if call is None or arrival.back_off == 0 or arrival.ended_at is None:
+            continue
+        start, end = arrival.ended_at + bounds.reaction + bounds.slack, arrival.ended_at + arrival.back_off
+        got = sum(start < at <= end and (other.gateway, other.life) == (call.gateway, call.life)
+                  for at, other in by_server[arrival.server])
+        if got > bounds.in_back_off and not history.disturbed(arrival.at, end, call.gateway, arrival.server):
+            broken.append(f"{arrival.server} asked gateway {call.gateway} for {arrival.back_off:.1f} s and got {got}")
+    return broken
+
+
 def configuration_in_force(history: History, bounds: Bounds) -> list[str]:
     """Gateways in touch follow a configuration within the bound and never go back within a life."""
     calls = {call.id: call for call in history.calls}
@@ -233,6 +277,8 @@
     "true-refusal": true_refusals,
     "leaving-server": nothing_to_leaving_servers,
     "limited-server": limited_servers,
+    "leaving-answer": leaving_by_answers,
+    "back-off": back_offs,
     "configuration": configuration_in_force,
     "planned-stop": stops_cut_nothing,
     "retry-budget": retry_budget,
--- a/test/platform/soak/rules_test.py
+++ b/test/platform/soak/rules_test.py
@@ -75,6 +75,27 @@
         late.spans = [Span(8.0, 9.0)]
         self.assert_kept("leaving-server", late)
 
+    def test_requests_after_a_gateway_passed_on_that_a_server_leaves(self):
+        def history(sent_at, life=1, spans=()):
+            return History(calls=[call(repeatable=True), call("r2", repeatable=True, sent_at=sent_at, life=life)],
+                           arrivals=[arrival(leaving=True), arrival("r2", at=sent_at + 0.01)], spans=list(spans))
+        self.assert_broken("leaving-answer", history(12.2))
+        self.assert_kept("leaving-answer", history(12.0))
+        self.assert_kept("leaving-answer", history(12.2, life=2))
+        self.assert_kept("leaving-answer", history(12.2, spans=[Span(11.0, 11.5, gateway=0)]))
+        self.assert_broken("leaving-answer", history(12.2, spans=[Span(11.0, 11.5)]))
+
+    def test_requests_in_a_back_off(self):
+        def history(times, **more):
+            turned = arrival(status=503, executed=False, back_off=3.0, ended_at=10.0)
+            later = [(f"l{number}", at) for number, at in enumerate(times)]
+            return History(calls=[call(status=503, signature="")] + [call(name, sent_at=at, **more) for name, at in later],
+                           arrivals=[turned] + [arrival(name, at=at) for name, at in later])
+        self.assert_broken("back-off", history([10.6, 11.0, 12.9]))
+        self.assert_kept("back-off", history([10.2, 11.0, 12.9]))
+        self.assert_kept("back-off", history([10.6, 11.0, 13.1]))
+        self.assert_kept("back-off", history([10.6, 11.0, 12.9], gateway=1))
+
     def test_a_limited_server_that_gets_more(self):
         def history(gap):
             times = [11.5 + gap * number for number in range(12)]
--- a/test/platform/soak/servers.py
+++ b/test/platform/soak/servers.py
@@ -28,6 +28,8 @@
     extra: float = 0.0      # share of answers followed by a second one
     fail: float = 0.0       # share answered 500
     shed: bool = False      # turns all away as not run
+    back_off: float = 0.1   # seconds that it asks for when it turns all away
+    leaving: bool = False   # says in its answers that it leaves; the store does not know
     limit: float | None = None  # requests a second that it says it takes from all gateways together
 
 
@@ -135,21 +137,28 @@
             while True:
                 message = await wire.read_message(reader)
                 if message.target == wire.HEALTH_PATH:
-                    writer.write(wire.answer_bytes(503 if self.draining else 200, self._own_headers(), b""))
+                    writer.write(wire.answer_bytes(503 if self.leaving else 200, self._own_headers(), b""))
                     continue
                 if not await self._handle(message, reader, writer):
                     break
         self._writers.discard(writer)
         writer.close()
 
+    @property
+    def leaving(self) -> bool:
+        """Its answers say that it leaves."""
+        return self.draining or self.behaviour.leaving
+
     def _own_headers(self) -> dict[str, str]:
         limit = {} if self.behaviour.limit is None else {wire.SERVER_LIMIT: f"{self.behaviour.limit:.1f}"}
-        return {wire.INSTANCE_ID: self.id, wire.SERVER_LOAD: f"{self.running},{self.waiting},{self.slots},100", **limit}
+        leaving = {wire.SERVER_LEAVING: "1"} if self.leaving else {}
+        return {wire.INSTANCE_ID: self.id, wire.SERVER_LOAD: f"{self.running},{self.waiting},{self.slots},100", **limit, **leaving}
 
     def _reply(self, writer: asyncio.StreamWriter, arrival: Arrival, status: int, headers: dict[str, str],
                body: bytes) -> bytes:
         arrival.status = status
         arrival.ended_at = self._now()
+        arrival.leaving = self.leaving
         answer = wire.answer_bytes(status, {wire.REQUEST_ID: arrival.id, **self._own_headers(), **headers}, body)
         writer.write(answer)
         return answer
@@ -166,7 +175,8 @@
             self._reply(writer, arrival, 421, {wire.NOT_EXECUTED: "other"}, b"")
             return True
         if self.behaviour.shed or self.waiting >= QUEUE:
-            self._reply(writer, arrival, 503, {wire.NOT_EXECUTED: "full", "Retry-After": "0.1"}, b"")
+            arrival.back_off = self.behaviour.back_off
+            self._reply(writer, arrival, 503, {wire.NOT_EXECUTED: "full", "Retry-After": f"{arrival.back_off:.1f}"}, b"")
             return True
         life = self.life
         self.waiting += 1
--- a/test/platform/soak/soak.py
+++ b/test/platform/soak/soak.py
@@ -261,6 +261,37 @@
                                                    for other in self._servers) >= 2
         await server.start(self._random.choice(others) if swap else None)
 
+    def _peers_of(self, server: Server) -> list[Server]:
+        """The server, or now and then all of its service that are up."""
+        if self._random.random() < 0.7:
+            return [server]
+        return [other for other in self._servers if other.service == server.service and other.up]
+
+    async def fault_server_backs_off(self, seconds: float) -> None:
+        server = self._random.choice(self._servers)
+        behaviours = [other.behaviour for other in self._peers_of(server)]
+        back_off = self._random.choice([1.0, 3.0, 7.0])
+        for behaviour in behaviours:
+            behaviour.shed, behaviour.back_off = True, back_off
+        await asyncio.sleep(seconds * 1.5)
+        for behaviour in behaviours:
+            behaviour.shed = False
+
+    async def fault_server_leaves_by_answers(self, _: float) -> None:
+        server = self._random.choice(self._servers)
+        leaving = [other for other in self._peers_of(server) if other.up and not other.leaving]
+        lives = {other: other.identity for other in leaving}
+        for other in leaving:
+            other.behaviour.leaving = True
+        await asyncio.sleep(self._bounds.drain + self._random.uniform(1, 4))
+        for other in leaving:
+            if other.up and other.identity == lives[other]:
+                await other.leave()
+        await asyncio.sleep(0.5)
+        for other in leaving:
+            if not other.up and other not in self._returning:
+                await other.start()
+
     async def fault_request_ends_servers(self, seconds: float) -> None:
         self._culprits += 1
         kind = self._random.choice(KINDS[:3])
--- a/test/platform/soak/wire.py
+++ b/test/platform/soak/wire.py
@@ -11,6 +11,7 @@
 NOT_EXECUTED = "sailpath-not-executed"
 SERVER_LOAD = "sailpath-server-load"
 SERVER_LIMIT = "server-limit"
+SERVER_LEAVING = "server-leaving"
 HEALTH_PATH = "/health"
 READINESS_PATH = "/-/readiness"
 
