--- a/test/balance/notices/Incident.test.cpp
+++ b/test/balance/notices/Incident.test.cpp
@@ -22,9 +22,10 @@
 constexpr auto     seeds = {1U, 2U, 3U, 4U};
 
 ////////////////////////////////////////////////////////////
-ServiceModel modelOf(std::uint64_t seed, double perSecond)
+ServiceModel modelOf(std::uint64_t seed, double perSecond, core::Duration cold = 3s)
 {
     ModelSettings settings;
+    settings.coldTime = cold;
     settings.nodes = nodes;
     settings.dataCentres = 4;
     settings.seed = seed;
@@ -105,4 +106,29 @@
     }
 }
 
+// A whole service is replaced, and the new servers come 1.5 s after the old ones said that they leave.
+BOOST_AUTO_TEST_CASE(WhenAllServersLeaveAndOthersComeSoonCallersAreServedMeanwhile)
+{
+    for (const std::uint64_t seed : seeds)
+    {
+        ServiceModel model = modelOf(seed, 73, 0s);
+        model.run(4s);
+        const auto old = model.present();
+        for (const std::string& id : old)
+            model.setLeaving(id);
+        model.beginCount();
+        model.run(1500ms);
+        for (unsigned i = 0; i < old.size(); ++i)
+            model.join({"new" + std::to_string(i), "portal", "dc" + std::to_string(i % 4)});
+        model.run(8s);
+        model.setRate(0, 0.001); // What is under way comes to its end
+        model.run(3s);
+        std::cout << "seed " << seed << ": " << model.tally(0).servedShare() << " served, "
+                  << model.tally(0).targetShare() << " in time\n";
+        BOOST_TEST(model.tally(0).servedShare() >= 0.98);
+        for (const std::string& id : old)
+            BOOST_TEST(model.noticed(id).lateAfterLeaving(drain) == 0U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
