A 421 leaves the server alone for two seconds: another one has its address

A server whose address went to another one got attempt after attempt (60 ms apart, doubling to 1 s) until its entry was gone, each of them a caller's first attempt and one of the fleet's retries; with the store down that is as long as the outage. A 421 counts as a back-off of two seconds of the life that was asked for now, then one request at a time; the log names it (server-backs-off, source=misdirected). The field for Connection: close is gone: such answers come from sound servers too. BackOffTest/AServerThatIsNotAtItsAddressAnyMoreIsLeftAloneForAWhile failed without the two lines.

--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -48,7 +48,7 @@
     unsigned                      status{0};              //!< Of the answer
     std::optional<Load>           load;                   //!< Load report on the answer
     core::Duration                comeBack{};             //!< When the server says to come back
-    bool                          leaving{false};         //!< The server says that it is another instance, or leaves
+    bool                          misdirected{false};     //!< With `NotRun`: another instance answered
     std::optional<double>         limit;                  //!< See `unlimited`; null when the answer does not tell
     std::optional<core::Duration> warmUp;                 //!< How much longer the server says it is cold; 0 for not
     bool                          connectionEnded{false}; //!< With `Lost`: the server's side ended the connection
--- a/include/sailpath/balance/ServerNotice.hpp
+++ b/include/sailpath/balance/ServerNotice.hpp
@@ -27,17 +27,15 @@
 ////////////////////////////////////////////////////////////
 enum class NoticeSource
 {
-    Answer,      //!< To a request of a caller, also one that nobody waits for any more
-    HealthAnswer //!< To a probe
+    Answer,       //!< To a request of a caller, also one that nobody waits for any more
+    HealthAnswer, //!< To a probe
+    Misdirected   //!< Of another instance, which has the address now; concluded here
 };
 
 ////////////////////////////////////////////////////////////
 /// \brief The name of a source in logs
 ////////////////////////////////////////////////////////////
-[[nodiscard]] inline std::string_view toString(NoticeSource source)
-{
-    return source == NoticeSource::Answer ? "answer" : "health-answer";
-}
+[[nodiscard]] std::string_view toString(NoticeSource source);
 
 ////////////////////////////////////////////////////////////
 /// \brief A notice that changed what is believed of an instance
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -10,6 +10,7 @@
 {
 constexpr auto     leastComeBack = std::chrono::milliseconds{50};
 constexpr auto     longestComeBack = std::chrono::seconds{2};
+constexpr auto     misdirectedBackOff = std::chrono::seconds{2}; // Its entry is gone soon, or was wrong for a moment
 constexpr double   comeBackSpread = 0.5;  // Part of a back-off that callers' returns are spread over
 constexpr unsigned mostUnsent = 4;        // Connections that may fail to come up before a request is refused
 constexpr double   retryExtraShare = 0.6; // Of the extra; the rest covers nodes not known of
@@ -267,6 +268,8 @@
         break;
     case AttemptEnd::NotRun:
         server.shed(now);
+        if (outcome.misdirected)
+            noticed(server.instance(), {false, misdirectedBackOff}, NoticeSource::Misdirected, now);
         break;
     case AttemptEnd::Lost:
         server.failed(now);
--- a/src/sailpath/balance/BalancerNotices.cpp
+++ b/src/sailpath/balance/BalancerNotices.cpp
@@ -12,6 +12,21 @@
 
 } // namespace
 
+////////////////////////////////////////////////////////////
+std::string_view toString(NoticeSource source)
+{
+    switch (source)
+    {
+    case NoticeSource::Answer:
+        return "answer";
+    case NoticeSource::HealthAnswer:
+        return "health-answer";
+    case NoticeSource::Misdirected:
+        return "misdirected";
+    }
+    return "unknown";
+}
+
 ////////////////////////////////////////////////////////////
 void Balancer::noticed(const std::shared_ptr<const deployment::Instance>& instance, const ServerNotice& notice,
                        NoticeSource source, core::Timestamp now)
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -358,7 +358,6 @@
     // After what is not the server's answer, the one that is due may still come.
     const bool sound = outcome.end != balance::AttemptEnd::Lost && !m_poisoned;
     const bool keep = head.keepAlive && !head.untilEnd && m_written && sound && m_unread.empty();
-    outcome.leaving = outcome.leaving || (!head.keepAlive && !head.untilEnd);
     m_restLimit = keepAliveOf(head.field("Keep-Alive"));
     ServerAnswer answer{head, m_reader->takeBody()};
     finish(outcome, std::move(answer), keep);
@@ -388,7 +387,7 @@
     if (head.has(m_dialect.notExecuted) || head.status == statusMisdirected)
     {
         outcome.end = balance::AttemptEnd::NotRun;
-        outcome.leaving = head.status == statusMisdirected;
+        outcome.misdirected = head.status == statusMisdirected;
         return;
     }
     // These say that the request did not run; without the mark that is not to be passed on.
--- a/test/balance/notices/BackOff.test.cpp
+++ b/test/balance/notices/BackOff.test.cpp
@@ -201,6 +201,28 @@
     BOOST_TEST(step.refusal.comeBack >= 3s);
 }
 
+// The address of a server may go to another one before its own entry is gone; that one turns requests away.
+BOOST_AUTO_TEST_CASE(AServerThatIsNotAtItsAddressAnyMoreIsLeftAloneForAWhile)
+{
+    const Step step = arrive();
+    Outcome    outcome;
+    outcome.end = AttemptEnd::NotRun;
+    outcome.status = 421;
+    outcome.misdirected = true;
+    balancer.attemptEnded(ticket, 1, outcome, now);
+    (void)steps();
+    for (const core::Timestamp until = now + 1900ms; now < until; now += 50ms)
+    {
+        const Step other = arrive();
+        BOOST_REQUIRE((other.kind == StepKind::Forward));
+        BOOST_TEST(other.instance->id != step.instance->id);
+        (void)end(ticket, AttemptEnd::Answered, 200);
+    }
+    const auto changes = balancer.takeNotices();
+    BOOST_REQUIRE_EQUAL(changes.size(), 1U);
+    BOOST_TEST((changes[0].source == NoticeSource::Misdirected));
+}
+
 // All servers of a service ask five busy nodes for three seconds and take requests again after half a second.
 BOOST_AUTO_TEST_CASE(NodesDoNotAllComeBackInTheSameInstant)
 {
