--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -1,12 +1,12 @@
 #include "ServerConnection.hpp"
 
+#include "AnswerHead.hpp"
+
 #include <sailpath/core/Clock.hpp>
 
 #include <asio/write.hpp>
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 #include <netinet/tcp.h>
 #include <utility>
 
@@ -18,130 +18,6 @@
 constexpr auto          leastProof = std::chrono::milliseconds{1};   // For a reset to arrive, a round trip as a rule:
 constexpr auto          longestProof = std::chrono::milliseconds{5}; // as long as connecting took, within these
 
-constexpr unsigned statusOk = 200;
-constexpr unsigned statusMisdirected = 421;
-constexpr unsigned statusTooMany = 429;
-constexpr unsigned statusUnavailable = 503;
-constexpr unsigned statusTimeout = 408;
-constexpr unsigned statusServerFailed = 500;
-
-////////////////////////////////////////////////////////////
-core::Duration secondsOf(std::string_view text)
-{
-    double value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc{} || value < 0 || value > 3600)
-        return {};
-    (void)end;
-    return core::fromMilliseconds(value * 1000);
-}
-
-////////////////////////////////////////////////////////////
-/// \brief Seconds in a `Retry-After` field, an hour at the most; 0 when it is no number of 0 or more
-////////////////////////////////////////////////////////////
-core::Duration retryAfterOf(std::string_view text)
-{
-    constexpr double longestSeconds = 3600; // A mistaken value ends by itself
-    double           value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    const bool whole = error == std::errc{} && end == text.data() + text.size();
-    if (!whole || !std::isfinite(value) || value < 0)
-        return {};
-    return core::fromMilliseconds(std::min(value, longestSeconds) * 1000);
-}
-
-////////////////////////////////////////////////////////////
-/// \brief A number of milliseconds, of a day at the most; null when there is none
-////////////////////////////////////////////////////////////
-std::optional<core::Duration> millisecondsOf(std::string_view text)
-{
-    constexpr double most = 86'400'000;
-    double           value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc{} || end != text.data() + text.size() || !(value >= 0))
-        return std::nullopt;
-    return core::fromMilliseconds(std::min(value, most));
-}
-
-////////////////////////////////////////////////////////////
-/// \brief The time in a `Keep-Alive` field, `timeout=N`
-////////////////////////////////////////////////////////////
-core::Duration keepAliveOf(std::string_view field)
-{
-    constexpr std::string_view key = "timeout=";
-    const auto                 at = field.find(key);
-    return at == std::string_view::npos ? core::Duration{} : secondsOf(field.substr(at + key.size()));
-}
-
-////////////////////////////////////////////////////////////
-/// \brief What an answer says of the requests a second that its server takes
-///
-/// \param whenSilent What it means that there is none
-///
-/// \return Of several values the lowest; null when none can be read, so nothing is concluded
-////////////////////////////////////////////////////////////
-std::optional<double> limitOf(const http::Head& head, const Dialect& dialect, std::optional<double> whenSilent)
-{
-    std::optional<double> lowest;
-    bool                  named = false;
-    for (const http::HeaderField& field : head.fields)
-    {
-        const bool names = std::any_of(dialect.limits.begin(), dialect.limits.end(),
-                                       [&](const std::string& name) { return http::sameName(field.name, name); });
-        if (!names)
-            continue;
-        named = true;
-        if (const auto value = dialect.parseLimit(field.value))
-            lowest = std::min(lowest.value_or(*value), *value);
-    }
-    return named ? lowest : whenSilent;
-}
-
-////////////////////////////////////////////////////////////
-/// \brief Whether an answer speaks for the instance that was asked
-///
-/// One that says the request is for somebody else speaks of another instance; one to a request that does not repeat
-/// its id may be anybody's.
-////////////////////////////////////////////////////////////
-bool speaksForInstance(const http::Head& head, bool probe, std::string_view instance, const Dialect& dialect)
-{
-    const std::string_view who = head.field(dialect.instanceId);
-    if (head.status == statusMisdirected || (!who.empty() && who != instance))
-        return false;
-    return probe || head.has(dialect.requestId);
-}
-
-////////////////////////////////////////////////////////////
-/// \brief How long an answer asks for no further requests: of several values the longest
-///
-/// Only with a 503: a 429 speaks to the caller whose request it was.
-////////////////////////////////////////////////////////////
-core::Duration backOffOf(const http::Head& head)
-{
-    core::Duration longest{};
-    for (const http::HeaderField& field : head.fields)
-    {
-        if (head.status == statusUnavailable && http::sameName(field.name, "Retry-After"))
-            longest = std::max(longest, retryAfterOf(field.value));
-    }
-    return longest;
-}
-
-////////////////////////////////////////////////////////////
-balance::ServerNotice noticeOf(const http::Head& head, const Dialect& dialect)
-{
-    balance::ServerNotice notice;
-    notice.backOff = backOffOf(head);
-    for (const http::HeaderField& field : head.fields)
-    {
-        const bool names = std::any_of(dialect.leaving.begin(), dialect.leaving.end(),
-                                       [&](const std::string& name) { return http::sameName(field.name, name); });
-        notice.leaving =
-            notice.leaving || (names && dialect.parseLeaving != nullptr && dialect.parseLeaving(field.value));
-    }
-    return notice;
-}
-
 } // namespace
 
 ////////////////////////////////////////////////////////////
@@ -327,10 +203,7 @@
     if (std::exchange(m_headHeard, true))
         return;
     // An answer that nobody waits for any more, or that comes twice, speaks for its server all the same.
-    const http::Head& head = m_reader->head();
-    if (!speaksForInstance(head, m_request.probe, m_instance->id, m_dialect))
-        return;
-    const balance::ServerNotice notice = noticeOf(head, m_dialect);
+    const balance::ServerNotice notice = noticeOf(m_reader->head(), m_request.probe, m_instance->id, m_dialect);
     if (!notice.empty())
         m_noticed(m_instance, notice,
                   m_request.probe ? balance::NoticeSource::HealthAnswer : balance::NoticeSource::Answer);
@@ -350,77 +223,16 @@
         startReader();
         return;
     }
-    balance::Outcome outcome;
-    if (m_request.probe)
-        judgeProbe(outcome, head);
-    else
-        judge(outcome, head);
+    const balance::Outcome outcome =
+        m_request.probe ? judgeProbe(head, m_instance->id, m_dialect) : judgeAnswer(head, m_dialect);
     // After what is not the server's answer, the one that is due may still come.
     const bool sound = outcome.end != balance::AttemptEnd::Lost && !m_poisoned;
     const bool keep = head.keepAlive && !head.untilEnd && m_written && sound && m_unread.empty();
-    m_restLimit = keepAliveOf(head.field("Keep-Alive"));
+    m_restLimit = keepAliveOf(head);
     ServerAnswer answer{head, m_reader->takeBody()};
     finish(outcome, std::move(answer), keep);
 }
 
-////////////////////////////////////////////////////////////
-void ServerConnection::judge(balance::Outcome& outcome, const http::Head& head) const
-{
-    outcome.status = head.status;
-    if (m_dialect.parseLoad)
-        outcome.load = m_dialect.parseLoad(head.field(m_dialect.load));
-    // Who answers that the request is for somebody else speaks of itself; what has no id may be anybody's.
-    const bool itsOwn = head.status != statusMisdirected && head.has(m_dialect.requestId);
-    const bool success = head.status >= 200 && head.status < 300;
-    // Only a whole answer that names no limit ends one: what turns a request away may say less.
-    if (m_dialect.parseLimit && itsOwn)
-        outcome.limit = limitOf(head, m_dialect, success ? std::optional(balance::unlimited) : std::nullopt);
-    // What a 503 asks for is asked of this node; other servers may take the caller's request before.
-    if (head.status != statusUnavailable)
-        outcome.comeBack = retryAfterOf(head.field("Retry-After"));
-    if (success)
-    {
-        const bool whole = head.has(m_dialect.signature) && !head.has("Content-Encoding");
-        outcome.end = whole ? balance::AttemptEnd::Answered : balance::AttemptEnd::Lost;
-        return;
-    }
-    if (head.has(m_dialect.notExecuted) || head.status == statusMisdirected)
-    {
-        outcome.end = balance::AttemptEnd::NotRun;
-        outcome.misdirected = head.status == statusMisdirected;
-        return;
-    }
-    // These say that the request did not run; without the mark that is not to be passed on.
-    const bool promises =
-        head.status == statusUnavailable || head.status == statusTooMany || head.status == statusTimeout;
-    // What turns a request away for good has to be the server's; a caller does not come back after it.
-    const bool denies = head.status < statusServerFailed && !head.has(m_dialect.signature);
-    outcome.end = promises || denies ? balance::AttemptEnd::Lost : balance::AttemptEnd::Answered;
-}
-
-////////////////////////////////////////////////////////////
-void ServerConnection::judgeProbe(balance::Outcome& outcome, const http::Head& head) const
-{
-    outcome.status = head.status;
-    outcome.end = balance::AttemptEnd::Answered;
-    const std::string_view instance = head.field(m_dialect.instanceId);
-    const bool             other = !instance.empty() && instance != m_instance->id;
-    // Another instance has the address now; what it says is not this one's load.
-    if (other)
-        outcome.end = balance::AttemptEnd::Lost;
-    else
-    {
-        // A health answer that names no limit ends none: it is requests that are limited.
-        if (m_dialect.parseLimit)
-            outcome.limit = limitOf(head, m_dialect, std::nullopt);
-        // A healthy instance that says nothing of it is not cold.
-        const bool silent = !head.has(m_dialect.warmUpMs) && head.status == statusOk;
-        outcome.warmUp = silent ? core::Duration{} : millisecondsOf(head.field(m_dialect.warmUpMs));
-        if (m_dialect.parseLoad)
-            outcome.load = m_dialect.parseLoad(head.field(m_dialect.load));
-    }
-}
-
 ////////////////////////////////////////////////////////////
 void ServerConnection::ended(bool inOrder, bool byServer)
 {
--- a/src/sailpath/gateway/ServerConnection.hpp
+++ b/src/sailpath/gateway/ServerConnection.hpp
@@ -81,8 +81,6 @@
     void               ended(bool inOrder, bool byServer = false);
     void               tellCheck(balance::CheckResult result);
     void               answered();
-    void               judge(balance::Outcome& outcome, const http::Head& head) const;
-    void               judgeProbe(balance::Outcome& outcome, const http::Head& head) const;
     void               finish(const balance::Outcome& outcome, ServerAnswer answer, bool keep);
     void               startReader();
     void               hearNotice(); //!< From the head that is being read, once it is whole
