--- a/src/sailpath/gateway/AnswerHead.cpp
+++ b/src/sailpath/gateway/AnswerHead.cpp
@@ -125,11 +125,11 @@
 {
     balance::Outcome outcome;
     outcome.status = head.status;
-    if (dialect.parseLoad)
-        outcome.load = dialect.parseLoad(head.field(dialect.load));
     // Who answers that the request is for somebody else speaks of itself; what has no id may be anybody's.
     const bool itsOwn = head.status != statusMisdirected && head.has(dialect.requestId);
     const bool success = head.status >= 200 && head.status < 300;
+    if (dialect.parseLoad && itsOwn)
+        outcome.load = dialect.parseLoad(head.field(dialect.load));
     // Only a whole answer that names no limit ends one: what turns a request away may say less.
     if (dialect.parseLimit && itsOwn)
         outcome.limit = limitOf(head, dialect, success ? std::optional(balance::unlimited) : std::nullopt);
