A long request does not keep a server that has backed off from getting others

Found on reading the diff: after a back-off a server got a request only while this node had none there, so that one request goes first. A request of before that lasts for long (a stream, an upload) held all others back until it ended, and so did a trial that is served slowly. A trial is remembered by its time now: another follows when it was not turned away within 250 ms, and only the answer to a request that was sent after the back-off ends the trial.

--- a/include/sailpath/balance/NoticeState.hpp
+++ b/include/sailpath/balance/NoticeState.hpp
@@ -12,7 +12,7 @@
 /// Belongs to one life of the instance: a new life begins without.
 ///
 /// After a back-off the instance gets one request at a time until it has taken one: that all nodes and callers come
-/// back in the same instant would overload it again.
+/// back in the same instant would overload it again. One that it does not turn away at once is followed by another.
 ////////////////////////////////////////////////////////////
 class NoticeState
 {
@@ -30,26 +30,22 @@
     ////////////////////////////////////////////////////////////
     ServerNotice hear(const ServerNotice& notice, double spread, core::Timestamp now);
 
-    void accepted(core::Timestamp now); //!< It took a request and answered it
+    void sent(core::Timestamp now);        //!< This node sent it a request
+    void accepted(core::Timestamp sentAt); //!< It took a request that was sent then, and answered it
 
-    ////////////////////////////////////////////////////////////
-    /// \brief Whether it wants one more request, as far as back-offs go
-    ///
-    /// \param inFlight Requests of this node that it works on
-    ////////////////////////////////////////////////////////////
-    [[nodiscard]] bool takesOneMore(unsigned inFlight, core::Timestamp now) const;
-
-    [[nodiscard]] bool           leaving() const;                        //!< It shuts down
-    [[nodiscard]] bool           backsOff(core::Timestamp now) const;    //!< It wants nothing now
-    [[nodiscard]] core::Duration leavingFor(core::Timestamp now) const;  //!< Since it said so; 0 when it did not
-    [[nodiscard]] core::Duration backOffLeft(core::Timestamp now) const; //!< Until it wants requests again
-    [[nodiscard]] bool           empty() const;                          //!< Nothing was ever heard
-    [[nodiscard]] bool           inForce(core::Timestamp now) const;     //!< Something of it still holds
+    [[nodiscard]] bool           takesOneMore(core::Timestamp now) const; //!< As far as back-offs go
+    [[nodiscard]] bool           leaving() const;                         //!< It shuts down
+    [[nodiscard]] bool           backsOff(core::Timestamp now) const;     //!< It wants nothing now
+    [[nodiscard]] core::Duration leavingFor(core::Timestamp now) const;   //!< Since it said so; 0 when it did not
+    [[nodiscard]] core::Duration backOffLeft(core::Timestamp now) const;  //!< Until it wants requests again
+    [[nodiscard]] bool           empty() const;                           //!< Nothing was ever heard
+    [[nodiscard]] bool           inForce(core::Timestamp now) const;      //!< Something of it still holds
 
 private:
     std::optional<core::Timestamp> m_leavingSince;   //!< When it was first heard that it shuts down
     core::Timestamp                m_backOffUntil{}; //!< It wants nothing before
     bool                           m_onTrial{false}; //!< It has not taken a request since its last back-off
+    std::optional<core::Timestamp> m_trialAt;        //!< It was sent one then
 };
 
 } // namespace sailpath::balance
--- a/include/sailpath/balance/ServerView.hpp
+++ b/include/sailpath/balance/ServerView.hpp
@@ -62,7 +62,7 @@
 
     ServerNotice noticed(const ServerNotice& notice, double spread, core::Timestamp now); //!< See `NoticeState::hear`
 
-    void accepted(core::Timestamp now);                   //!< It took a request and answered it
+    void accepted(core::Timestamp sentAt);                //!< It took a request that was sent then, and answered it
     void sent(core::Timestamp now);                       //!< A request was sent
     void ended(core::Timestamp now);                      //!< A request came to an end
     void reported(const Load& load, core::Timestamp now); //!< A load report arrived
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -251,7 +251,7 @@
     if (outcome.end == AttemptEnd::Answered || outcome.end == AttemptEnd::NotRun)
         m_crashes.answers(deployment::lifeHash(*server.instance()), now);
     if (outcome.end == AttemptEnd::Answered)
-        server.accepted(now);
+        server.accepted(attempt.sentAt);
     learnLoad(*request.pool, server, outcome, now);
     const double latency = core::toMilliseconds(now - attempt.sentAt);
     switch (outcome.end)
--- a/src/sailpath/balance/NoticeState.cpp
+++ b/src/sailpath/balance/NoticeState.cpp
@@ -6,7 +6,8 @@
 {
 namespace
 {
-constexpr double longestSpread = 0.25; // Part of a back-off that it is made longer by at the most
+constexpr double longestSpread = 0.25;                       // Part of a back-off that it is made longer by at the most
+constexpr auto   trialWait = std::chrono::milliseconds{250}; // A server turns away what it does not take well within it
 
 } // namespace
 
@@ -25,21 +26,30 @@
         const auto length = core::fromMilliseconds(core::toMilliseconds(notice.backOff) * (1 + longestSpread * spread));
         m_backOffUntil = std::max<core::Timestamp>(m_backOffUntil, now + length);
         m_onTrial = true;
+        m_trialAt.reset();
     }
     return news;
 }
 
 ////////////////////////////////////////////////////////////
-void NoticeState::accepted(core::Timestamp now)
+void NoticeState::sent(core::Timestamp now)
+{
+    if (m_onTrial && !backsOff(now))
+        m_trialAt = now;
+}
+
+////////////////////////////////////////////////////////////
+void NoticeState::accepted(core::Timestamp sentAt)
 {
     // What it took before it asked for a back-off says nothing of the time after.
-    m_onTrial = m_onTrial && backsOff(now);
+    m_onTrial = m_onTrial && sentAt < m_backOffUntil;
 }
 
 ////////////////////////////////////////////////////////////
-bool NoticeState::takesOneMore(unsigned inFlight, core::Timestamp now) const
+bool NoticeState::takesOneMore(core::Timestamp now) const
 {
-    return !backsOff(now) && (!m_onTrial || inFlight == 0);
+    const bool trialIsOut = m_trialAt && now - *m_trialAt < trialWait;
+    return !backsOff(now) && (!m_onTrial || !trialIsOut);
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/balance/ServerView.cpp
+++ b/src/sailpath/balance/ServerView.cpp
@@ -133,9 +133,9 @@
 }
 
 ////////////////////////////////////////////////////////////
-void ServerView::accepted(core::Timestamp now)
+void ServerView::accepted(core::Timestamp sentAt)
 {
-    m_notices.accepted(now);
+    m_notices.accepted(sentAt);
 }
 
 ////////////////////////////////////////////////////////////
@@ -156,6 +156,7 @@
     ++m_inFlight;
     m_recent = recent(now) + 1;
     m_recentAt = now;
+    m_notices.sent(now);
     if (m_limit)
         m_limit->sent(1, now);
 }
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -433,7 +433,7 @@
 {
     if (server.notices().leaving())
         return Shortage::Leaving;
-    if (!server.notices().takesOneMore(server.inFlight(), now))
+    if (!server.notices().takesOneMore(now))
         return Shortage::BackOff;
     if (server.limit(now) != nullptr)
         return Shortage::Limited;
--- a/src/sailpath/balance/ServicePoolPlacement.cpp
+++ b/src/sailpath/balance/ServicePoolPlacement.cpp
@@ -159,7 +159,7 @@
 bool ServicePool::wantsRequests(const ServerView& server, bool leavers, core::Timestamp now) const
 {
     const NoticeState& notices = server.notices();
-    if (!notices.takesOneMore(server.inFlight(), now))
+    if (!notices.takesOneMore(now))
         return false;
     return !notices.leaving() || (leavers && notices.leavingFor(now) <= m_settings.leavingGrace);
 }
--- a/test/balance/notices/BackOff.test.cpp
+++ b/test/balance/notices/BackOff.test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <map>
 #include <set>
 
 namespace
@@ -130,6 +131,34 @@
     BOOST_TEST((arrive().kind == StepKind::Forward));
 }
 
+BOOST_AUTO_TEST_CASE(ARequestOfBeforeThatGoesOnForLongDoesNotKeepOthersAway)
+{
+    std::map<std::string, balance::Ticket> older;
+    for (int i = 0; i < 4; ++i)
+    {
+        const Step step = arrive();
+        older[step.instance->id] = ticket;
+    }
+    BOOST_REQUIRE_EQUAL(older.size(), 2U);
+    backsOff(0, 1s);
+    backsOff(1, 1s);
+    now += core::fromMilliseconds(longest * 1000);
+    BOOST_TEST((arrive().kind == StepKind::Forward));
+}
+
+BOOST_AUTO_TEST_CASE(ATrialThatIsNotTurnedAwayAtOnceIsFollowedByAnother)
+{
+    backsOff(0, 1s);
+    backsOff(1, 60s);
+    now += core::fromMilliseconds(longest * 1000);
+    BOOST_TEST((arrive().kind == StepKind::Forward));
+    now += 200ms;
+    BOOST_TEST((arrive().kind == StepKind::Refuse));
+    now += 100ms;
+    BOOST_TEST((arrive().kind == StepKind::Forward));
+    BOOST_TEST((arrive().kind == StepKind::Refuse));
+}
+
 BOOST_AUTO_TEST_CASE(NeitherAShorterWordNorAnOlderAnswerEndsIt)
 {
     const Step older = arrive();
