Tell why connections to servers fail, in log lines and metrics; let their source address be chosen

Lines of requests told only that an attempt was not sent. They now tell whether the connection was refused, timed out or broke, and connects_{refused,timed_out,broken}_total count them with those of probes. No decision is changed.

--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -56,6 +56,7 @@
                                                           //!< the answer does not say
     std::optional<core::Duration> warmUp;                 //!< How much longer the server is cold; 0 for warm
     bool                          connectionEnded{false}; //!< With `Lost`: the server closed the connection
+    ConnectFailure connectFailure{ConnectFailure::None};  //!< With `NotSent`: why the connection was not opened
 
     std::optional<deployment::RequestIdentity> identity; //!< Set with `connectionEnded`, and while
                                                          //!< `Balancer::needsRequestIdentity` holds
--- a/include/sailpath/balance/Step.hpp
+++ b/include/sailpath/balance/Step.hpp
@@ -102,6 +102,17 @@
     Refusal        refusal;           //!< For `Refuse`
 };
 
+////////////////////////////////////////////////////////////
+/// \brief Why a connection to a server could not be opened
+////////////////////////////////////////////////////////////
+enum class ConnectFailure
+{
+    None,     //!< It was opened, or the attempt needed none
+    Refused,  //!< Nothing listens at the server's address
+    TimedOut, //!< No response in time
+    Broken    //!< It was reset, or the system reported another error
+};
+
 ////////////////////////////////////////////////////////////
 /// \brief How an attempt ended
 ////////////////////////////////////////////////////////////
--- a/include/sailpath/gateway/GatewaySettings.hpp
+++ b/include/sailpath/gateway/GatewaySettings.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace sailpath::gateway
 {
@@ -17,6 +18,7 @@
     adapters::settings::Endpoint                listen;          //!< Address that callers connect to
     adapters::settings::Endpoint                readinessListen; //!< Address of the readiness page
     std::optional<adapters::settings::Endpoint> metricsListen; //!< Address of the metrics pages; not served when empty
+    std::string    serverSource; //!< IP address that connections to servers come from; the system chooses when empty
     core::Duration connectTimeout{std::chrono::milliseconds{300}}; //!< Time to establish a connection to a server
     core::Duration unacknowledgedTimeout{
         std::chrono::milliseconds{2500}}; //!< TCP user timeout (unacknowledged data) of server connections
--- a/include/sailpath/gateway/Metrics.hpp
+++ b/include/sailpath/gateway/Metrics.hpp
@@ -20,6 +20,9 @@
     std::uint64_t attempts{0};              //!< Attempts sent to servers
     std::uint64_t attemptsAgainstNotice{0}; //!< Attempts to servers that leave or asked to back off
     std::uint64_t probes{0};                //!< Load probes sent to servers
+    std::uint64_t connectsRefused{0};       //!< Connections that servers refused, for attempts and probes
+    std::uint64_t connectsTimedOut{0};      //!< Connections to servers that were not established in time
+    std::uint64_t connectsBroken{0};        //!< Connections to servers that were reset before they could be used
     std::uint64_t furtherAttempts{0};       //!< Attempts of a request beyond its first
     std::uint64_t idleCallersClosed{0};     //!< Idle caller connections closed to make room
     std::uint64_t refusedAtOnce{0};         //!< Refusals whose callers were told to return at once
--- a/src/programs/GatewayProgram.cpp
+++ b/src/programs/GatewayProgram.cpp
@@ -53,6 +53,8 @@
     Option{"cpu-share", OptionKind::Number, "1", "cores that this VM may use"},
     Option{"memory-mb", OptionKind::Number, "256", "memory that the process may use"},
     Option{"descriptors", OptionKind::Whole, "4096", "file descriptors that the process may use"},
+    Option{"server-source", OptionKind::Text, "",
+           "IP address that connections to servers come from; the system chooses when empty"},
     Option{"metrics-listen", OptionKind::Endpoints, "", "where /metrics is served; nowhere when empty"},
     Option{"log-lines", OptionKind::Whole, "40", "lines of one kind of event in a second, at most"},
     Option{"log-file", OptionKind::Text, "", "event log; standard output when empty"},
@@ -84,6 +86,7 @@
     gateway.readinessListen = settings.endpoint("readiness-listen");
     if (const auto metrics = settings.endpoints("metrics-listen"); !metrics.empty())
         gateway.metricsListen = metrics.front();
+    gateway.serverSource = settings.text("server-source");
     gateway.maxBufferedBytes =
         static_cast<std::uint64_t>(bufferShare * settings.number("memory-mb") * bytesPerMegabyte);
     gateway.maxCallers = settings.whole("descriptors") / callersShare;
--- a/src/sailpath/gateway/Exchange.cpp
+++ b/src/sailpath/gateway/Exchange.cpp
@@ -26,6 +26,23 @@
     return "";
 }
 
+////////////////////////////////////////////////////////////
+std::string_view nameOf(balance::ConnectFailure failure)
+{
+    switch (failure)
+    {
+    case balance::ConnectFailure::Refused:
+        return "/refused";
+    case balance::ConnectFailure::TimedOut:
+        return "/timed-out";
+    case balance::ConnectFailure::Broken:
+        return "/broken";
+    case balance::ConnectFailure::None:
+        break;
+    }
+    return "";
+}
+
 } // namespace
 
 ////////////////////////////////////////////////////////////
@@ -108,7 +125,8 @@
     anyAttemptLost = anyAttemptLost || outcome.end == balance::AttemptEnd::Lost;
     attemptLog += ",end" + std::to_string(attempt) + "=" + std::string(nameOf(outcome.end)) + "/" +
                   std::to_string(outcome.status) + "@" +
-                  std::to_string(static_cast<int>(core::toMilliseconds(now - firstByteAt))) + "ms";
+                  std::to_string(static_cast<int>(core::toMilliseconds(now - firstByteAt))) + "ms" +
+                  std::string(nameOf(outcome.connectFailure));
     if (outcome.end == balance::AttemptEnd::NotRun && outcome.load)
         attemptLog += "/load=" + std::to_string(outcome.load->running) + "+" + std::to_string(outcome.load->waiting) +
                       "of" + std::to_string(outcome.load->slots);
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -322,6 +322,9 @@
     add("attempts_total", "counter", counters.attempts);
     add("further_attempts_total", "counter", counters.furtherAttempts);
     add("probes_total", "counter", counters.probes);
+    add("connects_refused_total", "counter", counters.connectsRefused);
+    add("connects_timed_out_total", "counter", counters.connectsTimedOut);
+    add("connects_broken_total", "counter", counters.connectsBroken);
     add("callers_left_total", "counter", counters.callersDisconnected);
     add("refused_unread_total", "counter", counters.refusedBeforeRead);
     add("server_connections_opened_total", "counter", servers.opened());
--- a/src/sailpath/gateway/GatewayImpl.hpp
+++ b/src/sailpath/gateway/GatewayImpl.hpp
@@ -59,6 +59,7 @@
     void probe(const balance::Step& step);
     void check(const balance::Step& step); //!< Test whether an instance accepts connections
     void attemptEnded(balance::Ticket ticket, unsigned attempt, balance::Outcome outcome, priv::ServerAnswer answer);
+    void countConnectFailure(balance::ConnectFailure failure);
     void finish(balance::Ticket ticket, const balance::Step& step);
     void log(priv::Exchange& exchange);                     //!< Log and measure an exchange that has ended
     void recordQuarantineRefusal(priv::Exchange& exchange); //!< Count the refusal and log its quarantine
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -396,6 +396,7 @@
                [this, ticket, number, instance = step.instance](const balance::Outcome&   outcome,
                                                                 const priv::ServerAnswer& answer)
                {
+                   countConnectFailure(outcome.connectFailure);
                    logUnknownFields(*instance, answer.head);
                    balancer.probeEnded(ticket, number, outcome, core::now());
                    performPendingSteps();
@@ -407,6 +408,7 @@
                                  priv::ServerAnswer answer)
 {
     detectStall();
+    countConnectFailure(outcome.connectFailure);
     const auto found = exchanges.find(ticket);
     if (found != exchanges.end())
     {
@@ -420,6 +422,14 @@
     performPendingSteps();
 }
 
+////////////////////////////////////////////////////////////
+void Gateway::Impl::countConnectFailure(balance::ConnectFailure failure)
+{
+    counters.connectsRefused += failure == balance::ConnectFailure::Refused ? 1 : 0;
+    counters.connectsTimedOut += failure == balance::ConnectFailure::TimedOut ? 1 : 0;
+    counters.connectsBroken += failure == balance::ConnectFailure::Broken ? 1 : 0;
+}
+
 ////////////////////////////////////////////////////////////
 void Gateway::Impl::finish(balance::Ticket ticket, const balance::Step& step)
 {
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -7,6 +7,7 @@
 #include <asio/write.hpp>
 
 #include <algorithm>
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <utility>
 
@@ -79,13 +80,14 @@
     const asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT> userTimeout(
         static_cast<int>(m_settings.unacknowledgedTimeout.count() / 1000));
     m_socket.set_option(userTimeout, ignored);
+    bindSource();
     auto self = shared_from_this();
     m_timer.expires_after(m_settings.connectTimeout);
     m_timer.async_wait(
         [self](const asio::error_code& error)
         {
             if (!error && self->m_state == State::Connecting)
-                self->handleEnd(false);
+                self->handleConnectFailure(balance::ConnectFailure::TimedOut);
         });
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_instance->address, ignored), m_instance->port);
     m_socket.async_connect(endpoint,
@@ -94,14 +96,35 @@
                                if (self->m_state != State::Connecting)
                                    return;
                                self->m_timer.cancel();
-                               if (error == asio::error::connection_refused)
-                                   self->reportCheck(balance::CheckResult::Refuses);
                                if (error)
-                                   return self->handleEnd(false);
+                                   return self->handleConnectFailure(error == asio::error::connection_refused
+                                                                         ? balance::ConnectFailure::Refused
+                                                                         : balance::ConnectFailure::Broken);
                                self->handleConnected();
                            });
 }
 
+////////////////////////////////////////////////////////////
+void ServerConnection::bindSource()
+{
+    if (m_settings.serverSource.empty())
+        return;
+    asio::error_code                                                                ignored;
+    // The port is chosen on connecting, so that connections to different servers can share one.
+    const asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT> noPort(true);
+    m_socket.set_option(noPort, ignored);
+    m_socket.bind({asio::ip::make_address(m_settings.serverSource, ignored), 0}, ignored);
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::handleConnectFailure(balance::ConnectFailure failure)
+{
+    m_connectFailure = failure;
+    if (failure == balance::ConnectFailure::Refused)
+        reportCheck(balance::CheckResult::Refuses);
+    handleEnd(false);
+}
+
 ////////////////////////////////////////////////////////////
 void ServerConnection::handleConnected()
 {
@@ -253,6 +276,8 @@
         balance::Outcome outcome;
         outcome.connectionEnded = previous == State::Busy && byServer;
         outcome.end = previous == State::Connecting ? balance::AttemptEnd::NotSent : balance::AttemptEnd::Lost;
+        if (previous == State::Connecting)
+            outcome.connectFailure = m_connectFailure;
         const DoneCallback onDone = std::move(m_onDone);
         m_onDone = nullptr;
         m_onChange(*this);
--- a/src/sailpath/gateway/ServerConnection.hpp
+++ b/src/sailpath/gateway/ServerConnection.hpp
@@ -75,7 +75,9 @@
     };
 
     void               connect();
+    void               bindSource(); //!< Bind the socket to the source address of the settings
     void               handleConnected();
+    void               handleConnectFailure(balance::ConnectFailure failure);
     void               write();
     void               read();
     void               handleBytes(std::size_t bytes);
@@ -101,11 +103,12 @@
     std::string                                 m_unread;    //!< Bytes received but not parsed
     std::array<char, 8192>                      m_buffer{};  //!< Receive buffer
     core::Timestamp                             m_since{};   //!< When the connection became idle, or began to connect
-    core::Duration                              m_keepAliveTimeout{};    //!< Named by the server; 0 if not
-    State                                       m_state{State::New};     //!< State of the connection
-    bool                                        m_requestWritten{false}; //!< All of the request is written
-    bool                                        m_noticeReported{false}; //!< The answer's notice is reported
-    bool                                        m_notReusable{false};    //!< Got an answer to another request
+    core::Duration                              m_keepAliveTimeout{};          //!< Named by the server; 0 if not
+    State                                       m_state{State::New};           //!< State of the connection
+    balance::ConnectFailure m_connectFailure{balance::ConnectFailure::Broken}; //!< Why no connection was opened
+    bool                    m_requestWritten{false};                           //!< All of the request is written
+    bool                    m_noticeReported{false};                           //!< The answer's notice is reported
+    bool                    m_notReusable{false};                              //!< Got an answer to another request
 };
 
 } // namespace sailpath::gateway::priv
