Show the incident: callers of gateways without a path to servers are not served (failing test)

Three real gateways; a loopback proxy before each server cuts one or two of them off, by the address that they connect from, and nothing else. The rule is the issue's (lost-path) and is shown by hand-made histories; the soak learns the fault, in parts too. What came by a connection that was cut before its caller left is not held against cancellation.

--- a/test/platform/soak/history.py
+++ b/test/platform/soak/history.py
@@ -79,6 +79,15 @@
     server: str | None = None
 
 
+@dataclass
+class PathCut:
+    """A gateway that lost its path to all servers; callers, the store and other gateways still reach it."""
+
+    gateway: int
+    start: float
+    end: float = float("inf")
+
+
 @dataclass
 class Stop:
     """A planned stop of a gateway."""
@@ -100,6 +109,7 @@
     versions: list[Version] = field(default_factory=list)
     spans: list[Span] = field(default_factory=list)
     stops: list[Stop] = field(default_factory=list)
+    path_cuts: list[PathCut] = field(default_factory=list)
 
     def frozen(self, start: float, end: float, gateway: int) -> bool:
         """Whether that gateway was disturbed at any time from start to end."""
--- a/test/platform/soak/rules.py
+++ b/test/platform/soak/rules.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-from history import Call, History
+from history import Call, History, PathCut
 
 PROMISED_NOT_RUN = (408, 421, 429, 503)
 
@@ -28,6 +28,9 @@
     limit_span: float = 4.0
     limit_excess: float = 1.1
     limit_slack: float = 5.0
+    path_share: float = 2 / 3
+    path_failures: float = 10
+    path_failure_share: float = 0.02
     slack: float = 0.3
 
 
@@ -238,6 +241,9 @@
         if call is None or call.left_at is None or not arrival.executed:
             continue
         end = arrival.ended_at or arrival.cut_at or float("inf")
+        if any(cut.gateway == call.gateway and arrival.at <= cut.start <= call.left_at + bounds.late and
+               call.left_at <= cut.end for cut in history.path_cuts):
+            continue  # It came by a connection that was cut before its caller left
         allowed = call.left_at + bounds.late + bounds.slack
         if end > allowed and arrival.at + arrival.work > allowed and \
                 not history.disturbed(call.left_at - bounds.contact, allowed, call.gateway, arrival.server):
@@ -265,6 +271,38 @@
     return broken
 
 
+def first_tries(history: History, bounds: Bounds, cuts: list[PathCut]) -> tuple[list[Call], list[Call]]:
+    """Calls sent while gateways had no path to servers, once they can know: those at these gateways, and the others."""
+    start = max(cut.start for cut in cuts) + bounds.contact + bounds.slack
+    end = min(cut.end for cut in cuts)
+    cut_off = {cut.gateway for cut in cuts}
+    sent = [call for call in history.calls if start <= call.sent_at and call.sent_at + call.timeout <= end and
+            call.left_at is None and not history.disturbed(call.sent_at - bounds.contact, end, call.gateway)]
+    return ([call for call in sent if call.gateway in cut_off], [call for call in sent if call.gateway not in cut_off])
+
+
+def lost_paths(history: History, bounds: Bounds) -> list[str]:
+    """Callers of gateways in touch that have lost their path to all servers are served nearly as the others are."""
+    by_start = defaultdict(list)
+    for cut in history.path_cuts:
+        by_start[cut.start].append(cut)
+    broken = []
+    for start, cuts in by_start.items():
+        if any(other.start < cut.end and cut.start < other.end and other.start != cut.start
+               for cut in cuts for other in history.path_cuts):
+            continue
+        at_cut, elsewhere = first_tries(history, bounds, cuts)
+        served = sum(call.status == 200 for call in at_cut)
+        served_elsewhere = sum(call.status == 200 for call in elsewhere)
+        failed = len(at_cut) - served
+        most = bounds.path_failures + bounds.path_failure_share * (len(at_cut) + len(elsewhere))
+        if at_cut and elsewhere and failed > most and \
+                served / len(at_cut) < bounds.path_share * served_elsewhere / len(elsewhere):
+            broken.append(f"gateways without a path to servers from {start:.1f} s served {served} of {len(at_cut)}, the "
+                          f"others {served_elsewhere} of {len(elsewhere)}")
+    return broken
+
+
 def recovery(calls: list[Call]) -> list[str]:
     """Once all is well again, requests are served."""
     served = sum(call.status == 200 for call in calls)
@@ -285,4 +323,5 @@
     "final-answer": final_answers,
     "cancellation": cancellation,
     "ended-servers": ended_servers,
+    "lost-path": lost_paths,
 }
--- a/test/platform/soak/rules_test.py
+++ b/test/platform/soak/rules_test.py
@@ -3,7 +3,7 @@
 import unittest
 
 import rules
-from history import Arrival, Call, History, Leaving, Limited, Span, Stop, Version
+from history import Arrival, Call, History, Leaving, Limited, PathCut, Span, Stop, Version
 
 BOUNDS = rules.Bounds(slack=0.0)
 
@@ -35,6 +35,17 @@
         for rule in rules.RULES:
             self.assert_kept(rule, History(calls=[call()], arrivals=[arrival()]))
 
+    def test_callers_of_a_gateway_without_a_path_to_servers(self):
+        def history(served_share):
+            calls = []
+            for number in range(60):
+                served = number >= 30 or number < 30 * served_share
+                calls.append(call(f"r{number}", gateway=0 if number < 30 else 1, sent_at=14 + number % 30 / 10,
+                                  status=200 if served else 503))
+            return History(calls=calls, path_cuts=[PathCut(0, 10.0, 20.0)])
+        self.assert_broken("lost-path", history(0.5))
+        self.assert_kept("lost-path", history(0.8))
+
     def test_the_answer_of_another_request(self):
         other = call(signature=rules.sign("s1", "r2", b"ok"))
         self.assert_broken("whole-own-answer", History(calls=[other], arrivals=[arrival("r1"), arrival("r2")]))
--- a/test/platform/soak/soak.py
+++ b/test/platform/soak/soak.py
@@ -18,8 +18,8 @@
 import wire
 from callers import Caller, Kind
 from fleet import Gateway
-from history import History, Limited, Span, Version
-from proxy import Mode, Proxy
+from history import History, Limited, PathCut, Span, Version
+from proxy import Cut, Mode, Proxy
 from servers import Server
 from store import Fault, Store
 
@@ -51,6 +51,7 @@
         self._ends_by = 0.0
         self._returning: set[Server] = set()  # They start again soon
         self._readiness: list[asyncio.Task] = []
+        self._cut_off: set[Gateway] = set()  # They have lost their path to servers
 
     async def run(self) -> list[str]:
         """Play the run; what the rules found."""
@@ -90,6 +91,7 @@
                             self._options.seed * 100 + number)
             await server.listen()
             link = Proxy(("127.0.0.1", server.port))
+            link.is_cut_off = self._is_cut_off
             await link.start()
             server.advertised = link.port
             server.unreachable = self._closer(link)
@@ -210,6 +212,33 @@
         self._history.spans.append(Span(time.monotonic(), time.monotonic() + seconds + 0.5, server=server.identity))
         await self._break_link(self._links[server], seconds)
 
+    def _is_cut_off(self, source: str) -> bool:
+        return any(gateway.source == source for gateway in self._cut_off)
+
+    async def cut_paths(self, gateways: list[Gateway], cut: Cut, seconds: float, servers: list[Server]) -> None:
+        """Cut gateways off from servers and nothing else; a later cut takes the place of one that goes on."""
+        start = time.monotonic()
+        whole = len(servers) == len(self._servers)
+        cuts = [PathCut(gateway.number, start) for gateway in gateways if whole]
+        self._history.path_cuts += cuts
+        self._cut_off = set(gateways)
+        for server in servers:
+            self._links[server].set_cut(cut)
+        await asyncio.sleep(seconds)
+        for path_cut in cuts:
+            path_cut.end = time.monotonic()
+        if self._cut_off == set(gateways):
+            for link in self._links.values():
+                link.set_cut(None)
+
+    async def fault_lost_paths(self, seconds: float) -> None:
+        count = self._random.randint(1, len(self._gateways) - 1)
+        gateways = self._random.sample(self._gateways, count)
+        whole = self._random.random() < 0.7
+        servers = [server for server in self._servers if whole or self._random.random() < 0.6]
+        cut = self._random.choice(list(Cut))
+        await self.cut_paths(gateways, cut, 3 + 2 * seconds, servers)
+
     async def _break_link(self, link: Proxy, seconds: float) -> None:
         link.set_mode(self._random.choice([mode for mode in Mode if mode != Mode.PASS]))
         await asyncio.sleep(seconds)
