--- a/include/sailpath/adapters/links/Codec.hpp
+++ b/include/sailpath/adapters/links/Codec.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sailpath/paths/TunnelMessage.hpp>
 #include <sailpath/replication/Message.hpp>
 
 #include <optional>
@@ -11,7 +12,7 @@
 namespace sailpath::adapters::links
 {
 //! What travels on a link
-using LinkMessage = std::variant<replication::Hello, replication::Update, replication::Report>;
+using LinkMessage = std::variant<replication::Hello, replication::Update, replication::Report, paths::TunnelOpen>;
 
 ////////////////////////////////////////////////////////////
 /// \brief Items in the form in which a message carries `Update::sharedItems`
--- a/include/sailpath/adapters/links/LinkHub.hpp
+++ b/include/sailpath/adapters/links/LinkHub.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <sailpath/adapters/links/Codec.hpp>
+#include <sailpath/adapters/links/TunnelRequest.hpp>
 #include <sailpath/adapters/settings/Endpoint.hpp>
 #include <sailpath/replication/Replica.hpp>
 
@@ -24,6 +25,7 @@
     std::function<void(replication::LinkId)>                     closed;   //!< A link ended or did not come up
     std::function<void(replication::LinkId, const LinkMessage&)> received; //!< A message arrived
     std::function<void(replication::LinkId)>                     alive;    //!< A part of a message arrived
+    std::function<void(TunnelRequest)> tunnelAsked{}; //!< A connection asks for a tunnel and is no link any more
 };
 
 ////////////////////////////////////////////////////////////
--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -58,6 +58,8 @@
     bool                          connectionEnded{false}; //!< With `Lost`: the server closed the connection
     ConnectFailure connectFailure{ConnectFailure::None};  //!< With `NotSent`: why the connection was not opened
 
+    std::string helper; //!< Address of the node that the connection to the server went through; empty without one
+
     std::optional<deployment::RequestIdentity> identity; //!< Set with `connectionEnded`, and while
                                                          //!< `Balancer::needsRequestIdentity` holds
 };
@@ -156,6 +158,14 @@
     [[nodiscard]] std::vector<NoticeChange>  takeNoticeChanges(); //!< What was new in notices since the last call
     [[nodiscard]] std::vector<NoticeInForce> notices(core::Timestamp now) const; //!< Notices in force
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Drop what was concluded from requests that the path, not their servers, failed
+    ////////////////////////////////////////////////////////////
+    void forgetPathFailures();
+
+    [[nodiscard]] std::shared_ptr<const deployment::Instance>
+    findInstance(std::string_view id) const; //!< Null unless it is declared and may get requests
+
     ////////////////////////////////////////////////////////////
     /// \brief Record that the caller of a request has disconnected
     ////////////////////////////////////////////////////////////
@@ -268,6 +278,7 @@
         double                      crowding{0};   //!< Crowding of the instance at the time of the send
         double                      held{0};       //!< Requests that the instance held then, this one included
         bool                        running{true}; //!< Whether the end of the attempt is still to be reported
+        bool pathAtFault{false}; //!< The path was lost meanwhile; the end says nothing about the server
     };
 
     ////////////////////////////////////////////////////////////
--- a/include/sailpath/balance/ServerView.hpp
+++ b/include/sailpath/balance/ServerView.hpp
@@ -72,6 +72,7 @@
     void recordAnswer(double latencyMs, double expectedMs);   //!< A successful answer arrived
     void recordOverdue(double elapsedMs, double expectedMs);  //!< An attempt was abandoned after that time
     void recordFailure(core::Timestamp now);                  //!< An attempt failed because of the server
+    void forgetFailures();                                    //!< The path to the server was at fault, not the server
     void recordRejection(core::Timestamp now);                //!< The server rejected a request because of load
 
     ////////////////////////////////////////////////////////////
--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -180,6 +180,7 @@
                     core::Timestamp         now) const;          //!< Append what this node has learned of the service
     void startFrom(const snapshot::LearnedState& state); //!< Start from a snapshot; answers replace its values
 
+    void forgetPathFailures(); //!< Drop what was concluded while this node could not reach servers
     void recordAdmitted(unsigned rank, core::Timestamp now); //!< A request that could be in time was sent
     /// \brief A request that could be in time was rejected because of load
     void recordRejected(unsigned rank, core::Timestamp now);
--- a/include/sailpath/deployment/DeclaredState.hpp
+++ b/include/sailpath/deployment/DeclaredState.hpp
@@ -2,6 +2,7 @@
 
 #include <sailpath/deployment/Deployment.hpp>
 #include <sailpath/deployment/Instance.hpp>
+#include <sailpath/deployment/Peer.hpp>
 #include <sailpath/deployment/Quarantine.hpp>
 #include <sailpath/snapshot/LearnedState.hpp>
 
@@ -28,6 +29,7 @@
     std::vector<Quarantine>    quarantines; //!< Quarantined requests in the store, which are sent to no server
     std::vector<std::uint32_t> members;     //!< Short hashes of all nodes heard of recently, this one included;
                                             //!< empty when this node cannot tell whether others exist
+    std::vector<Peer>          peers;       //!< Other nodes heard of recently; some of them in a large fleet
     std::shared_ptr<const snapshot::LearnedState> learned; //!< Snapshot in the store; null without a usable one
 };
 
--- a/include/sailpath/fleet/FleetThread.hpp
+++ b/include/sailpath/fleet/FleetThread.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sailpath/adapters/links/TunnelRequest.hpp>
 #include <sailpath/adapters/settings/Endpoint.hpp>
 #include <sailpath/deployment/CrashReport.hpp>
 #include <sailpath/deployment/DeclaredState.hpp>
@@ -73,6 +74,7 @@
     using PublishHandler = std::function<void(deployment::DeclaredState)>;
     using CrashHandler = std::function<void(deployment::CrashReport)>;
     using LimitHandler = std::function<void(std::vector<deployment::LimitReport>)>;
+    using TunnelHandler = std::function<void(adapters::links::TunnelRequest)>;
     using FailureHandler = std::function<void(std::vector<deployment::ServerFailure>)>;
 
     ////////////////////////////////////////////////////////////
@@ -99,6 +101,7 @@
     void onCrashes(CrashHandler handler);                            //!< Other nodes' reports; see `onFailures`
     void reportLimits(std::vector<deployment::LimitReport> reports); //!< Limits and sends of this node; from any thread
     void onLimits(LimitHandler handler);                             //!< Other nodes' reports; see `onFailures`
+    void onTunnels(TunnelHandler handler); //!< Called on the control thread with members' requests; set it once
     void offerSnapshot(snapshot::LearnedState learned);              //!< What this node has learned; from any thread
     void reportQuarantine(const deployment::Quarantine& quarantine); //!< A conclusion of this node; from any thread
 
--- a/include/sailpath/gateway/Gateway.hpp
+++ b/include/sailpath/gateway/Gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sailpath/adapters/links/TunnelRequest.hpp>
 #include <sailpath/balance/Balancer.hpp>
 #include <sailpath/deployment/DeclaredState.hpp>
 #include <sailpath/gateway/Dialect.hpp>
@@ -90,6 +91,13 @@
 
     void receiveServerLimits(std::span<const deployment::LimitReport> news); //!< Process limits seen by other nodes
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Connect another node to a server that it has lost its path to
+    ///
+    /// \param request Connection of the other node; closed when no tunnel can be opened
+    ////////////////////////////////////////////////////////////
+    void serveTunnel(adapters::links::TunnelRequest request);
+
     void setAdditionalMetrics(std::function<std::string()> generator); //!< Set text appended to /metrics
 
     void startDraining(); //!< Begin a planned stop: report not ready and close connections with their next answer
--- a/include/sailpath/gateway/GatewaySettings.hpp
+++ b/include/sailpath/gateway/GatewaySettings.hpp
@@ -28,6 +28,8 @@
     std::uint64_t     maxAnswerBytes{std::uint64_t{16} << 20U};   //!< Largest body of a server's answer
     std::uint64_t     maxBufferedBytes{std::uint64_t{64} << 20U}; //!< Request bodies in memory, over all callers
     std::size_t       maxCallers{3000};                           //!< Open connections of callers
+    std::string       self;                                       //!< Address by which other nodes know this one
+    std::size_t       maxTunnels{256};                            //!< Tunnels to servers that are open for other nodes
     balance::Settings balance;                                    //!< Settings of the balancer
 };
 
--- a/include/sailpath/replication/Replica.hpp
+++ b/include/sailpath/replication/Replica.hpp
@@ -19,6 +19,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -196,6 +197,12 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] std::vector<std::uint32_t> memberHashes(core::Timestamp now);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief List nodes heard of lately, without this one; of more than `most`, a part that differs from node to node
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] std::vector<NodeAddress> listPeers(std::size_t most, core::Timestamp now) const;
+    [[nodiscard]] bool isMember(std::string_view ip) const; //!< Whether a node heard of lately has this IP address
+
     [[nodiscard]] std::size_t              followerCount() const;  //!< Nodes that receive updates from this one
     [[nodiscard]] std::vector<std::string> followedRelays() const; //!< Addresses of the relays with an open link
 
--- a/src/programs/GatewayProgram.cpp
+++ b/src/programs/GatewayProgram.cpp
@@ -70,7 +70,8 @@
 constexpr double                      bufferShare = 0.25; // Of the memory, for request bodies
 constexpr double                      bytesPerMegabyte = 1e6;
 constexpr auto                        snapshotInterval = std::chrono::seconds{5}; // Between offers to the fleet
-constexpr std::size_t                 callersShare = 2; // One in two descriptors may be a caller's
+constexpr std::size_t                 callersShare = 2;  // One in two descriptors may be a caller's
+constexpr std::size_t                 tunnelsShare = 16; // A tunnel for another node takes two descriptors
 
 ////////////////////////////////////////////////////////////
 core::Duration seconds(const Settings& settings, std::string_view name)
@@ -101,6 +102,8 @@
     gateway.balance.quotas.excess = settings.number("quota-excess");
     gateway.balance.quotas.slack = settings.number("quota-slack");
     gateway.balance.self = deployment::shortHash(settings.text("peer-listen"));
+    gateway.self = settings.text("peer-listen");
+    gateway.maxTunnels = settings.whole("descriptors") / tunnelsShare;
     gateway.balance.seed = std::random_device{}();
     // As long as changes may take to be heard of everywhere.
     gateway.balance.maxConfigurationAgeToDeny = seconds(settings, "drain-s");
@@ -349,6 +352,12 @@
     gateway.onServerLimits([&](std::vector<deployment::LimitReport> news) { fleet.reportLimits(std::move(news)); });
     fleet.onLimits([&](std::vector<deployment::LimitReport> news)
                    { asio::post(context, [&gateway, news = std::move(news)] { gateway.receiveServerLimits(news); }); });
+    fleet.onTunnels(
+        [&](adapters::links::TunnelRequest request)
+        {
+            asio::post(context,
+                       [&gateway, request = std::move(request)]() mutable { gateway.serveTunnel(std::move(request)); });
+        });
     SnapshotOffers offers(context, gateway, fleet);
     gateway.setAdditionalMetrics([&] { return controlMetrics(fleet.status(), log.leftOut()); });
     log.write(ports::Level::Info, "started", {{"dataCentre", settings.text("data-centre")}, {"port", gateway.port()}});
--- a/src/sailpath/adapters/links/Codec.cpp
+++ b/src/sailpath/adapters/links/Codec.cpp
@@ -260,6 +260,14 @@
     hello.setPacks(from.packs);
 }
 
+////////////////////////////////////////////////////////////
+void put(wire::Message::Builder to, const paths::TunnelOpen& from)
+{
+    auto open = to.initTunnelOpen();
+    open.setInstance(from.instance);
+    open.setBorn(from.born);
+}
+
 ////////////////////////////////////////////////////////////
 void put(wire::Message::Builder to, const replication::Update& from, std::string_view packedItems)
 {
@@ -335,6 +343,8 @@
 {
     if (from.isReport())
         return get(from.getReport());
+    if (from.isTunnelOpen())
+        return paths::TunnelOpen{from.getTunnelOpen().getInstance().cStr(), from.getTunnelOpen().getBorn()};
     if (from.isHello())
         return replication::Hello{get(from.getHello().getSelf()), from.getHello().getAt(), from.getHello().getPacks()};
     const auto          update = from.getUpdate();
@@ -385,6 +395,8 @@
     }
     else if (const auto* hello = std::get_if<replication::Hello>(&message))
         put(root, *hello);
+    else if (const auto* open = std::get_if<paths::TunnelOpen>(&message))
+        put(root, *open);
     else
         put(root, std::get<replication::Report>(message));
     const auto             words = capnp::messageToFlatArray(builder);
--- a/src/sailpath/adapters/links/LinkHub.cpp
+++ b/src/sailpath/adapters/links/LinkHub.cpp
@@ -39,6 +39,7 @@
         std::string            waiting;        //!< Bytes behind them
         std::array<char, 8192> buffer{};       //!< Bytes as they come
         bool                   up{false};      //!< Connected
+        bool                   greeted{false}; //!< A message of a link has arrived
         bool                   dropped{false}; //!< Closed by this side
     };
 
@@ -110,11 +111,31 @@
                 return true;
             }
             link->unread.erase(0, decoded.taken);
+            if (const auto* open = std::get_if<paths::TunnelOpen>(&*decoded.message))
+                return handOver(id, link, *open);
+            link->greeted = true;
             events.received(id, *decoded.message);
         }
         return true;
     }
 
+    /// \brief Give a connection that asks for a tunnel away; false when it may not ask
+    bool handOver(LinkId id, const LinkPtr& link, const paths::TunnelOpen& open)
+    {
+        const bool accepted = id % 2 == 0;
+        if (!accepted || link->greeted || !events.tunnelAsked)
+            return false;
+        asio::error_code error;
+        const auto       peer = link->socket.remote_endpoint(error);
+        const int        descriptor = link->socket.release(error);
+        if (error)
+            return false;
+        link->dropped = true;
+        links.erase(id);
+        events.tunnelAsked({net::SocketHandle(descriptor), peer.address().to_string(), open, std::move(link->unread)});
+        return true;
+    }
+
     void write(LinkId id, const LinkPtr& link)
     {
         link->writing.swap(link->waiting);
--- a/src/sailpath/adapters/links/Links.capnp
+++ b/src/sailpath/adapters/links/Links.capnp
@@ -90,10 +90,26 @@
   news @1 :List(ServerReport);
 }
 
+# Asks a node to connect to a server; all that follows are bytes for the server.
+struct TunnelOpen {
+  instance @0 :Text;
+  born @1 :UInt64;  # Start of the server's life in Unix milliseconds.
+}
+
+# From the node that was asked: first whether the connection is up, then what the server sends.
+struct TunnelMessage {
+  union {
+    opened @0 :UInt8;
+    data @1 :Data;
+    ended @2 :Void;  # The server ended the connection in order.
+  }
+}
+
 struct Message {
   union {
     hello @0 :Hello;
     update @1 :Update;
     report @2 :Report;
+    tunnelOpen @3 :TunnelOpen;
   }
 }
--- a/src/sailpath/adapters/links/Links.capnp.h
+++ b/src/sailpath/adapters/links/Links.capnp.h
@@ -27,6 +27,8 @@
 CAPNP_DECLARE_SCHEMA(971f6dd6f4193b6c);
 CAPNP_DECLARE_SCHEMA(9f6fd12281153be1);
 CAPNP_DECLARE_SCHEMA(805e3510d98b81cc);
+CAPNP_DECLARE_SCHEMA(bbd14d4324eeb2ad);
+CAPNP_DECLARE_SCHEMA(bc3e9906c099c83a);
 CAPNP_DECLARE_SCHEMA(b0cd7532b5aa38e9);
 
 }  // namespace schemas
@@ -202,6 +204,41 @@
   };
 };
 
+struct TunnelOpen {
+  TunnelOpen() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bbd14d4324eeb2ad, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct TunnelMessage {
+  TunnelMessage() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+  enum Which: uint16_t {
+    OPENED,
+    DATA,
+    ENDED,
+  };
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bc3e9906c099c83a, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Message {
   Message() = delete;
 
@@ -212,6 +249,7 @@
     HELLO,
     UPDATE,
     REPORT,
+    TUNNEL_OPEN,
   };
 
   struct _capnpPrivate {
@@ -1363,6 +1401,191 @@
 };
 #endif  // !CAPNP_LITE
 
+class TunnelOpen::Reader {
+public:
+  typedef TunnelOpen Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasInstance() const;
+  inline  ::capnp::Text::Reader getInstance() const;
+
+  inline  ::uint64_t getBorn() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TunnelOpen::Builder {
+public:
+  typedef TunnelOpen Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasInstance();
+  inline  ::capnp::Text::Builder getInstance();
+  inline void setInstance( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initInstance(unsigned int size);
+  inline void adoptInstance(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownInstance();
+
+  inline  ::uint64_t getBorn();
+  inline void setBorn( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TunnelOpen::Pipeline {
+public:
+  typedef TunnelOpen Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class TunnelMessage::Reader {
+public:
+  typedef TunnelMessage Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline Which which() const;
+  inline bool isOpened() const;
+  inline  ::uint8_t getOpened() const;
+
+  inline bool isData() const;
+  inline bool hasData() const;
+  inline  ::capnp::Data::Reader getData() const;
+
+  inline bool isEnded() const;
+  inline  ::capnp::Void getEnded() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class TunnelMessage::Builder {
+public:
+  typedef TunnelMessage Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline Which which();
+  inline bool isOpened();
+  inline  ::uint8_t getOpened();
+  inline void setOpened( ::uint8_t value);
+
+  inline bool isData();
+  inline bool hasData();
+  inline  ::capnp::Data::Builder getData();
+  inline void setData( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initData(unsigned int size);
+  inline void adoptData(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownData();
+
+  inline bool isEnded();
+  inline  ::capnp::Void getEnded();
+  inline void setEnded( ::capnp::Void value = ::capnp::VOID);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class TunnelMessage::Pipeline {
+public:
+  typedef TunnelMessage Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Message::Reader {
 public:
   typedef Message Reads;
@@ -1393,6 +1616,10 @@
   inline bool hasReport() const;
   inline  ::sailpath::adapters::links::wire::Report::Reader getReport() const;
 
+  inline bool isTunnelOpen() const;
+  inline bool hasTunnelOpen() const;
+  inline  ::sailpath::adapters::links::wire::TunnelOpen::Reader getTunnelOpen() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1446,6 +1673,14 @@
   inline void adoptReport(::capnp::Orphan< ::sailpath::adapters::links::wire::Report>&& value);
   inline ::capnp::Orphan< ::sailpath::adapters::links::wire::Report> disownReport();
 
+  inline bool isTunnelOpen();
+  inline bool hasTunnelOpen();
+  inline  ::sailpath::adapters::links::wire::TunnelOpen::Builder getTunnelOpen();
+  inline void setTunnelOpen( ::sailpath::adapters::links::wire::TunnelOpen::Reader value);
+  inline  ::sailpath::adapters::links::wire::TunnelOpen::Builder initTunnelOpen();
+  inline void adoptTunnelOpen(::capnp::Orphan< ::sailpath::adapters::links::wire::TunnelOpen>&& value);
+  inline ::capnp::Orphan< ::sailpath::adapters::links::wire::TunnelOpen> disownTunnelOpen();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2613,6 +2848,169 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool TunnelOpen::Reader::hasInstance() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TunnelOpen::Builder::hasInstance() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TunnelOpen::Reader::getInstance() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TunnelOpen::Builder::getInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TunnelOpen::Builder::setInstance( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TunnelOpen::Builder::initInstance(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TunnelOpen::Builder::adoptInstance(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TunnelOpen::Builder::disownInstance() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t TunnelOpen::Reader::getBorn() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TunnelOpen::Builder::getBorn() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TunnelOpen::Builder::setBorn( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::sailpath::adapters::links::wire::TunnelMessage::Which TunnelMessage::Reader::which() const {
+  return _reader.getDataField<Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline  ::sailpath::adapters::links::wire::TunnelMessage::Which TunnelMessage::Builder::which() {
+  return _builder.getDataField<Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool TunnelMessage::Reader::isOpened() const {
+  return which() == TunnelMessage::OPENED;
+}
+inline bool TunnelMessage::Builder::isOpened() {
+  return which() == TunnelMessage::OPENED;
+}
+inline  ::uint8_t TunnelMessage::Reader::getOpened() const {
+  KJ_IREQUIRE((which() == TunnelMessage::OPENED),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t TunnelMessage::Builder::getOpened() {
+  KJ_IREQUIRE((which() == TunnelMessage::OPENED),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TunnelMessage::Builder::setOpened( ::uint8_t value) {
+  _builder.setDataField<TunnelMessage::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, TunnelMessage::OPENED);
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TunnelMessage::Reader::isData() const {
+  return which() == TunnelMessage::DATA;
+}
+inline bool TunnelMessage::Builder::isData() {
+  return which() == TunnelMessage::DATA;
+}
+inline bool TunnelMessage::Reader::hasData() const {
+  if (which() != TunnelMessage::DATA) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool TunnelMessage::Builder::hasData() {
+  if (which() != TunnelMessage::DATA) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader TunnelMessage::Reader::getData() const {
+  KJ_IREQUIRE((which() == TunnelMessage::DATA),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder TunnelMessage::Builder::getData() {
+  KJ_IREQUIRE((which() == TunnelMessage::DATA),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void TunnelMessage::Builder::setData( ::capnp::Data::Reader value) {
+  _builder.setDataField<TunnelMessage::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, TunnelMessage::DATA);
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder TunnelMessage::Builder::initData(unsigned int size) {
+  _builder.setDataField<TunnelMessage::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, TunnelMessage::DATA);
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void TunnelMessage::Builder::adoptData(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  _builder.setDataField<TunnelMessage::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, TunnelMessage::DATA);
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> TunnelMessage::Builder::disownData() {
+  KJ_IREQUIRE((which() == TunnelMessage::DATA),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool TunnelMessage::Reader::isEnded() const {
+  return which() == TunnelMessage::ENDED;
+}
+inline bool TunnelMessage::Builder::isEnded() {
+  return which() == TunnelMessage::ENDED;
+}
+inline  ::capnp::Void TunnelMessage::Reader::getEnded() const {
+  KJ_IREQUIRE((which() == TunnelMessage::ENDED),
+              "Must check which() before get()ing a union member.");
+  return _reader.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::capnp::Void TunnelMessage::Builder::getEnded() {
+  KJ_IREQUIRE((which() == TunnelMessage::ENDED),
+              "Must check which() before get()ing a union member.");
+  return _builder.getDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TunnelMessage::Builder::setEnded( ::capnp::Void value) {
+  _builder.setDataField<TunnelMessage::Which>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, TunnelMessage::ENDED);
+  _builder.setDataField< ::capnp::Void>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::sailpath::adapters::links::wire::Message::Which Message::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2784,6 +3182,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Message::Reader::isTunnelOpen() const {
+  return which() == Message::TUNNEL_OPEN;
+}
+inline bool Message::Builder::isTunnelOpen() {
+  return which() == Message::TUNNEL_OPEN;
+}
+inline bool Message::Reader::hasTunnelOpen() const {
+  if (which() != Message::TUNNEL_OPEN) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Message::Builder::hasTunnelOpen() {
+  if (which() != Message::TUNNEL_OPEN) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::sailpath::adapters::links::wire::TunnelOpen::Reader Message::Reader::getTunnelOpen() const {
+  KJ_IREQUIRE((which() == Message::TUNNEL_OPEN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sailpath::adapters::links::wire::TunnelOpen>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::sailpath::adapters::links::wire::TunnelOpen::Builder Message::Builder::getTunnelOpen() {
+  KJ_IREQUIRE((which() == Message::TUNNEL_OPEN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sailpath::adapters::links::wire::TunnelOpen>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::setTunnelOpen( ::sailpath::adapters::links::wire::TunnelOpen::Reader value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::TUNNEL_OPEN);
+  ::capnp::_::PointerHelpers< ::sailpath::adapters::links::wire::TunnelOpen>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::sailpath::adapters::links::wire::TunnelOpen::Builder Message::Builder::initTunnelOpen() {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::TUNNEL_OPEN);
+  return ::capnp::_::PointerHelpers< ::sailpath::adapters::links::wire::TunnelOpen>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Message::Builder::adoptTunnelOpen(
+    ::capnp::Orphan< ::sailpath::adapters::links::wire::TunnelOpen>&& value) {
+  _builder.setDataField<Message::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Message::TUNNEL_OPEN);
+  ::capnp::_::PointerHelpers< ::sailpath::adapters::links::wire::TunnelOpen>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::sailpath::adapters::links::wire::TunnelOpen> Message::Builder::disownTunnelOpen() {
+  KJ_IREQUIRE((which() == Message::TUNNEL_OPEN),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::sailpath::adapters::links::wire::TunnelOpen>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -288,11 +288,14 @@
             recordNotice(server.instance(), {false, misdirectedBackOff}, NoticeSource::Misdirected, now);
         break;
     case AttemptEnd::Lost:
+        if (attempt.pathAtFault)
+            break;
         server.recordFailure(now);
         recordFailure(*request.pool, server, now);
         break;
     case AttemptEnd::NotSent:
-        server.recordFailure(now);
+        if (!attempt.pathAtFault)
+            server.recordFailure(now);
         break;
     }
 }
@@ -391,9 +394,11 @@
         attempt.running = false;
         attempt.server->recordEnd(now);
         const double elapsed = core::toMilliseconds(now - attempt.sentAt);
-        attempt.server->recordOverdue(elapsed, attempt.unscaledMs);
-        if (elapsed >
-            m_settings.stuckFactor * std::max(attempt.expectedMs, request.pool->work().ms(request.route.name)))
+        if (!attempt.pathAtFault)
+            attempt.server->recordOverdue(elapsed, attempt.unscaledMs);
+        if (!attempt.pathAtFault &&
+            elapsed >
+                m_settings.stuckFactor * std::max(attempt.expectedMs, request.pool->work().ms(request.route.name)))
             attempt.server->recordFailure(now);
         request.mayHaveRun = true;
         Step step;
@@ -422,6 +427,29 @@
     close(ticket);
 }
 
+////////////////////////////////////////////////////////////
+void Balancer::forgetPathFailures()
+{
+    for (const auto& [name, pool] : m_pools)
+        pool->forgetPathFailures();
+    for (auto& [ticket, request] : m_requests)
+    {
+        for (Attempt& attempt : request.attempts)
+            attempt.pathAtFault = attempt.pathAtFault || attempt.running;
+    }
+}
+
+////////////////////////////////////////////////////////////
+std::shared_ptr<const deployment::Instance> Balancer::findInstance(std::string_view id) const
+{
+    for (const auto& [name, pool] : m_pools)
+    {
+        if (const auto server = pool->find(id))
+            return server->instance();
+    }
+    return nullptr;
+}
+
 ////////////////////////////////////////////////////////////
 void Balancer::refuse(Ticket ticket, const Refusal& refusal)
 {
--- a/src/sailpath/balance/ServerView.cpp
+++ b/src/sailpath/balance/ServerView.cpp
@@ -211,6 +211,15 @@
     m_ejectedUntil = now + std::min<core::Duration>(firstEjection * (1U << doublings), maxEjection);
 }
 
+////////////////////////////////////////////////////////////
+void ServerView::forgetFailures()
+{
+    m_failures = 0;
+    m_consecutiveFailures = 0;
+    m_ejectedUntil = {};
+    m_latencyRatio = std::min(m_latencyRatio, 1.0);
+}
+
 ////////////////////////////////////////////////////////////
 bool ServerView::recordRemoteFailure(std::uint32_t node, double observations, std::size_t serverCount,
                                      core::Timestamp now)
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -337,6 +337,14 @@
     return timeLeft ? activity.callerElapsed.observe(*timeLeft) : core::Duration{};
 }
 
+////////////////////////////////////////////////////////////
+void ServicePool::forgetPathFailures()
+{
+    m_pressure.clear();
+    for (const auto& server : m_servers)
+        server->forgetFailures();
+}
+
 ////////////////////////////////////////////////////////////
 void ServicePool::recordAdmitted(unsigned rank, core::Timestamp now)
 {
--- a/src/sailpath/fleet/FleetThread.cpp
+++ b/src/sailpath/fleet/FleetThread.cpp
@@ -28,8 +28,9 @@
     250}; // When a fleet starts, hundreds of nodes appear at once, and each publication copies the whole state
 constexpr auto storeFailureWindow =
     std::chrono::milliseconds{1500}; // Removed entries may be due to a failure of the store this recent
-constexpr auto   splitCheckInterval = std::chrono::seconds{1};
-constexpr double splitShare = 0.8; // Of the remembered nodes; nodes restarted or removed one by one are fewer
+constexpr std::size_t maxPeers = 64; // Published; enough to find one that has a path while nine in ten have none
+constexpr auto        splitCheckInterval = std::chrono::seconds{1};
+constexpr double      splitShare = 0.8; // Of the remembered nodes; nodes restarted or removed one by one are fewer
 
 ////////////////////////////////////////////////////////////
 /// \brief Convert the subject of a report to its form on the wire, and back
@@ -70,7 +71,8 @@
         {[this](LinkId link) { step([&] { linkOpened(link); }); },
          [this](LinkId link) { step([&] { replica.linkClosed(link, now()); }); },
          [this](LinkId link, const adapters::links::LinkMessage& message) { received(link, message); },
-         [this](LinkId link) { replica.linkDataReceived(link, now()); }})
+         [this](LinkId link) { replica.linkDataReceived(link, now()); },
+         [this](adapters::links::TunnelRequest request) { tunnelAsked(std::move(request)); }})
     {
         asio::post(context, [this] { step([] {}); });
         thread = std::thread([this] { context.run(); });
@@ -92,6 +94,13 @@
         replica.linkOpened(link, now());
     }
 
+    void tunnelAsked(adapters::links::TunnelRequest request)
+    {
+        if (replica.isMember(request.peer) && onTunnelRequest)
+            return onTunnelRequest(std::move(request));
+        log.write(ports::Level::Warning, "tunnel-denied", {{"peer", request.peer}, {"reason", "not-a-member"}});
+    }
+
     void deliverServerReports()
     {
         std::vector<deployment::ServerFailure> failures;
@@ -516,6 +525,8 @@
         declared.suspect = storeIll;
         declared.evacuated = evacuated;
         declared.members = replica.memberHashes(now());
+        for (replication::NodeAddress& node : replica.listPeers(maxPeers, now()))
+            declared.peers.push_back({std::move(node.address), std::move(node.dataCentre)});
         declared.quarantines = quarantines.list();
         declared.learned = snapshots.current(moment());
         onPublish(std::move(declared));
@@ -588,6 +599,7 @@
     FailureHandler                                onFailureReports; // Set on the control thread
     CrashHandler                                  onCrashReport;    // Set on the control thread
     LimitHandler                                  onLimitReports;   // Set on the control thread
+    TunnelHandler                                 onTunnelRequest;  // Set on the control thread
     ports::EventLog&                              log;
     asio::io_context                              context{1};
     asio::steady_timer                            timer;
@@ -695,6 +707,12 @@
     asio::post(m_impl->context, [this, handler = std::move(handler)] { m_impl->onLimitReports = handler; });
 }
 
+////////////////////////////////////////////////////////////
+void FleetThread::onTunnels(TunnelHandler handler)
+{
+    asio::post(m_impl->context, [this, handler = std::move(handler)] { m_impl->onTunnelRequest = handler; });
+}
+
 ////////////////////////////////////////////////////////////
 void FleetThread::reportQuarantine(const deployment::Quarantine& quarantine)
 {
--- a/src/sailpath/gateway/Exchange.cpp
+++ b/src/sailpath/gateway/Exchange.cpp
@@ -127,6 +127,8 @@
                   std::to_string(outcome.status) + "@" +
                   std::to_string(static_cast<int>(core::toMilliseconds(now - firstByteAt))) + "ms" +
                   std::string(nameOf(outcome.connectFailure));
+    if (!outcome.helper.empty())
+        attemptLog += "/through=" + outcome.helper;
     if (outcome.end == balance::AttemptEnd::NotRun && outcome.load)
         attemptLog += "/load=" + std::to_string(outcome.load->running) + "+" + std::to_string(outcome.load->waiting) +
                       "of" + std::to_string(outcome.load->slots);
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -43,6 +43,7 @@
     { balancer.setConnectionCounts(instance, idle, open); },
     [this](const std::shared_ptr<const deployment::Instance>& instance, const balance::ServerNotice& notice,
            balance::NoticeSource source) { recordNotice(instance, notice, source); }),
+tunnels(loop, settings, servers.paths(), [this](std::string_view id) { return balancer.findInstance(id); }),
 acceptor(listenOn(loop, settings.listen)),
 acceptTimer(loop),
 dueTimer(loop),
@@ -71,6 +72,10 @@
                                                          [this] {
                                                              return priv::StatusAnswer{200, noticeList()};
                                                          }},
+                                                        {"/paths",
+                                                         [this] {
+                                                             return priv::StatusAnswer{200, pathList()};
+                                                         }},
                                                         {"/quotas", [this] {
                                                              return priv::StatusAnswer{200, quotaList()};
                                                          }}});
@@ -158,6 +163,8 @@
             for (const auto& caller : all)
                 caller->checkTimeouts(at);
             servers.closeExpired();
+            servers.recheckPaths();
+            logPathChanges();
             scheduleSweep();
         });
 }
@@ -235,6 +242,62 @@
     return text;
 }
 
+////////////////////////////////////////////////////////////
+std::string Gateway::Impl::pathList()
+{
+    constexpr std::array<std::string_view, 3> names{"direct", "suspect", "lost"};
+    std::string                               text;
+    for (const paths::FailedPath& item : servers.paths().monitor.list(core::now()))
+    {
+        const bool unreachable = servers.paths().monitor.isUnreachable(item.instance, core::now());
+        text.append("instance=").append(item.instance.id);
+        text.append(" service=").append(item.instance.service);
+        text.append(" dataCentre=").append(item.instance.dataCentre);
+        text.append(" path=").append(names[static_cast<std::size_t>(item.state)]);
+        text.append(" byHelpers=").append(unreachable ? "0" : "1");
+        text.append(" failedForS=").append(std::to_string(core::toSeconds(item.failedFor))).append("\n");
+    }
+    return text;
+}
+
+////////////////////////////////////////////////////////////
+std::string Gateway::Impl::pathMetrics()
+{
+    const auto  states = servers.paths().monitor.list(core::now());
+    const auto  lost = std::count_if(states.begin(), states.end(),
+                                     [](const auto& item) { return item.state == paths::PathState::Lost; });
+    std::string text;
+    const auto  add = [&text](std::string_view name, std::string_view type, std::uint64_t value)
+    {
+        text.append("# TYPE sailpath_").append(name).append(" ").append(type).append("\nsailpath_").append(name);
+        text.append(" ").append(std::to_string(value)).append("\n");
+    };
+    add("paths_lost", "gauge", static_cast<std::uint64_t>(lost));
+    add("attempts_through_helpers_total", "counter", counters.attemptsThroughHelpers);
+    add("tunnels", "gauge", servers.tunnels());
+    add("tunnels_served", "gauge", tunnels.open());
+    add("tunnels_served_total", "counter", tunnels.served());
+    add("tunnels_denied_total", "counter", tunnels.denied());
+    return text;
+}
+
+////////////////////////////////////////////////////////////
+void Gateway::Impl::logPathChanges()
+{
+    for (const paths::PathChange& change : servers.paths().monitor.takeChanges())
+    {
+        if (change.lost)
+            events.write(ports::Level::Warning, "path-lost",
+                         {{"group", change.group}, {"servers", change.servers}, {"evidence", change.evidenceFrom}});
+        else
+            events.write(ports::Level::Info, "path-regained",
+                         {{"group", change.group},
+                          {"lostForMs", core::toMilliseconds(change.lostFor)},
+                          {"evidence", change.evidenceFrom}});
+        balancer.forgetPathFailures();
+    }
+}
+
 ////////////////////////////////////////////////////////////
 std::string Gateway::Impl::quotaList() const
 {
@@ -311,7 +374,7 @@
 }
 
 ////////////////////////////////////////////////////////////
-std::string Gateway::Impl::metrics() const
+std::string Gateway::Impl::metrics()
 {
     std::string text = trafficMetrics.text() + stageTimes.text();
     const auto  add = [&text](std::string_view name, std::string_view type, auto value)
@@ -356,6 +419,7 @@
     add("body_bytes_held", "gauge", bodies->used());
     add("configuration_version", "gauge", version);
     text += admissionMetrics();
+    text += pathMetrics();
     if (additionalMetrics)
         text += additionalMetrics();
     return text;
@@ -379,8 +443,14 @@
     m_impl->balancer.configure(declared, core::now());
     m_impl->servers.setEvacuated(declared.evacuated);
     m_impl->servers.closeRestarted(declared.instances);
+    m_impl->servers.setPeers(declared.peers);
+    m_impl->servers.forget(declared.gone);
     if (declared.deployment)
     {
+        std::map<std::string, std::string> healthPaths;
+        for (const deployment::ServiceRule& rule : declared.deployment->services)
+            healthPaths.emplace(rule.name, rule.healthPath);
+        m_impl->servers.setHealthPaths(std::move(healthPaths));
         m_impl->callerLimits = declared.deployment->limits;
         m_impl->version = declared.deployment->version;
     }
@@ -447,6 +517,12 @@
     m_impl->performPendingSteps();
 }
 
+////////////////////////////////////////////////////////////
+void Gateway::serveTunnel(adapters::links::TunnelRequest request)
+{
+    m_impl->tunnels.serve(std::move(request));
+}
+
 ////////////////////////////////////////////////////////////
 void Gateway::setAdditionalMetrics(std::function<std::string()> generator)
 {
@@ -463,6 +539,7 @@
 void Gateway::startDraining()
 {
     m_impl->isDraining = true;
+    m_impl->tunnels.stop();
 }
 
 ////////////////////////////////////////////////////////////
@@ -484,7 +561,7 @@
 ////////////////////////////////////////////////////////////
 std::size_t Gateway::unfinishedRequests() const
 {
-    return m_impl->exchanges.size();
+    return m_impl->exchanges.size() + m_impl->tunnels.open();
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/GatewayImpl.hpp
+++ b/src/sailpath/gateway/GatewayImpl.hpp
@@ -6,6 +6,7 @@
 #include "Exchange.hpp"
 #include "ServerConnections.hpp"
 #include "StatusServer.hpp"
+#include "TunnelServer.hpp"
 #include "UnknownFieldDetector.hpp"
 
 #include <sailpath/gateway/Gateway.hpp>
@@ -63,9 +64,12 @@
     void finish(balance::Ticket ticket, const balance::Step& step);
     void log(priv::Exchange& exchange);                     //!< Log and measure an exchange that has ended
     void recordQuarantineRefusal(priv::Exchange& exchange); //!< Count the refusal and log its quarantine
-    [[nodiscard]] std::string metrics() const;              //!< Page with metrics
+    [[nodiscard]] std::string metrics();                    //!< Page with metrics
     [[nodiscard]] std::string quarantineList() const;       //!< Page with one line per quarantine
     [[nodiscard]] std::string limitList() const;            //!< Page with one line per limited server
+    [[nodiscard]] std::string pathList();                   //!< Page with one line per server whose direct path failed
+    [[nodiscard]] std::string pathMetrics();                //!< Paths lost, and tunnels of this node and for others
+    void                      logPathChanges();   //!< Log lost and regained paths, and drop what they made us conclude
     [[nodiscard]] std::string noticeList() const; //!< Page with one line per server that leaves or asked to back off
 
     [[nodiscard]] balance::Ticket newTicket() override;
@@ -87,6 +91,7 @@
     ports::EventLog&                                  events;
     balance::Balancer                                 balancer;
     priv::ServerConnections                           servers;
+    priv::TunnelServer                                tunnels; //!< For other nodes
     asio::ip::tcp::acceptor                           acceptor;
     asio::ip::tcp::endpoint                           acceptedPeer; //!< Remote address of the connection accepted last
     asio::steady_timer                                acceptTimer;
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -214,6 +214,7 @@
     if (auto news = balancer.takeLimitNews(); !news.empty() && limitsHandler)
         limitsHandler(std::move(news));
     logBalancerChanges();
+    logPathChanges();
     armDueTimer();
 }
 
@@ -409,6 +410,7 @@
 {
     detectStall();
     countConnectFailure(outcome.connectFailure);
+    counters.attemptsThroughHelpers += outcome.helper.empty() ? 0 : 1;
     const auto found = exchanges.find(ticket);
     if (found != exchanges.end())
     {
--- /dev/null
+++ b/src/sailpath/gateway/ServedTunnel.cpp
@@ -0,0 +1,171 @@
+#include "ServedTunnel.hpp"
+
+#include "ServerDial.hpp"
+
+#include <sailpath/adapters/links/TunnelCodec.hpp>
+
+#include <asio/write.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <utility>
+
+namespace sailpath::gateway::priv
+{
+namespace
+{
+constexpr auto connectTimeout = std::chrono::milliseconds{250}; // Shorter than the other node waits for an answer
+// Of a node that is silent; after the last of these the unacknowledged timeout ends the connection, as it counts for
+// keep-alive probes too.
+constexpr int  keepAliveIdleS = 5;
+constexpr int  keepAliveIntervalS = 1;
+
+////////////////////////////////////////////////////////////
+void setOption(asio::ip::tcp::socket& socket, int level, int name, int value)
+{
+    ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
+}
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+ServedTunnel::ServedTunnel(asio::io_context& context, const GatewaySettings& settings, asio::ip::tcp::socket peer,
+                           std::string unread, Events events) :
+m_peer(std::move(peer)),
+m_server(context),
+m_timer(context),
+m_settings(settings),
+m_events(std::move(events)),
+m_toServer(std::move(unread))
+{
+    setOption(m_peer, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(m_peer, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleS);
+    setOption(m_peer, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalS);
+    setOption(m_peer, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(m_settings.unacknowledgedTimeout.count() / 1000));
+    setOption(m_peer, IPPROTO_TCP, TCP_NODELAY, 1);
+}
+
+////////////////////////////////////////////////////////////
+void ServedTunnel::open(const deployment::Instance& instance)
+{
+    m_instance = instance;
+    prepareServerSocket(m_server, m_settings);
+    m_timer.expires_after(connectTimeout);
+    m_timer.async_wait(
+        [self = shared_from_this()](const asio::error_code& error)
+        {
+            if (!error && !self->m_connected && !self->m_ended)
+                self->connected(asio::error::timed_out);
+        });
+    asio::error_code              ignored;
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(instance.address, ignored), instance.port);
+    m_server.async_connect(endpoint,
+                           [self = shared_from_this()](const asio::error_code& error)
+                           {
+                               if (error != asio::error::operation_aborted)
+                                   self->connected(error);
+                           });
+}
+
+////////////////////////////////////////////////////////////
+void ServedTunnel::connected(const asio::error_code& error)
+{
+    if (m_ended)
+        return;
+    m_timer.cancel();
+    if (error)
+    {
+        asio::error_code ignored;
+        m_server.close(ignored);
+        return deny(m_events.failed(m_instance, error == asio::error::connection_refused));
+    }
+    m_connected = true;
+    m_events.connected(m_instance);
+    send(paths::TunnelOpened{paths::TunnelStatus::Open}, false);
+    if (m_toServer.empty())
+        readPeer();
+    else
+        writeServer();
+}
+
+////////////////////////////////////////////////////////////
+void ServedTunnel::deny(paths::TunnelStatus status)
+{
+    send(paths::TunnelOpened{status}, true);
+}
+
+////////////////////////////////////////////////////////////
+void ServedTunnel::send(const paths::TunnelMessage& message, bool last)
+{
+    m_toPeer = adapters::links::encodeTunnel(message);
+    asio::async_write(m_peer, asio::buffer(m_toPeer),
+                      [self = shared_from_this(), last](const asio::error_code& error, std::size_t)
+                      {
+                          if (error || last)
+                              return self->end();
+                          if (!self->m_ended)
+                              self->readServer();
+                      });
+}
+
+////////////////////////////////////////////////////////////
+void ServedTunnel::readPeer()
+{
+    m_peer.async_read_some(asio::buffer(m_fromPeer),
+                           [self = shared_from_this()](const asio::error_code& error, std::size_t bytes)
+                           {
+                               // The other node closes when its caller has left, so the server has to know at once.
+                               if (error)
+                                   return self->end();
+                               self->m_toServer.assign(self->m_fromPeer.data(), bytes);
+                               self->writeServer();
+                           });
+}
+
+////////////////////////////////////////////////////////////
+void ServedTunnel::writeServer()
+{
+    asio::async_write(m_server, asio::buffer(m_toServer),
+                      [self = shared_from_this()](const asio::error_code&, std::size_t)
+                      {
+                          // A write error is also reported to the pending read, after any answer that was received.
+                          if (!self->m_ended)
+                              self->readPeer();
+                      });
+}
+
+////////////////////////////////////////////////////////////
+void ServedTunnel::readServer()
+{
+    m_server.async_read_some(asio::buffer(m_fromServer),
+                             [self = shared_from_this()](const asio::error_code& error, std::size_t bytes)
+                             {
+                                 if (self->m_ended)
+                                     return;
+                                 if (error == asio::error::eof)
+                                     return self->send(paths::TunnelEnded{}, true);
+                                 if (error)
+                                     return self->end();
+                                 self->send(paths::TunnelData{{self->m_fromServer.data(), bytes}}, false);
+                             });
+}
+
+////////////////////////////////////////////////////////////
+void ServedTunnel::close()
+{
+    end();
+}
+
+////////////////////////////////////////////////////////////
+void ServedTunnel::end()
+{
+    if (std::exchange(m_ended, true))
+        return;
+    asio::error_code ignored;
+    m_timer.cancel();
+    m_server.close(ignored);
+    m_peer.close(ignored);
+    m_events.ended(shared_from_this());
+}
+
+} // namespace sailpath::gateway::priv
--- /dev/null
+++ b/src/sailpath/gateway/ServedTunnel.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <sailpath/deployment/Instance.hpp>
+#include <sailpath/gateway/GatewaySettings.hpp>
+#include <sailpath/paths/TunnelMessage.hpp>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace sailpath::gateway::priv
+{
+////////////////////////////////////////////////////////////
+/// \brief A connection to a server that is open for another node; passes bytes on and reads none of them
+////////////////////////////////////////////////////////////
+class ServedTunnel : public std::enable_shared_from_this<ServedTunnel>
+{
+public:
+    ////////////////////////////////////////////////////////////
+    /// \brief What the tunnel reports
+    ////////////////////////////////////////////////////////////
+    struct Events
+    {
+        std::function<void(const deployment::Instance&)> connected; //!< The server accepted
+        std::function<paths::TunnelStatus(const deployment::Instance&, bool refused)>
+            failed; //!< The connection did not come up; returns what the other node is told
+        std::function<void(const std::shared_ptr<ServedTunnel>&)> ended; //!< Called once
+    };
+
+    ////////////////////////////////////////////////////////////
+    /// \param peer   Connection of the other node
+    /// \param unread Bytes for the server that have arrived already
+    ////////////////////////////////////////////////////////////
+    ServedTunnel(asio::io_context& context, const GatewaySettings& settings, asio::ip::tcp::socket peer,
+                 std::string unread, Events events);
+
+    void open(const deployment::Instance& instance); //!< Connect to the server, then pass bytes on
+    void deny(paths::TunnelStatus status);           //!< Tell the other node that no tunnel is opened, and end
+    void close();                                    //!< Break both connections off
+
+private:
+    void connected(const asio::error_code& error);
+    void send(const paths::TunnelMessage& message, bool last);
+    void readPeer();
+    void writeServer();
+    void readServer();
+    void end();
+
+    asio::ip::tcp::socket  m_peer;   //!< Connection of the other node
+    asio::ip::tcp::socket  m_server; //!< Connection to the server
+    asio::steady_timer     m_timer;  //!< Timeout of connecting
+    const GatewaySettings& m_settings;
+    Events                 m_events;
+    deployment::Instance   m_instance;
+    std::string            m_toServer;     //!< Bytes that are being written
+    std::string            m_toPeer;       //!< Message that is being written
+    std::array<char, 8192> m_fromPeer{};   //!< Receive buffer
+    std::array<char, 8192> m_fromServer{}; //!< Receive buffer
+    bool                   m_connected{false};
+    bool                   m_ended{false};
+};
+
+} // namespace sailpath::gateway::priv
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -2,13 +2,12 @@
 
 #include "AnswerHead.hpp"
 
+#include <sailpath/adapters/links/TunnelCodec.hpp>
 #include <sailpath/core/Clock.hpp>
 
 #include <asio/write.hpp>
 
 #include <algorithm>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <utility>
 
 namespace sailpath::gateway::priv
@@ -23,15 +22,16 @@
 
 ////////////////////////////////////////////////////////////
 ServerConnection::ServerConnection(asio::io_context& context, std::shared_ptr<const deployment::Instance> instance,
-                                   const GatewaySettings& settings, const Dialect& dialect, ChangeCallback onChange,
-                                   NoticeCallback onNotice) :
-m_socket(context),
+                                   const GatewaySettings& settings, const Dialect& dialect, Paths& paths,
+                                   paths::DialWays ways, ServerConnectionEvents& events) :
+m_context(context),
 m_timer(context),
 m_instance(std::move(instance)),
 m_settings(settings),
 m_dialect(dialect),
-m_onChange(std::move(onChange)),
-m_onNotice(std::move(onNotice))
+m_paths(paths),
+m_ways(ways),
+m_events(events)
 {
 }
 
@@ -40,6 +40,7 @@
 {
     m_request = std::move(request);
     m_onDone = std::move(onDone);
+    ++m_sends;
     startReader();
     if (m_state == State::New)
         return connect();
@@ -74,53 +75,28 @@
 {
     m_state = State::Connecting;
     m_since = core::now();
-    asio::error_code ignored;
-    m_socket.open(asio::ip::tcp::v4(), ignored);
-    m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-    const asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT> userTimeout(
-        static_cast<int>(m_settings.unacknowledgedTimeout.count() / 1000));
-    m_socket.set_option(userTimeout, ignored);
-    bindSource();
-    auto self = shared_from_this();
-    m_timer.expires_after(m_settings.connectTimeout);
-    m_timer.async_wait(
-        [self](const asio::error_code& error)
-        {
-            if (!error && self->m_state == State::Connecting)
-                self->handleConnectFailure(balance::ConnectFailure::TimedOut);
-        });
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_instance->address, ignored), m_instance->port);
-    m_socket.async_connect(endpoint,
-                           [self](const asio::error_code& error)
-                           {
-                               if (self->m_state != State::Connecting)
-                                   return;
-                               self->m_timer.cancel();
-                               if (error)
-                                   return self->handleConnectFailure(error == asio::error::connection_refused
-                                                                         ? balance::ConnectFailure::Refused
-                                                                         : balance::ConnectFailure::Broken);
-                               self->handleConnected();
-                           });
-}
-
-////////////////////////////////////////////////////////////
-void ServerConnection::bindSource()
-{
-    if (m_settings.serverSource.empty())
-        return;
-    asio::error_code                                                                ignored;
-    // The port is chosen on connecting, so that connections to different servers can share one.
-    const asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT> noPort(true);
-    m_socket.set_option(noPort, ignored);
-    m_socket.bind({asio::ip::make_address(m_settings.serverSource, ignored), 0}, ignored);
+    m_dial = std::make_shared<ServerDial>(m_context, m_settings, m_paths, *m_instance, m_ways);
+    m_dial->start([self = shared_from_this()](DialResult result) { self->dialed(std::move(result)); });
 }
 
 ////////////////////////////////////////////////////////////
-void ServerConnection::handleConnectFailure(balance::ConnectFailure failure)
+void ServerConnection::dialed(DialResult result)
 {
-    m_connectFailure = failure;
-    if (failure == balance::ConnectFailure::Refused)
+    m_dial.reset();
+    m_socket = std::move(result.socket);
+    if (m_socket)
+    {
+        m_helper = std::move(result.helper);
+        m_wrapped = std::move(result.unread);
+        m_openedAt = core::now();
+        unwrap(0);
+        const bool ended = m_tunnelEnded || !m_unread.empty();
+        return ended ? handleEnd(false) : handleConnected();
+    }
+    m_connectFailure = result.failure;
+    // Without a helper's word, a refusal may be that of the path.
+    const bool refused = result.failure == balance::ConnectFailure::Refused;
+    if (refused && (result.serverDown || m_paths.helpers.empty()))
         reportCheck(balance::CheckResult::Refuses);
     handleEnd(false);
 }
@@ -133,7 +109,7 @@
     {
         m_state = State::Idle;
         m_since = core::now();
-        m_onChange(*this);
+        m_events.changed(*this);
         return reportCheck(balance::CheckResult::Accepts);
     }
     if (!m_request.atMostOnce)
@@ -161,7 +137,9 @@
 {
     m_requestWritten = false;
     auto self = shared_from_this();
-    asio::async_write(m_socket, asio::buffer(m_request.bytes),
+    m_sentAt = core::now();
+    m_events.awaiting(*this);
+    asio::async_write(*m_socket, asio::buffer(m_request.bytes),
                       [self](const asio::error_code& error, std::size_t)
                       {
                           // A write error is also reported to the pending read, after any answer that was received.
@@ -172,30 +150,64 @@
 ////////////////////////////////////////////////////////////
 void ServerConnection::read()
 {
-    auto self = shared_from_this();
-    m_socket.async_read_some(asio::buffer(m_buffer),
-                             [self](const asio::error_code& error, std::size_t bytes)
-                             {
-                                 if (self->m_state == State::Closed)
-                                     return;
-                                 const bool cleanEnd = error == asio::error::eof;
-                                 const bool reset =
-                                     error == asio::error::connection_reset || error == asio::error::broken_pipe;
-                                 if (error)
-                                     return self->handleEnd(cleanEnd, cleanEnd || reset);
-                                 self->handleBytes(bytes);
-                                 if (self->m_state != State::Closed)
-                                     self->read();
-                             });
+    m_socket->async_read_some(asio::buffer(m_buffer),
+                              [self = shared_from_this()](const asio::error_code& error, std::size_t bytes)
+                              {
+                                  if (self->m_state == State::Closed)
+                                      return;
+                                  if (error)
+                                      return self->handleReadError(error);
+                                  self->m_heardAt = core::now();
+                                  if (self->m_helper.empty())
+                                      self->m_unread.append(self->m_buffer.data(), bytes);
+                                  else
+                                      self->unwrap(bytes);
+                                  self->handleBytes();
+                                  if (self->m_state != State::Closed && self->m_tunnelEnded)
+                                      return self->handleEnd(true);
+                                  if (self->m_state != State::Closed)
+                                      self->read();
+                              });
 }
 
 ////////////////////////////////////////////////////////////
-void ServerConnection::handleBytes(std::size_t bytes)
+void ServerConnection::unwrap(std::size_t bytes)
 {
+    m_wrapped.append(m_buffer.data(), bytes);
+    while (!m_wrapped.empty())
+    {
+        const adapters::links::DecodedTunnel decoded = adapters::links::decodeTunnel(m_wrapped);
+        if (decoded.malformed)
+            return handleEnd(false);
+        if (!decoded.message)
+            return;
+        m_wrapped.erase(0, decoded.taken);
+        if (const auto* data = std::get_if<paths::TunnelData>(&*decoded.message))
+            m_unread.append(data->bytes);
+        else
+            m_tunnelEnded = true;
+    }
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::handleReadError(const asio::error_code& error)
+{
+    if (m_helper.empty() && m_heardAt == core::Timestamp{} && m_state != State::Idle)
+        m_events.endedUnheard(*this);
+    // A helper that ends closes its connections as a server does, so only its message tells that the server ended one.
+    const bool cleanEnd = m_helper.empty() && error == asio::error::eof;
+    const bool reset = error == asio::error::connection_reset || error == asio::error::broken_pipe;
+    handleEnd(cleanEnd, m_helper.empty() && (cleanEnd || reset));
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::handleBytes()
+{
+    if (m_state == State::Closed || m_unread.empty())
+        return;
     // Bytes on an idle connection belong to no request.
     if (m_state != State::Busy)
         return close();
-    m_unread.append(m_buffer.data(), bytes);
     while (m_state == State::Busy && !m_unread.empty())
     {
         m_unread.erase(0, m_reader->read(m_unread));
@@ -228,8 +240,8 @@
     // A notice holds for the server even if its answer is late or a duplicate.
     const balance::ServerNotice notice = parseNotice(m_reader->head(), m_request.probe, m_instance->id, m_dialect);
     if (!notice.empty())
-        m_onNotice(m_instance, notice,
-                   m_request.probe ? balance::NoticeSource::HealthAnswer : balance::NoticeSource::Answer);
+        m_events.noticed(m_instance, notice,
+                         m_request.probe ? balance::NoticeSource::HealthAnswer : balance::NoticeSource::Answer);
 }
 
 ////////////////////////////////////////////////////////////
@@ -246,12 +258,14 @@
         startReader();
         return;
     }
-    const balance::Outcome outcome =
+    m_events.heard(*this);
+    balance::Outcome outcome =
         m_request.probe ? classifyProbe(head, m_instance->id, m_dialect) : classifyAnswer(head, m_dialect);
     // After an answer that is not the server's own, the expected one may still arrive, so the connection is not reused.
     const bool reusable = outcome.end != balance::AttemptEnd::Lost && !m_notReusable;
     const bool keep = head.keepAlive && !head.untilEnd && m_requestWritten && reusable && m_unread.empty();
     m_keepAliveTimeout = parseKeepAlive(head);
+    outcome.helper = m_helper;
     ServerAnswer answer{head, m_reader->takeBody()};
     finish(outcome, std::move(answer), keep);
 }
@@ -269,7 +283,10 @@
     m_state = State::Closed;
     asio::error_code ignored;
     m_timer.cancel();
-    m_socket.close(ignored);
+    if (const auto dial = std::exchange(m_dial, nullptr))
+        dial->cancel();
+    if (m_socket)
+        m_socket->close(ignored);
     reportCheck(balance::CheckResult::Unknown);
     if (previous == State::Connecting || previous == State::Busy)
     {
@@ -280,12 +297,13 @@
             outcome.connectFailure = m_connectFailure;
         const DoneCallback onDone = std::move(m_onDone);
         m_onDone = nullptr;
-        m_onChange(*this);
+        outcome.helper = m_helper;
+        m_events.changed(*this);
         if (onDone)
             onDone(outcome, {});
         return;
     }
-    m_onChange(*this);
+    m_events.changed(*this);
 }
 
 ////////////////////////////////////////////////////////////
@@ -299,9 +317,9 @@
     if (!keep)
     {
         asio::error_code ignored;
-        m_socket.close(ignored);
+        m_socket->close(ignored);
     }
-    m_onChange(*this);
+    m_events.changed(*this);
     if (onDone)
         onDone(outcome, std::move(answer));
 }
@@ -350,4 +368,46 @@
     return m_keepAliveTimeout;
 }
 
+////////////////////////////////////////////////////////////
+const std::string& ServerConnection::helper() const
+{
+    return m_helper;
+}
+
+////////////////////////////////////////////////////////////
+bool ServerConnection::isProbe() const
+{
+    return m_request.probe;
+}
+
+////////////////////////////////////////////////////////////
+bool ServerConnection::awaits(std::uint64_t send) const
+{
+    return m_state == State::Busy && m_sends == send;
+}
+
+////////////////////////////////////////////////////////////
+std::uint64_t ServerConnection::sends() const
+{
+    return m_sends;
+}
+
+////////////////////////////////////////////////////////////
+core::Timestamp ServerConnection::sentAt() const
+{
+    return m_sentAt;
+}
+
+////////////////////////////////////////////////////////////
+core::Timestamp ServerConnection::openedAt() const
+{
+    return m_openedAt;
+}
+
+////////////////////////////////////////////////////////////
+core::Timestamp ServerConnection::heardAt() const
+{
+    return m_heardAt;
+}
+
 } // namespace sailpath::gateway::priv
--- a/src/sailpath/gateway/ServerConnection.hpp
+++ b/src/sailpath/gateway/ServerConnection.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "ServerDial.hpp"
+
 #include <sailpath/balance/Balancer.hpp>
 #include <sailpath/deployment/Instance.hpp>
 #include <sailpath/gateway/Dialect.hpp>
@@ -37,6 +39,25 @@
     bool        atMostOnce{false}; //!< May not run twice; on a new connection, sent only after a wait for a reset
 };
 
+class ServerConnection;
+
+////////////////////////////////////////////////////////////
+/// \brief What a connection to a server reports
+////////////////////////////////////////////////////////////
+class ServerConnectionEvents
+{
+public:
+    virtual ~ServerConnectionEvents() = default;
+
+    virtual void changed(ServerConnection& connection) = 0;      //!< It became idle or closed
+    virtual void heard(ServerConnection& connection) = 0;        //!< An answer has arrived
+    virtual void awaiting(ServerConnection& connection) = 0;     //!< A request was sent, its answer is awaited
+    virtual void endedUnheard(ServerConnection& connection) = 0; //!< It came up, was used, and ended without a byte
+    /// \brief A server's notice arrived
+    virtual void noticed(const std::shared_ptr<const deployment::Instance>& instance,
+                         const balance::ServerNotice& notice, balance::NoticeSource source) = 0;
+};
+
 ////////////////////////////////////////////////////////////
 /// \brief A connection to one instance, for one request at a time
 ////////////////////////////////////////////////////////////
@@ -44,14 +65,16 @@
 {
 public:
     using DoneCallback = std::function<void(const balance::Outcome&, ServerAnswer)>;
-    using ChangeCallback = std::function<void(ServerConnection&)>;
     using CheckCallback = std::function<void(balance::CheckResult)>;
-    using NoticeCallback = std::function<void(const std::shared_ptr<const deployment::Instance>&,
-                                              const balance::ServerNotice&, balance::NoticeSource)>;
 
+    ////////////////////////////////////////////////////////////
+    /// \param paths  State of paths; outlives the connection
+    /// \param ways   Ways by which the connection may be opened
+    /// \param events Told what happens; outlives the connection
+    ////////////////////////////////////////////////////////////
     ServerConnection(asio::io_context& context, std::shared_ptr<const deployment::Instance> instance,
-                     const GatewaySettings& settings, const Dialect& dialect, ChangeCallback onChange,
-                     NoticeCallback onNotice);
+                     const GatewaySettings& settings, const Dialect& dialect, Paths& paths, paths::DialWays ways,
+                     ServerConnectionEvents& events);
 
     void send(OutgoingRequest request, DoneCallback onDone); //!< Connect if needed and send; reports the outcome once
     void check(CheckCallback onChecked);                     //!< Connect and become idle; reports the result once
@@ -63,6 +86,13 @@
     [[nodiscard]] bool                        closed() const;
     [[nodiscard]] core::Duration              idleTime() const;         //!< Since it became idle
     [[nodiscard]] core::Duration              keepAliveTimeout() const; //!< Named by the server; 0 if not
+    [[nodiscard]] const std::string&          helper() const;  //!< Node that it goes through; empty when direct
+    [[nodiscard]] bool                        isProbe() const; //!< The request in progress is a health check
+    [[nodiscard]] bool                        awaits(std::uint64_t send) const; //!< This request has no answer yet
+    [[nodiscard]] std::uint64_t               sends() const;                    //!< Number of the last request, from 1
+    [[nodiscard]] core::Timestamp             sentAt() const;                   //!< When the last request was sent
+    [[nodiscard]] core::Timestamp             openedAt() const;                 //!< When it came up
+    [[nodiscard]] core::Timestamp             heardAt() const; //!< Last bytes of the server; 0 before the first
 
 private:
     enum class State
@@ -75,12 +105,13 @@
     };
 
     void               connect();
-    void               bindSource(); //!< Bind the socket to the source address of the settings
+    void               dialed(DialResult result);
     void               handleConnected();
-    void               handleConnectFailure(balance::ConnectFailure failure);
+    void               unwrap(std::size_t bytes); //!< Take the server's bytes out of a helper's messages
+    void               handleReadError(const asio::error_code& error);
     void               write();
     void               read();
-    void               handleBytes(std::size_t bytes);
+    void               handleBytes();
     void               handleEnd(bool cleanEnd, bool byServer = false);
     void               reportCheck(balance::CheckResult result);
     void               handleAnswer();
@@ -89,20 +120,30 @@
     void               reportNotice(); //!< From the complete head of the answer, once for each answer
     [[nodiscard]] bool answersRequest(const http::Head& head) const;
 
-    asio::ip::tcp::socket                       m_socket;    //!< Socket of the connection
-    asio::steady_timer                          m_timer;     //!< Timeout of connecting; wait for a reset
-    std::shared_ptr<const deployment::Instance> m_instance;  //!< Instance at the other end
-    const GatewaySettings&                      m_settings;  //!< Timeouts and sizes
-    const Dialect&                              m_dialect;   //!< Names of header fields
-    ChangeCallback                              m_onChange;  //!< Called when the connection becomes idle or closes
-    NoticeCallback                              m_onNotice;  //!< Called for notices on answers
-    DoneCallback                                m_onDone;    //!< Called with the outcome of the request
-    CheckCallback                               m_onChecked; //!< Called with the result of a check
-    OutgoingRequest                             m_request;   //!< Request in progress
-    std::unique_ptr<http::MessageReader>        m_reader;    //!< Parser of the answer
-    std::string                                 m_unread;    //!< Bytes received but not parsed
-    std::array<char, 8192>                      m_buffer{};  //!< Receive buffer
-    core::Timestamp                             m_since{};   //!< When the connection became idle, or began to connect
+    asio::io_context&                           m_context;    //!< Event loop
+    std::shared_ptr<asio::ip::tcp::socket>      m_socket;     //!< Socket of the connection; null before it is up
+    asio::steady_timer                          m_timer;      //!< Timeout of connecting; wait for a reset
+    std::shared_ptr<const deployment::Instance> m_instance;   //!< Instance at the other end
+    const GatewaySettings&                      m_settings;   //!< Timeouts and sizes
+    const Dialect&                              m_dialect;    //!< Names of header fields
+    Paths&                                      m_paths;      //!< State of paths
+    paths::DialWays                             m_ways;       //!< Ways by which it may be opened
+    ServerConnectionEvents&                     m_events;     //!< Told what happens
+    std::shared_ptr<ServerDial>                 m_dial;       //!< While it is being opened
+    std::string                                 m_helper;     //!< Node that it goes through; empty when direct
+    std::string                                 m_wrapped;    //!< Bytes of the helper, not unwrapped yet
+    DoneCallback                                m_onDone;     //!< Called with the outcome of the request
+    CheckCallback                               m_onChecked;  //!< Called with the result of a check
+    OutgoingRequest                             m_request;    //!< Request in progress
+    std::unique_ptr<http::MessageReader>        m_reader;     //!< Parser of the answer
+    std::string                                 m_unread;     //!< Bytes received but not parsed
+    std::array<char, 8192>                      m_buffer{};   //!< Receive buffer
+    core::Timestamp                             m_since{};    //!< When the connection became idle, or began to connect
+    core::Timestamp                             m_openedAt{}; //!< When the connection came up
+    core::Timestamp                             m_heardAt{};  //!< Last bytes of the server
+    core::Timestamp                             m_sentAt{};   //!< When the last request was sent
+    std::uint64_t                               m_sends{0};   //!< Requests given to it
+    bool                                        m_tunnelEnded{false};          //!< The server ended the tunnel in order
     core::Duration                              m_keepAliveTimeout{};          //!< Named by the server; 0 if not
     State                                       m_state{State::New};           //!< State of the connection
     balance::ConnectFailure m_connectFailure{balance::ConnectFailure::Broken}; //!< Why no connection was opened
--- a/src/sailpath/replication/Replica.cpp
+++ b/src/sailpath/replication/Replica.cpp
@@ -443,6 +443,37 @@
     return all;
 }
 
+////////////////////////////////////////////////////////////
+std::vector<NodeAddress> Replica::listPeers(std::size_t most, core::Timestamp now) const
+{
+    std::vector<std::pair<std::uint64_t, NodeAddress>> ranked;
+    const std::uint64_t                                seed = core::hash(m_settings.self.address);
+    for (const auto& [address, known] : m_knownNodes)
+    {
+        if (now - known.lastHeardAt < m_settings.nodeTtl)
+            ranked.emplace_back(core::hash(address, seed), NodeAddress{address, known.dataCentre, 0, known.capacity});
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const auto& left, const auto& right) { return left.first < right.first; });
+    ranked.resize(std::min(ranked.size(), most));
+    std::vector<NodeAddress> peers;
+    peers.reserve(ranked.size());
+    for (auto& [rank, node] : ranked)
+        peers.push_back(std::move(node));
+    return peers;
+}
+
+////////////////////////////////////////////////////////////
+bool Replica::isMember(std::string_view ip) const
+{
+    return std::any_of(m_knownNodes.begin(), m_knownNodes.end(),
+                       [ip](const auto& known)
+                       {
+                           const std::string_view address = known.first;
+                           return address.substr(0, address.rfind(':')) == ip;
+                       });
+}
+
 ////////////////////////////////////////////////////////////
 bool Replica::storeCallPending() const
 {
--- a/test/platform/soak/proxy.py
+++ b/test/platform/soak/proxy.py
@@ -130,7 +130,10 @@
                     back: bool) -> None:
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while data := await reader.read(CHUNK):
+                waited = passage.held
                 await self._wait_to_pass(passage, back)
+                if waited and reader.at_eof():
+                    return  # What a cut holds up is lost when its sender closes
                 if self.mode == Mode.DELAY:
                     await asyncio.sleep(self.delay)
                 writer.write(data)
