--- a/include/sailpath/adapters/settings/Option.hpp
+++ b/include/sailpath/adapters/settings/Option.hpp
@@ -14,6 +14,7 @@
     Whole,        //!< Whole number, 0 or more
     Number,       //!< Number, 0 or more
     Milliseconds, //!< Whole number of milliseconds
+    Address,      //!< IP address, or nothing
     Endpoint,     //!< `IP:PORT`
     Endpoints,    //!< `IP:PORT` separated by commas, or nothing
     Switch,       //!< `true` or `false`; a flag without a value means `true`
--- a/src/programs/GatewayProgram.cpp
+++ b/src/programs/GatewayProgram.cpp
@@ -53,7 +53,7 @@
     Option{"cpu-share", OptionKind::Number, "1", "cores that this VM may use"},
     Option{"memory-mb", OptionKind::Number, "256", "memory that the process may use"},
     Option{"descriptors", OptionKind::Whole, "4096", "file descriptors that the process may use"},
-    Option{"server-source", OptionKind::Text, "",
+    Option{"server-source", OptionKind::Address, "",
            "IP address that connections to servers come from; the system chooses when empty"},
     Option{"metrics-listen", OptionKind::Endpoints, "", "where /metrics is served; nowhere when empty"},
     Option{"log-lines", OptionKind::Whole, "40", "lines of one kind of event in a second, at most"},
--- a/src/sailpath/adapters/settings/SettingsReader.cpp
+++ b/src/sailpath/adapters/settings/SettingsReader.cpp
@@ -98,6 +98,8 @@
         return isNumber<std::uint64_t>(value) ? "" : "expected a whole number, 0 or more";
     case OptionKind::Number:
         return isNumber<double>(value) ? "" : "expected a number, 0 or more";
+    case OptionKind::Address:
+        return value.empty() || parseEndpoint(std::string(value) + ":1") ? "" : "expected an IP address";
     case OptionKind::Endpoint:
         return parseEndpoint(value) ? "" : "expected IP:PORT";
     case OptionKind::Endpoints:
