--- a/include/sailpath/paths/PathMonitor.hpp
+++ b/include/sailpath/paths/PathMonitor.hpp
@@ -38,8 +38,9 @@
 ////////////////////////////////////////////////////////////
 /// \brief Tells servers that this node cannot reach from servers that nobody can reach
 ///
-/// The direct path to a server is lost when it failed and a helper, another
-/// node, reaches the server. Two lost servers of one service or of one data
+/// The direct path to a server is lost when it failed, a helper, another node,
+/// reached the server, and a direct attempt that began after that failed too:
+/// a server that starts or returns is reached by whoever tries last. Two lost servers of one service or of one data
 /// centre stand for all of it, until a new direct connection to one of them
 /// works. A server that a helper cannot reach either is at fault itself.
 ///
@@ -58,8 +59,13 @@
     ////////////////////////////////////////////////////////////
     void recordHeard(const deployment::Instance& server, core::Timestamp openedAt, core::Timestamp now);
 
-    void recordFailed(const deployment::Instance& server,
-                      core::Timestamp             now); //!< A direct connection failed or is silent
+    ////////////////////////////////////////////////////////////
+    /// \brief Record a direct connection that failed or is silent
+    ///
+    /// \param startedAt When it began to connect, or when the request without an answer was sent
+    ////////////////////////////////////////////////////////////
+    void recordFailed(const deployment::Instance& server, core::Timestamp startedAt, core::Timestamp now);
+
     void recordReached(const deployment::Instance& server, core::Timestamp now); //!< A helper reached the server
     void recordUnreachable(const deployment::Instance& server,
                            core::Timestamp             now); //!< A helper that reaches servers cannot reach this one
@@ -76,6 +82,8 @@
                                         core::Timestamp now) const; //!< The same, on a connection opened just before
     [[nodiscard]] bool anyFailed() const; //!< Whether the direct path to any server failed lately
     [[nodiscard]] bool anyLost(core::Timestamp now) const;
+    [[nodiscard]] bool needsTrial(const deployment::Instance& server,
+                                  core::Timestamp now) const; //!< A direct attempt has to show whether its path is lost
 
     ////////////////////////////////////////////////////////////
     /// \brief Choose a lost server to be tried directly; null when none is lost or one was tried just now
@@ -90,10 +98,12 @@
     {
         deployment::Instance           instance;
         core::Timestamp                firstFailedAt{};
-        core::Timestamp                failedAt{};  //!< Last failure of the direct path
-        std::optional<core::Timestamp> reachedAt;   //!< A helper last reached the server
-        core::Timestamp                lostUntil{}; //!< The path counts as lost by itself until then
-        unsigned                       losses{0};   //!< Times in a row that the path was found lost
+        core::Timestamp                failedAt{};      //!< Last failure of the direct path
+        core::Timestamp                lastStartedAt{}; //!< When the latest attempt that failed began
+        std::optional<core::Timestamp> firstReachedAt;  //!< A helper first reached the server after that
+        std::optional<core::Timestamp> reachedAt;       //!< A helper last reached the server
+        core::Timestamp                lostUntil{};     //!< The path counts as lost by itself until then
+        unsigned                       losses{0};       //!< Times in a row that the path was found lost
         core::Timestamp                unreachableUntil{};
         core::Timestamp                recheckedAt{};
     };
--- a/src/sailpath/gateway/ServerConnections.cpp
+++ b/src/sailpath/gateway/ServerConnections.cpp
@@ -29,7 +29,7 @@
 m_dialect(dialect),
 m_onCount(std::move(onCount)),
 m_onNotice(std::move(onNotice)),
-m_paths{{}, {settings.self, settings.balance.dataCentre}},
+m_paths{{}, {settings.self, settings.balance.dataCentre}, [this](const auto& server) { tryDirectly(server); }},
 m_silenceTimer(context)
 {
 }
@@ -138,6 +138,7 @@
         tryServer(std::make_shared<const deployment::Instance>(*server), paths::DialWays::DirectOnly);
     std::erase_if(m_silentSince, [](const auto& entry) { return core::now() - entry.second > silenceMemory; });
     std::erase_if(m_helperHeardAt, [](const auto& entry) { return core::now() - entry.second > silenceMemory; });
+    std::erase_if(m_triedAt, [](const auto& entry) { return core::now() - entry.second > silenceMemory; });
     std::erase_if(m_verifiedAt, [](const auto& entry) { return core::now() - entry.second > silenceMemory; });
 }
 
@@ -155,6 +156,18 @@
     tryServer(instance, paths::DialWays::TunnelOnly);
 }
 
+////////////////////////////////////////////////////////////
+void ServerConnections::tryDirectly(const deployment::Instance& server)
+{
+    const auto now = core::now();
+    const auto last = m_triedAt.find(server.id);
+    const bool justTried = last != m_triedAt.end() && now - last->second < verifyInterval;
+    if (justTried || !m_paths.monitor.needsTrial(server, now))
+        return;
+    m_triedAt[server.id] = now;
+    tryServer(std::make_shared<const deployment::Instance>(server), paths::DialWays::DirectOnly);
+}
+
 ////////////////////////////////////////////////////////////
 void ServerConnections::awaiting(ServerConnection& connection)
 {
@@ -232,6 +245,9 @@
     core::Timestamp& since = m_silentSince[instance->id];
     since = std::max(since, sentAt);
     const auto helperHeard = m_helperHeardAt.find(connection.helper());
+    const bool neverHeard = connection.heardAt() == core::Timestamp{};
+    if (connection.helper().empty() && neverHeard)
+        m_paths.monitor.recordFailed(*instance, connection.openedAt(), core::now());
     if (!connection.helper().empty() && (helperHeard == m_helperHeardAt.end() || helperHeard->second < sentAt))
         m_paths.helpers.recordFailed(connection.helper(), paths::HelperFailure::Silent, core::now());
     verify(instance);
@@ -249,9 +265,10 @@
         return m_paths.monitor.recordHeard(server, connection.openedAt(), now);
     m_helperHeardAt[connection.helper()] = now;
     // The helper's way works; when the direct one is silent meanwhile, it has failed.
-    if (m_silentSince.contains(server.id))
-        m_paths.monitor.recordFailed(server, now);
+    if (const auto silent = m_silentSince.find(server.id); silent != m_silentSince.end())
+        m_paths.monitor.recordFailed(server, silent->second, now);
     m_paths.monitor.recordReached(server, now);
+    tryDirectly(server);
 }
 
 ////////////////////////////////////////////////////////////
@@ -260,7 +277,7 @@
     // A server that has no room resets new connections too; then others still accept some.
     if (m_paths.monitor.freshHeardWithin(freshAge, core::now()))
         return;
-    m_paths.monitor.recordFailed(connection.instance(), core::now());
+    m_paths.monitor.recordFailed(connection.instance(), connection.openedAt(), core::now());
     verify(std::make_shared<const deployment::Instance>(connection.instance()));
 }
 
--- a/src/sailpath/gateway/ServerConnections.hpp
+++ b/src/sailpath/gateway/ServerConnections.hpp
@@ -101,6 +101,8 @@
     void               tryServer(const std::shared_ptr<const deployment::Instance>& instance, paths::DialWays ways);
     /// \brief Ask a helper whether it reaches the server
     void               verify(const std::shared_ptr<const deployment::Instance>& instance);
+    /// \brief Learn whether the path to a server that a helper reaches is lost
+    void               tryDirectly(const deployment::Instance& server);
     void               reportCounts(const deployment::Instance& instance);
     void               closeIdleWhere(const std::function<bool(const ServerConnection&)>& condition);
     [[nodiscard]] core::Duration idleLimit(const ServerConnection& connection) const;
@@ -119,6 +121,7 @@
     std::deque<Awaited>                m_awaitedRequests; //!< Other requests without an answer
     core::Duration                     m_checkTime{};     //!< Moving average of the time to a health answer
     std::unordered_map<std::string, core::Timestamp> m_silentSince;   //!< Sending of an unanswered request, by instance
+    std::unordered_map<std::string, core::Timestamp> m_triedAt;       //!< Last trial of a direct path, by instance
     std::unordered_map<std::string, core::Timestamp> m_verifiedAt;    //!< Last question to a helper, by instance
     std::unordered_map<std::string, core::Timestamp> m_helperHeardAt; //!< Last answer through a helper, by address
     bool                                             m_silenceTimerArmed{false};
--- a/src/sailpath/gateway/ServerDial.cpp
+++ b/src/sailpath/gateway/ServerDial.cpp
@@ -17,14 +17,15 @@
 {
 using Socket = asio::ip::tcp::socket;
 
+constexpr auto trialTimeout = std::chrono::milliseconds{120};   // To learn whether a direct path works
 constexpr auto stallThreshold = std::chrono::milliseconds{100}; // Delay of a timer that shows that the loop stood still
 constexpr auto catchUpTime = std::chrono::milliseconds{50};     // Time to read what arrived meanwhile
 
 ////////////////////////////////////////////////////////////
-paths::DialSettings dialSettings(const GatewaySettings& settings)
+paths::DialSettings dialSettings(const GatewaySettings& settings, paths::DialWays ways)
 {
     paths::DialSettings dial;
-    dial.directTimeout = settings.connectTimeout;
+    dial.directTimeout = ways == paths::DialWays::DirectOnly ? core::Duration(trialTimeout) : settings.connectTimeout;
     return dial;
 }
 
@@ -78,7 +79,7 @@
 m_settings(settings),
 m_paths(paths),
 m_instance(std::move(instance)),
-m_plan(dialSettings(settings), m_paths.monitor.state(m_instance, core::now()), ways,
+m_plan(dialSettings(settings, ways), m_paths.monitor.state(m_instance, core::now()), ways,
        !m_paths.helpers.empty() && !m_paths.monitor.isUnreachable(m_instance, core::now())),
 m_timer(context)
 {
@@ -182,7 +183,7 @@
     asio::error_code ignored;
     m_direct->close(ignored);
     m_direct.reset();
-    m_paths.monitor.recordFailed(m_instance, core::now());
+    m_paths.monitor.recordFailed(m_instance, m_directStartedAt, core::now());
     perform(m_plan.directFailed(core::now()));
 }
 
@@ -280,8 +281,9 @@
     m_paths.helpers.recordOpened(tunnel->helper, now);
     // A direct attempt that takes this much longer is as good as failed.
     if (m_direct && now - m_directStartedAt >= paths::DialSettings{}.tunnelDelay)
-        m_paths.monitor.recordFailed(m_instance, now);
+        m_paths.monitor.recordFailed(m_instance, m_directStartedAt, now);
     m_paths.monitor.recordReached(m_instance, now);
+    m_paths.onReached(m_instance);
     tunnel->ended = true;
     tunnel->timer.cancel();
     finish({tunnel->socket, tunnel->helper, std::move(tunnel->unread)});
--- a/src/sailpath/gateway/ServerDial.hpp
+++ b/src/sailpath/gateway/ServerDial.hpp
@@ -29,8 +29,9 @@
 ////////////////////////////////////////////////////////////
 struct Paths
 {
-    paths::PathMonitor    monitor; //!< State of the direct paths
-    paths::HelperSelector helpers; //!< Nodes that reach servers in their place
+    paths::PathMonitor                               monitor;   //!< State of the direct paths
+    paths::HelperSelector                            helpers;   //!< Nodes that reach servers in their place
+    std::function<void(const deployment::Instance&)> onReached; //!< A helper reached a server
 };
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/TunnelServer.cpp
+++ b/src/sailpath/gateway/TunnelServer.cpp
@@ -74,7 +74,7 @@
 ////////////////////////////////////////////////////////////
 paths::TunnelStatus TunnelServer::connectFailed(const deployment::Instance& instance, bool refused)
 {
-    m_paths.monitor.recordFailed(instance, core::now());
+    m_paths.monitor.recordFailed(instance, core::now(), core::now());
     // Only a node that reaches other servers can tell that this one is at fault.
     if (!m_paths.monitor.heardWithin(heardLately, core::now()))
         return paths::TunnelStatus::NoPath;
--- a/src/sailpath/paths/PathMonitor.cpp
+++ b/src/sailpath/paths/PathMonitor.cpp
@@ -46,7 +46,7 @@
 }
 
 ////////////////////////////////////////////////////////////
-void PathMonitor::recordFailed(const deployment::Instance& server, core::Timestamp now)
+void PathMonitor::recordFailed(const deployment::Instance& server, core::Timestamp startedAt, core::Timestamp now)
 {
     expire(now);
     if (m_records.size() >= maxRecords && !m_records.contains(server.id))
@@ -56,6 +56,7 @@
         record.firstFailedAt = now;
     record.instance = server;
     record.failedAt = now;
+    record.lastStartedAt = std::max(record.lastStartedAt, startedAt);
     conclude(record, now);
 }
 
@@ -65,9 +66,12 @@
     const auto found = m_records.find(server.id);
     if (found == m_records.end())
         return;
-    found->second.reachedAt = now;
-    found->second.unreachableUntil = {};
-    conclude(found->second, now);
+    Record& record = found->second;
+    if (!record.reachedAt || now - *record.reachedAt >= evidenceLife)
+        record.firstReachedAt = now;
+    record.reachedAt = now;
+    record.unreachableUntil = {};
+    conclude(record, now);
 }
 
 ////////////////////////////////////////////////////////////
@@ -96,8 +100,8 @@
 ////////////////////////////////////////////////////////////
 void PathMonitor::conclude(Record& record, core::Timestamp now)
 {
-    const bool confirmed =
-        record.reachedAt && now - *record.reachedAt < evidenceLife && now - record.failedAt < evidenceLife;
+    const bool confirmed = record.reachedAt && now - *record.reachedAt < evidenceLife &&
+                           now - record.failedAt < evidenceLife && record.lastStartedAt >= *record.firstReachedAt;
     if (!confirmed)
         return;
     if (now >= record.lostUntil)
@@ -231,6 +235,16 @@
                        [&](const auto& entry) { return isLost(entry.second, now); });
 }
 
+////////////////////////////////////////////////////////////
+bool PathMonitor::needsTrial(const deployment::Instance& server, core::Timestamp now) const
+{
+    const auto found = m_records.find(server.id);
+    if (found == m_records.end() || isLost(found->second, now))
+        return false;
+    const Record& record = found->second;
+    return record.reachedAt && now - *record.reachedAt < evidenceLife && record.lastStartedAt < *record.firstReachedAt;
+}
+
 ////////////////////////////////////////////////////////////
 std::optional<deployment::Instance> PathMonitor::nextRecheck(core::Timestamp now)
 {
--- a/test/paths/PathMonitor.test.cpp
+++ b/test/paths/PathMonitor.test.cpp
@@ -21,8 +21,9 @@
 
     void lose(const deployment::Instance& instance)
     {
-        monitor.recordFailed(instance, now);
+        monitor.recordFailed(instance, now, now);
         monitor.recordReached(instance, now);
+        monitor.recordFailed(instance, now, now);
     }
 
     core::Timestamp      now{std::chrono::seconds{100}};
@@ -41,7 +42,7 @@
 BOOST_FIXTURE_TEST_CASE(AFailureAloneLosesNoPath, MonitorFixture)
 {
     for (const auto& instance : {a1, a2, a3, b1})
-        monitor.recordFailed(instance, now);
+        monitor.recordFailed(instance, now, now);
     BOOST_CHECK(monitor.state(a1, now) == PathState::Suspect);
     BOOST_CHECK(monitor.state(b2, now) == PathState::Direct);
     BOOST_TEST(monitor.takeChanges().empty());
@@ -56,6 +57,22 @@
     BOOST_CHECK(monitor.state(a1, now + 2500ms) == PathState::Suspect);
 }
 
+BOOST_FIXTURE_TEST_CASE(AServerThatStartsWhileItIsTriedHasNoLostPath, MonitorFixture)
+{
+    for (const auto& instance : {a1, a2})
+    {
+        monitor.recordFailed(instance, now - 80ms, now);
+        monitor.recordReached(instance, now);
+    }
+    BOOST_CHECK(monitor.state(a1, now) == PathState::Suspect);
+    BOOST_TEST(monitor.needsTrial(a1, now));
+    monitor.recordHeard(a1, now + 2ms, now + 4ms);
+    BOOST_CHECK(monitor.state(a1, now + 4ms) == PathState::Direct);
+    BOOST_TEST(!monitor.needsTrial(a1, now + 4ms));
+    monitor.recordFailed(a2, now + 2ms, now + 122ms);
+    BOOST_CHECK(monitor.state(a2, now + 122ms) == PathState::Lost);
+}
+
 BOOST_FIXTURE_TEST_CASE(TwoLostServersStandForTheirService, MonitorFixture)
 {
     lose(a1);
@@ -95,7 +112,7 @@
 {
     for (const auto& instance : {a1, a2, a3})
     {
-        monitor.recordFailed(instance, now);
+        monitor.recordFailed(instance, now, now);
         monitor.recordUnreachable(instance, now);
     }
     BOOST_CHECK(monitor.state(a1, now) == PathState::Suspect);
@@ -116,7 +133,7 @@
         if (!server)
             continue;
         ++rechecks;
-        monitor.recordFailed(*server, at);
+        monitor.recordFailed(*server, at, at);
     }
     BOOST_TEST(rechecks >= 8U);
     BOOST_TEST(rechecks <= 11U);
@@ -144,7 +161,7 @@
 BOOST_FIXTURE_TEST_CASE(TheNumberOfFailedPathsIsBounded, MonitorFixture)
 {
     for (int i = 0; i < 5000; ++i)
-        monitor.recordFailed(server("s" + std::to_string(i), "a", "north"), now);
+        monitor.recordFailed(server("s" + std::to_string(i), "a", "north"), now, now);
     BOOST_TEST(monitor.list(now).size() <= 1024U);
 }
 
