--- a/include/sailpath/gateway/Gateway.hpp
+++ b/include/sailpath/gateway/Gateway.hpp
@@ -104,12 +104,12 @@
     void closeIdle();     //!< Continue a planned stop: stop listening and close idle caller connections
 
     [[nodiscard]] snapshot::LearnedState learned() const; //!< What this node has learned of services and callers
-    [[nodiscard]] std::size_t            unfinishedRequests() const; //!< Number of requests without an answer
-    [[nodiscard]] std::size_t            callerConnections() const;  //!< Number of open caller connections
-    [[nodiscard]] const Counters&        counters() const;           //!< Counters since the start of the process
-    [[nodiscard]] std::uint16_t          port() const;               //!< Port that callers connect to
-    [[nodiscard]] std::uint16_t          readinessPort() const;      //!< Port of the readiness page
-    [[nodiscard]] std::uint16_t          metricsPort() const;        //!< Port of the metrics pages; 0 when not served
+    [[nodiscard]] std::size_t unfinishedRequests() const; //!< Requests without an answer, those of other nodes included
+    [[nodiscard]] std::size_t callerConnections() const;  //!< Number of open caller connections
+    [[nodiscard]] const Counters& counters() const;       //!< Counters since the start of the process
+    [[nodiscard]] std::uint16_t   port() const;           //!< Port that callers connect to
+    [[nodiscard]] std::uint16_t   readinessPort() const;  //!< Port of the readiness page
+    [[nodiscard]] std::uint16_t   metricsPort() const;    //!< Port of the metrics pages; 0 when not served
 
 private:
     struct Impl;
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -561,7 +561,7 @@
 ////////////////////////////////////////////////////////////
 std::size_t Gateway::unfinishedRequests() const
 {
-    return m_impl->exchanges.size() + m_impl->tunnels.open();
+    return m_impl->exchanges.size() + m_impl->tunnels.busy();
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/ServedTunnel.cpp
+++ b/src/sailpath/gateway/ServedTunnel.cpp
@@ -3,6 +3,7 @@
 #include "ServerDial.hpp"
 
 #include <sailpath/adapters/links/TunnelCodec.hpp>
+#include <sailpath/core/Clock.hpp>
 
 #include <asio/write.hpp>
 
@@ -14,6 +15,8 @@
 {
 namespace
 {
+constexpr auto quietTime =
+    std::chrono::milliseconds{500}; // After the server's last bytes, an answer is taken for whole
 constexpr auto connectTimeout = std::chrono::milliseconds{250}; // Shorter than the other node waits for an answer
 // Of a node that is silent; after the last of these the unacknowledged timeout ends the connection, as it counts for
 // keep-alive probes too.
@@ -80,6 +83,7 @@
         return deny(m_events.failed(m_instance, error == asio::error::connection_refused));
     }
     m_connected = true;
+    m_openedAt = core::now();
     m_events.connected(m_instance);
     send(paths::TunnelOpened{paths::TunnelStatus::Open}, false);
     if (m_toServer.empty())
@@ -118,6 +122,7 @@
                                if (error)
                                    return self->end();
                                self->m_toServer.assign(self->m_fromPeer.data(), bytes);
+                               self->m_awaitsServer = true;
                                self->writeServer();
                            });
 }
@@ -146,10 +151,27 @@
                                      return self->send(paths::TunnelEnded{}, true);
                                  if (error)
                                      return self->end();
+                                 self->recordHeard();
                                  self->send(paths::TunnelData{{self->m_fromServer.data(), bytes}}, false);
                              });
 }
 
+////////////////////////////////////////////////////////////
+void ServedTunnel::recordHeard()
+{
+    m_awaitsServer = false;
+    const bool first = m_heardAt == core::Timestamp{};
+    m_heardAt = core::now();
+    if (first)
+        m_events.heard(m_instance, m_openedAt);
+}
+
+////////////////////////////////////////////////////////////
+bool ServedTunnel::isBusy() const
+{
+    return !m_connected || m_awaitsServer || core::now() - m_heardAt < quietTime;
+}
+
 ////////////////////////////////////////////////////////////
 void ServedTunnel::close()
 {
--- a/src/sailpath/gateway/ServedTunnel.hpp
+++ b/src/sailpath/gateway/ServedTunnel.hpp
@@ -25,7 +25,8 @@
     ////////////////////////////////////////////////////////////
     struct Events
     {
-        std::function<void(const deployment::Instance&)> connected; //!< The server accepted
+        std::function<void(const deployment::Instance&)>                           connected; //!< The server accepted
+        std::function<void(const deployment::Instance&, core::Timestamp openedAt)> heard;     //!< Its first bytes came
         std::function<paths::TunnelStatus(const deployment::Instance&, bool refused)>
             failed; //!< The connection did not come up; returns what the other node is told
         std::function<void(const std::shared_ptr<ServedTunnel>&)> ended; //!< Called once
@@ -42,12 +43,15 @@
     void deny(paths::TunnelStatus status);           //!< Tell the other node that no tunnel is opened, and end
     void close();                                    //!< Break both connections off
 
+    [[nodiscard]] bool isBusy() const; //!< The server has something to answer, or is answering
+
 private:
     void connected(const asio::error_code& error);
     void send(const paths::TunnelMessage& message, bool last);
     void readPeer();
     void writeServer();
     void readServer();
+    void recordHeard();
     void end();
 
     asio::ip::tcp::socket  m_peer;   //!< Connection of the other node
@@ -56,10 +60,13 @@
     const GatewaySettings& m_settings;
     Events                 m_events;
     deployment::Instance   m_instance;
-    std::string            m_toServer;     //!< Bytes that are being written
-    std::string            m_toPeer;       //!< Message that is being written
-    std::array<char, 8192> m_fromPeer{};   //!< Receive buffer
-    std::array<char, 8192> m_fromServer{}; //!< Receive buffer
+    std::string            m_toServer;            //!< Bytes that are being written
+    std::string            m_toPeer;              //!< Message that is being written
+    std::array<char, 8192> m_fromPeer{};          //!< Receive buffer
+    std::array<char, 8192> m_fromServer{};        //!< Receive buffer
+    core::Timestamp        m_openedAt{};          //!< When the server accepted
+    core::Timestamp        m_heardAt{};           //!< Last bytes of the server
+    bool                   m_awaitsServer{false}; //!< The last bytes that passed were for the server
     bool                   m_connected{false};
     bool                   m_ended{false};
 };
--- a/src/sailpath/gateway/TunnelServer.cpp
+++ b/src/sailpath/gateway/TunnelServer.cpp
@@ -2,6 +2,8 @@
 
 #include <sailpath/core/Clock.hpp>
 
+#include <algorithm>
+
 namespace sailpath::gateway::priv
 {
 namespace
@@ -42,11 +44,9 @@
     }
     const auto                instance = m_findInstance(request.open.instance);
     const paths::TunnelStatus status = admit(request.open, instance.get());
-    ServedTunnel::Events      events{[this](const deployment::Instance& server)
-                                {
-                                    ++m_served;
-                                    m_paths.monitor.recordHeard(server, core::now(), core::now());
-                                },
+    ServedTunnel::Events      events{[this](const deployment::Instance&) { ++m_served; },
+                                [this](const deployment::Instance& server, core::Timestamp openedAt)
+                                { m_paths.monitor.recordHeard(server, openedAt, core::now()); },
                                 [this](const deployment::Instance& server, bool refused)
                                 { return connectFailed(server, refused); },
                                 [this](const std::shared_ptr<ServedTunnel>& tunnel) { m_tunnels.erase(tunnel); }};
@@ -93,6 +93,13 @@
     return m_tunnels.size();
 }
 
+////////////////////////////////////////////////////////////
+std::size_t TunnelServer::busy() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_tunnels.begin(), m_tunnels.end(), [](const auto& tunnel) { return tunnel->isBusy(); }));
+}
+
 ////////////////////////////////////////////////////////////
 std::uint64_t TunnelServer::served() const
 {
--- a/src/sailpath/gateway/TunnelServer.hpp
+++ b/src/sailpath/gateway/TunnelServer.hpp
@@ -38,6 +38,7 @@
     void stop();                                        //!< Open no further tunnels; those that are open stay
 
     [[nodiscard]] std::size_t   open() const;   //!< Tunnels that are open or being opened
+    [[nodiscard]] std::size_t   busy() const;   //!< Those of them on which an answer is awaited
     [[nodiscard]] std::uint64_t served() const; //!< Tunnels opened since the start
     [[nodiscard]] std::uint64_t denied() const; //!< Requests that were denied since the start
 
