--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -90,8 +90,9 @@
         m_wrapped = std::move(result.unread);
         m_openedAt = core::now();
         unwrap(0);
-        const bool ended = m_tunnelEnded || !m_unread.empty();
-        return ended ? handleEnd(false) : handleConnected();
+        // Nothing was asked yet, so whatever came ends the connection.
+        const bool ended = m_state == State::Closed || m_tunnelEnded || !m_unread.empty();
+        return ended ? close() : handleConnected();
     }
     m_connectFailure = result.failure;
     // Without a helper's word, a refusal may be that of the path.
@@ -177,7 +178,8 @@
     while (!m_wrapped.empty())
     {
         const adapters::links::DecodedTunnel decoded = adapters::links::decodeTunnel(m_wrapped);
-        if (decoded.malformed)
+        const bool repeated = decoded.message && std::holds_alternative<paths::TunnelOpened>(*decoded.message);
+        if (decoded.malformed || repeated)
             return handleEnd(false);
         if (!decoded.message)
             return;
