--- a/test/platform/soak/proxy.py
+++ b/test/platform/soak/proxy.py
@@ -109,6 +109,9 @@
         self._passages.add(passage)
         try:
             await self._wait_to_pass(passage, back=False)
+            if cut_off:
+                passage.abort()  # Without a path it would not have come up
+                return
             far_reader, passage.far = await asyncio.open_connection(*self.target)
             await asyncio.wait([asyncio.ensure_future(self._pump(reader, passage.far, passage, back=False)),
                                 asyncio.ensure_future(self._pump(far_reader, writer, passage, back=True))],
