--- a/test/platform/soak/rules.py
+++ b/test/platform/soak/rules.py
@@ -241,9 +241,6 @@
         if call is None or call.left_at is None or not arrival.executed:
             continue
         end = arrival.ended_at or arrival.cut_at or float("inf")
-        if any(cut.gateway == call.gateway and arrival.at <= cut.start <= call.left_at + bounds.late and
-               call.left_at <= cut.end for cut in history.path_cuts):
-            continue  # It came by a connection that was cut before its caller left
         allowed = call.left_at + bounds.late + bounds.slack
         if end > allowed and arrival.at + arrival.work > allowed and \
                 not history.disturbed(call.left_at - bounds.contact, allowed, call.gateway, arrival.server):
