--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,8 +4,9 @@
 request. Each server is full and free by turns, for some milliseconds, as requests of the other machines come and go;
 while full it rejects health checks and requests alike (503 with Sailpath-Not-Executed). A request's answers all carry
 its id. With trouble, EXTRA_SHARE of all answers are followed by a second one, which arrives late, in the place of the
-answer due next. Callers send POST requests of an `unsafe` route through four gateways, one at a time each. Rules TWICE
-(an unsafe request is run more than once) and REFUSED (it is answered 503 and has run).
+answer due next. Callers make payments, POST requests of an `unsafe` route, through four gateways; after a refusal they
+come back with a new request id, as the users' callers do. Rules TWICE (an unsafe request is run more than once) and
+REFUSED (it is answered 503 and has run).
 """
 
 import asyncio
@@ -23,12 +24,14 @@
 GATEWAYS = 4
 SERVICES = 40
 SERVERS_EACH = 2
-REQUESTS_EACH = 8            # per service and gateway; health checks end after six answers without a load
+PAYMENTS_EACH = 8            # per service and gateway; health checks end after six answers without a load
 EXTRA_SHARE = 0.4            # of the answers, as the largest `x` of garble in the site files
 FULL_S = (0.002, 0.006)      # how long a server is full, and then free
 WORK_S = 0.02
 TIMEOUT_S = 1.2
 DEADLINE_MS = 2500
+RETRIES = 2                  # of a caller
+REFUSALS = (408, 421, 429, 503)
 CONTACT_S = 3.0
 SEED = 7
 LONGEST_S = 90.0
@@ -90,21 +93,35 @@
 RUNS: dict[str, list[str]] = {}  # servers that ran a request, by its id
 
 
-async def pay(port: int, service: int, request: str, record: common.Record) -> int:
-    """Send one request on a connection of its own; its status, 0 without an answer."""
+async def send(port: int, service: int, request: str, until: float, record: common.Record) -> tuple[int, float]:
+    """Send one request on a connection of its own; its status, 0 without an answer, and its Retry-After in seconds."""
+    left = until - time.monotonic()
     with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
-        async with asyncio.timeout(DEADLINE_MS / 1000):
+        async with asyncio.timeout(left):
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             try:
                 record(f"caller: sends {request}")
                 writer.write(wire.request_bytes("POST", f"/pay{service}/till", {
-                    "Host": common.HOST, wire.REQUEST_ID: request, wire.DEADLINE_MS: str(DEADLINE_MS)}, b"amount=5"))
-                status = (await wire.read_message(reader)).status
-                record(f"caller: {request} is answered {status}")
-                return status
+                    "Host": common.HOST, wire.REQUEST_ID: request, wire.DEADLINE_MS: str(int(left * 1000))}, b"amount=5"))
+                answer = await wire.read_message(reader)
+                record(f"caller: {request} is answered {answer.status}")
+                return answer.status, float(answer.headers.get("retry-after", "0"))
             finally:
                 writer.close()
-    return 0
+    return 0, 0.0
+
+
+async def pay(port: int, service: int, payment: str, record: common.Record) -> dict[str, int]:
+    """Make one payment; like the users' callers, come back after a refusal. The status of each request, by its id."""
+    until = time.monotonic() + DEADLINE_MS / 1000
+    statuses: dict[str, int] = {}
+    for attempt in range(1 + RETRIES):
+        request = f"{payment}{attempt:x}"
+        statuses[request], wait = await send(port, service, request, until, record)
+        if statuses[request] not in REFUSALS:
+            break
+        await asyncio.sleep(min(wait, max(0.0, until - time.monotonic()) / 3))
+    return statuses
 
 
 async def play(folder: Path, record: common.Record) -> bool:
@@ -125,15 +142,17 @@
         await asyncio.sleep(CONTACT_S + 0.5)
         statuses: dict[str, int] = {}
 
-        async def caller(gateway: int) -> None:
-            for count in range(REQUESTS_EACH):
-                for service in range(SERVICES):
-                    request = f"{gateway:04x}{service:04x}{count:08x}"
-                    statuses[request] = await pay(gateways[gateway].front, service, request, record)
+        async def one_service(gateway: int, service: int) -> None:
+            for count in range(PAYMENTS_EACH):
+                payment = f"{gateway:04x}{service:04x}{count:07x}"
+                statuses.update(await pay(gateways[gateway].front, service, payment, record))
+
+        async def callers_of(gateway: int) -> None:
+            await asyncio.gather(*(one_service(gateway, service) for service in range(SERVICES)))
 
-        await asyncio.gather(*(caller(gateway) for gateway in range(GATEWAYS)))
+        await asyncio.gather(*(callers_of(gateway) for gateway in range(GATEWAYS)))
         twice = {request: servers for request, servers in RUNS.items() if len(servers) > 1}
-        refused = [request for request, status in statuses.items() if status in (408, 421, 429, 503) and request in RUNS]
+        refused = [request for request, status in statuses.items() if status in REFUSALS and request in RUNS]
         for request, servers in twice.items():
             record(f"TWICE: {request} was run by {', '.join(servers)}, answered {statuses.get(request)}")
         logs = "".join(gateway.log.read_text() for gateway in gateways).splitlines()
@@ -142,6 +161,11 @@
             for line in logs:
                 if f"request={request} " in line:
                     record(f"log of the gateway: {line}")
+        runs: dict[str, int] = {}
+        for request, servers in RUNS.items():
+            runs[request[:-1]] = runs.get(request[:-1], 0) + len(servers)
+        doubled = [payment for payment, times in runs.items() if times > 1]
+        record(f"payments that were made more than once, as their callers came back: {doubled}")
         counts = {status: list(statuses.values()).count(status) for status in sorted(set(statuses.values()))}
         record(f"{len(statuses)} requests, answers by status {counts}; run twice {len(twice)}, refused although run {len(refused)}")
         return bool(twice or refused)
