--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,17 +1,14 @@
-"""A late second answer of a rejected health check is taken for the answer to a request that may run once.
-
-SERVICES services of two servers each do not tell their load, so the gateway sends health checks before it sends a
-request. Each server is full and free by turns, for some milliseconds, as requests of the other machines come and go;
-while full it rejects health checks and requests alike (503 with Sailpath-Not-Executed). A request's answers all carry
-its id. With trouble, EXTRA_SHARE of all answers are followed by a second one, which arrives late, in the place of the
-answer due next. Callers make payments, POST requests of an `unsafe` route, through four gateways; after a refusal they
-come back with a new request id, as the users' callers do. Rules TWICE (an unsafe request is run more than once) and
-REFUSED (it is answered 503 and has run).
+"""Answers that do not come, on a route whose requests take less than a millisecond, hang the whole gateway.
+
+SERVERS servers answer a `safe` route at once. CALLERS callers send a GET each EVERY_S for QUICK_S, so that the gateway
+learns how long the route takes. Then each server keeps silent about the share SILENT of its requests for SILENT_S (not
+with TROUBLE=0); its health check stays good. Rule CONFIG: of the requests that are still unanswered at their route's
+TimeoutS, more than half have no answer half a second later. The gateway is watched for WATCH_S more.
 """
 
 import asyncio
 import contextlib
-import random
+import subprocess
 import sys
 import time
 from pathlib import Path
@@ -21,157 +18,133 @@
 import wire  # noqa: E402
 
 CASE = Path(__file__).resolve().parent
-GATEWAYS = 4
-SERVICES = 40
-SERVERS_EACH = 2
-PAYMENTS_EACH = 8            # per service and gateway; health checks end after six answers without a load
-EXTRA_SHARE = 0.4            # of the answers, as the largest `x` of garble in the site files
-FULL_S = (0.002, 0.006)      # how long a server is full, and then free
-WORK_S = 0.02
-TIMEOUT_S = 1.2
-DEADLINE_MS = 2500
-RETRIES = 2                  # of a caller
-REFUSALS = (408, 421, 429, 503)
-CONTACT_S = 3.0
-SEED = 7
+SERVERS = 13             # as of catalogue of the site
+SILENT = 0.55            # share of the requests, and
+SILENT_S = 8.5           # how long: as srv_grey with `all` on the site's day scale-1
+CALLERS = 150
+EVERY_S = 0.5
+QUICK_S = 12.0
+WATCH_S = 8.0
+TIMEOUT_S = 2.0          # TimeoutS of the route, as of price-lookup of the site
+AIM_S = 0.6
+AFTER_TIMEOUT_S = 0.5    # the rule's
+DEADLINE_MS = 4000
 LONGEST_S = 90.0
 
 
-class Server:
-    """A backend server that does not tell its load."""
-
-    def __init__(self, server_id: str, record: common.Record, seed: int):
-        self.id, self.port = server_id, 0
-        self._record = record
-        self._random = random.Random(seed)
-        self._full = False
-        self._tasks: list[asyncio.Task] = []
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
-        self._tasks.append(asyncio.create_task(self._take_turns()))
-
-    async def _take_turns(self) -> None:
-        while True:
-            self._full = not self._full
-            await asyncio.sleep(self._random.uniform(*FULL_S))
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        late = b""  # a second answer that is under way
-        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
-            while True:
-                message = await wire.read_message(reader)
-                health = message.target == wire.HEALTH_PATH
-                if late:
-                    writer.write(late)
-                answer = await self._answer(message, health)
-                late = b""
-                writer.write(answer)
-                if common.trouble() and self._random.random() < EXTRA_SHARE:
-                    late = answer
-        writer.close()
-
-    async def _answer(self, message: wire.Message, health: bool) -> bytes:
-        request = message.headers.get(wire.REQUEST_ID, "")
-        own = {wire.INSTANCE_ID: self.id} | ({wire.REQUEST_ID: request} if request else {})
-        what = "health check" if health else request
-        if self._full:
-            self._record(f"server {self.id}: rejects {what}")
-            return wire.answer_bytes(503, {**own, wire.NOT_EXECUTED: "1"}, b"")
-        if health:
-            return wire.answer_bytes(200, own, b"")
-        if message.headers.get(wire.TARGET_INSTANCE, self.id) != self.id:
-            return wire.answer_bytes(421, own, b"")
-        self._record(f"server {self.id}: runs {what}")
-        RUNS.setdefault(request, []).append(self.id)
-        await asyncio.sleep(WORK_S)
-        return wire.answer_bytes(200, {**own, wire.SIGNATURE: f"s.{request}"}, request.encode())
-
-
-RUNS: dict[str, list[str]] = {}  # servers that ran a request, by its id
-
-
-async def send(port: int, service: int, request: str, until: float, record: common.Record) -> tuple[int, float]:
-    """Send one request on a connection of its own; its status, 0 without an answer, and its Retry-After in seconds."""
-    left = until - time.monotonic()
-    with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
-        async with asyncio.timeout(left):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+class Callers:
+    """Callers, each with one connection that it keeps, one request at a time."""
+
+    def __init__(self, port: int):
+        self._port = port
+        self.calls: list[dict] = []  # request, sent, ended (None: not answered), status
+        self.stop = asyncio.Event()
+
+    async def run(self, number: int) -> None:
+        """Send a request each EVERY_S."""
+        count = 0
+        reader = writer = None
+        while not self.stop.is_set():
+            count += 1
+            call = {"request": f"{number:02x}{count:014x}", "sent": time.monotonic(), "ended": None, "status": None}
             try:
-                record(f"caller: sends {request}")
-                writer.write(wire.request_bytes("POST", f"/pay{service}/till", {
-                    "Host": common.HOST, wire.REQUEST_ID: request, wire.DEADLINE_MS: str(int(left * 1000))}, b"amount=5"))
-                answer = await wire.read_message(reader)
-                record(f"caller: {request} is answered {answer.status}")
-                return answer.status, float(answer.headers.get("retry-after", "0"))
-            finally:
-                writer.close()
-    return 0, 0.0
-
-
-async def pay(port: int, service: int, payment: str, record: common.Record) -> dict[str, int]:
-    """Make one payment; like the users' callers, come back after a refusal. The status of each request, by its id."""
-    until = time.monotonic() + DEADLINE_MS / 1000
-    statuses: dict[str, int] = {}
-    for attempt in range(1 + RETRIES):
-        request = f"{payment}{attempt:x}"
-        statuses[request], wait = await send(port, service, request, until, record)
-        if statuses[request] not in REFUSALS:
-            break
-        await asyncio.sleep(min(wait, max(0.0, until - time.monotonic()) / 3))
-    return statuses
+                async with asyncio.timeout(DEADLINE_MS / 1000):
+                    if writer is None:
+                        reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
+                        call["sent"] = time.monotonic()
+                    writer.write(wire.request_bytes("GET", "/price/look", {
+                        "Host": common.HOST, wire.REQUEST_ID: call["request"], wire.DEADLINE_MS: str(DEADLINE_MS)}, b""))
+                    self.calls.append(call)
+                    answer = await wire.read_message(reader)
+                call["ended"], call["status"] = time.monotonic(), answer.status
+            except (OSError, TimeoutError, asyncio.IncompleteReadError):
+                if writer is not None:
+                    writer.close()
+                reader = writer = None
+            await asyncio.sleep(EVERY_S)
+
+
+async def watch_readiness(gateway: common.Gateway, record: common.Record) -> None:
+    """Ask each second; two misses in a row put the gateway out."""
+    misses = 0
+    while True:
+        misses = 0 if await gateway.is_ready() else misses + 1
+        if misses == 2:
+            record("readiness: two questions in a row without an answer")
+        await asyncio.sleep(1)
+
+
+def processor_s(gateway: common.Gateway) -> float:
+    """Processor time of the process, by the system."""
+    fields = Path(f"/proc/{gateway.process.pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / 100
 
 
 async def play(folder: Path, record: common.Record) -> bool:
-    """Play the case once; true when a rule was broken."""
+    """Play the case once; true when the rule was broken."""
     store = common.Store(time.monotonic)
     await store.start()
-    services = [f"settle{number}" for number in range(SERVICES)]
-    for number, service in enumerate(services):
-        for place in range(SERVERS_EACH):
-            server = Server(f"i-{number}-{place}", record, SEED * 1000 + number * SERVERS_EACH + place)
-            await server.start()
-            await common.announce(store, server.id, service, "khomas-" + "abc"[place], server.port)
-    await store.put("op/config", common.configuration(
-        [common.route(f"r-pay{number}", f"/pay{number}/", "unsafe", service, TIMEOUT_S, 0.8)
-         for number, service in enumerate(services)], services))
-    gateways = await common.start_gateways(GATEWAYS, store, folder)
+    flag = folder / "servers-are-silent"
+    servers: list[subprocess.Popen] = []
+    tasks: list[asyncio.Task] = []
+    gateways: list[common.Gateway] = []
     try:
-        await asyncio.sleep(CONTACT_S + 0.5)
-        statuses: dict[str, int] = {}
-
-        async def one_service(gateway: int, service: int) -> None:
-            for count in range(PAYMENTS_EACH):
-                payment = f"{gateway:04x}{service:04x}{count:07x}"
-                statuses.update(await pay(gateways[gateway].front, service, payment, record))
-
-        async def callers_of(gateway: int) -> None:
-            await asyncio.gather(*(one_service(gateway, service) for service in range(SERVICES)))
-
-        await asyncio.gather(*(callers_of(gateway) for gateway in range(GATEWAYS)))
-        twice = {request: servers for request, servers in RUNS.items() if len(servers) > 1}
-        refused = [request for request, status in statuses.items() if status in REFUSALS and request in RUNS]
-        for request, servers in twice.items():
-            record(f"TWICE: {request} was run by {', '.join(servers)}, answered {statuses.get(request)}")
-        logs = "".join(gateway.log.read_text() for gateway in gateways).splitlines()
-        for request in refused:
-            record(f"REFUSED: {request} was run by {', '.join(RUNS[request])}, answered {statuses[request]}")
-            for line in logs:
-                if f"request={request} " in line:
-                    record(f"log of the gateway: {line}")
-        runs: dict[str, int] = {}
-        for request, servers in RUNS.items():
-            runs[request[:-1]] = runs.get(request[:-1], 0) + len(servers)
-        doubled = [payment for payment, times in runs.items() if times > 1]
-        record(f"payments that were made more than once, as their callers came back: {doubled}")
-        counts = {status: list(statuses.values()).count(status) for status in sorted(set(statuses.values()))}
-        record(f"{len(statuses)} requests, answers by status {counts}; run twice {len(twice)}, refused although run {len(refused)}")
-        return bool(twice or refused)
+        for number in range(SERVERS):
+            server = subprocess.Popen([sys.executable, str(CASE / "server.py"), f"i-{number}", str(flag), str(SILENT)],
+                                      stdout=subprocess.PIPE, text=True)
+            servers.append(server)
+            port = int(server.stdout.readline())
+            await common.announce(store, f"i-{number}", "catalogue", "khomas-" + "abc"[number % 3], port, slots=6)
+        await store.put("op/config", common.configuration(
+            [common.route("r-price", "/price/", "safe", "catalogue", TIMEOUT_S, AIM_S)], ["catalogue"]))
+        gateways = await common.start_gateways(1, store, folder)
+        gateway = gateways[0]
+        callers = Callers(gateway.front)
+        tasks = [asyncio.create_task(callers.run(number)) for number in range(CALLERS)]
+        tasks.append(asyncio.create_task(watch_readiness(gateway, record)))
+        await asyncio.sleep(QUICK_S)
+        took = sorted(call["ended"] - call["sent"] for call in callers.calls if call["status"] == 200)
+        record(f"callers: {len(took)} requests answered 200 so far, half of them within {took[len(took) // 2] * 1000:.2f} ms")
+        begun = time.monotonic()
+        if common.trouble():
+            record(f"servers: keep silent about {SILENT} of their requests")
+            flag.touch()
+        await asyncio.sleep(SILENT_S)
+        flag.unlink(missing_ok=True)
+        record("servers: answer all requests again")
+        used = processor_s(gateway)
+        await asyncio.sleep(WATCH_S)
+        judged_at = time.monotonic()
+        record(f"gateway: exit code {gateway.process.poll()}, ready {await gateway.is_ready()}, used "
+               f"{(processor_s(gateway) - used) / WATCH_S * 100:.0f} % of a core in the last {WATCH_S:.0f} s")
+        callers.stop.set()
+        return judge(callers.calls, begun, judged_at, record)
     finally:
-        for gateway in gateways:
-            gateway.end()
+        for task in tasks:
+            task.cancel()
+        for item in gateways:
+            item.end()
+        for server in servers:
+            server.kill()
+            server.wait()
+
+
+def judge(calls: list[dict], begun: float, judged_at: float, record: common.Record) -> bool:
+    """Whether most requests that are unanswered at TimeoutS have no answer half a second later."""
+    at_timeout = late = answered = 0
+    for call in calls:
+        if call["sent"] < begun or call["sent"] + TIMEOUT_S + AFTER_TIMEOUT_S > judged_at:
+            continue
+        took = float("inf") if call["ended"] is None else call["ended"] - call["sent"]
+        answered += took <= TIMEOUT_S
+        at_timeout += took > TIMEOUT_S
+        late += took > TIMEOUT_S + AFTER_TIMEOUT_S
+        if took > TIMEOUT_S:
+            record(f"caller: {call['request']}: sent {call['sent'] - begun:.3f} s after the trouble began, "
+                   f"status {call['status']}, took {took:.3f} s")
+    record(f"callers: {answered} requests answered within TimeoutS, {at_timeout} not; of these {late} without an answer "
+           f"{AFTER_TIMEOUT_S} s later")
+    return late * 2 > at_timeout
 
 
 sys.exit(common.run_case(CASE, play, LONGEST_S))
