--- a/review/1/case.py
+++ b/review/1/case.py
@@ -19,8 +19,8 @@
 
 CASE = Path(__file__).resolve().parent
 SERVERS = 13             # as of catalogue of the site
-SILENT = 0.55            # share of the requests, and
-SILENT_S = 8.5           # how long: as srv_grey with `all` on the site's day scale-1
+SILENT = 0.45            # share of the requests, as srv_grey of the site and with `mute` of kt-windhoek-grown, and
+SILENT_S = 8.5           # how long: as srv_grey with `all` on the day scale-1 of the site
 CALLERS = 150
 EVERY_S = 0.5
 QUICK_S = 12.0
