Log and count an event loop that stands still

A process whose thread for traffic hangs said nothing: neither the log nor /metrics told a hang from a process without callers, and only a stack taken by hand told an endless loop from a blocking call.

The decision (StallDetector) does no I/O; a pause of the whole process is no stall of the loop.

The thread wakes once a second.

--- a/include/sailpath/gateway/Gateway.hpp
+++ b/include/sailpath/gateway/Gateway.hpp
@@ -5,6 +5,7 @@
 #include <sailpath/deployment/DeclaredState.hpp>
 #include <sailpath/gateway/Dialect.hpp>
 #include <sailpath/gateway/GatewaySettings.hpp>
+#include <sailpath/gateway/LoopProgress.hpp>
 #include <sailpath/gateway/Metrics.hpp>
 #include <sailpath/ports/EventLog.hpp>
 
@@ -106,10 +107,11 @@
     [[nodiscard]] snapshot::LearnedState learned() const; //!< What this node has learned of services and callers
     [[nodiscard]] std::size_t unfinishedRequests() const; //!< Requests without an answer, those of other nodes included
     [[nodiscard]] std::size_t callerConnections() const;  //!< Number of open caller connections
-    [[nodiscard]] const Counters& counters() const;       //!< Counters since the start of the process
-    [[nodiscard]] std::uint16_t   port() const;           //!< Port that callers connect to
-    [[nodiscard]] std::uint16_t   readinessPort() const;  //!< Port of the readiness page
-    [[nodiscard]] std::uint16_t   metricsPort() const;    //!< Port of the metrics pages; 0 when not served
+    [[nodiscard]] const LoopProgress& progress() const;   //!< Of the event loop; may be read from any thread
+    [[nodiscard]] const Counters&     counters() const;   //!< Counters since the start of the process
+    [[nodiscard]] std::uint16_t       port() const;       //!< Port that callers connect to
+    [[nodiscard]] std::uint16_t       readinessPort() const; //!< Port of the readiness page
+    [[nodiscard]] std::uint16_t       metricsPort() const;   //!< Port of the metrics pages; 0 when not served
 
 private:
     struct Impl;
--- a/src/programs/GatewayProgram.cpp
+++ b/src/programs/GatewayProgram.cpp
@@ -6,6 +6,7 @@
 #include <sailpath/core/Clock.hpp>
 #include <sailpath/core/Hash.hpp>
 #include <sailpath/gateway/Gateway.hpp>
+#include <sailpath/gateway/LoopWatchdog.hpp>
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
@@ -144,7 +145,8 @@
 }
 
 ////////////////////////////////////////////////////////////
-std::string controlMetrics(const fleet::FleetStatus& status, std::uint64_t linesLeftOut)
+std::string controlMetrics(const fleet::FleetStatus& status, std::uint64_t linesLeftOut,
+                           const gateway::StallCounts& stalls)
 {
     std::string text;
     const auto  add = [&text](std::string_view name, std::string_view type, auto value)
@@ -182,6 +184,8 @@
     stage("copy", status.start.copyAt);
     stage("usable", status.start.usableAt);
     add("log_lines_left_out_total", "counter", linesLeftOut);
+    add("loop_stalls_total", "counter", stalls.stalls);
+    add("loop_stall_longest_seconds", "gauge", core::toSeconds(stalls.longest));
     return text;
 }
 
@@ -358,8 +362,9 @@
             asio::post(context,
                        [&gateway, request = std::move(request)]() mutable { gateway.serveTunnel(std::move(request)); });
         });
-    SnapshotOffers offers(context, gateway, fleet);
-    gateway.setAdditionalMetrics([&] { return controlMetrics(fleet.status(), log.leftOut()); });
+    SnapshotOffers              offers(context, gateway, fleet);
+    const gateway::LoopWatchdog watchdog(gateway.progress(), log);
+    gateway.setAdditionalMetrics([&] { return controlMetrics(fleet.status(), log.leftOut(), watchdog.counts()); });
     log.write(ports::Level::Info, "started", {{"dataCentre", settings.text("data-centre")}, {"port", gateway.port()}});
     context.run();
     endNow();
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -96,6 +96,7 @@
                                   return;
                               if (error)
                                   return retryAccept(error.message());
+                              progress.enter("accept");
                               addCaller(std::move(socket));
                               accept();
                           });
@@ -157,6 +158,8 @@
         {
             if (error)
                 return;
+            progress.beat();
+            progress.enter("sweep");
             const auto                                           at = core::now();
             const std::vector<std::shared_ptr<CallerConnection>> all(callers.begin(), callers.end());
             detectStall();
@@ -188,6 +191,7 @@
 ////////////////////////////////////////////////////////////
 core::Timestamp Gateway::Impl::earliestArrival()
 {
+    progress.enter("caller-bytes");
     detectStall();
     return lastRunAt < catchUpUntil ? stalledSince : lastRunAt;
 }
@@ -437,6 +441,7 @@
 ////////////////////////////////////////////////////////////
 void Gateway::configure(const deployment::DeclaredState& declared)
 {
+    m_impl->progress.enter("configuration");
     // Requests held back until the first configuration are decided here.
     if (m_impl->confirmedAtSource)
         m_impl->balancer.setConfigurationConfirmedAt(m_impl->confirmedAtSource());
@@ -570,6 +575,12 @@
     return m_impl->callers.size();
 }
 
+////////////////////////////////////////////////////////////
+const LoopProgress& Gateway::progress() const
+{
+    return m_impl->progress;
+}
+
 ////////////////////////////////////////////////////////////
 const Counters& Gateway::counters() const
 {
--- a/src/sailpath/gateway/GatewayImpl.hpp
+++ b/src/sailpath/gateway/GatewayImpl.hpp
@@ -100,6 +100,7 @@
     std::optional<core::Timestamp>                    dueTimerExpiry; //!< Null when the due timer is not set
     std::set<std::shared_ptr<priv::CallerConnection>> callers;
     std::unordered_map<balance::Ticket, priv::Exchange> exchanges;
+    LoopProgress                                        progress; //!< Of the event loop
     deployment::CallerLimits                            callerLimits;
     Counters                                            counters;
     std::map<std::string, std::uint64_t> noRoom; //!< Requests refused for lack of room, by workspace or route; bounded
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -308,6 +308,7 @@
         {
             if (error)
                 return;
+            progress.enter("timeouts");
             dueTimerExpiry.reset();
             updateFleetContact();
             balancer.processDue(core::now());
@@ -397,6 +398,7 @@
                [this, ticket, number, instance = step.instance](const balance::Outcome&   outcome,
                                                                 const priv::ServerAnswer& answer)
                {
+                   progress.enter("probe-end");
                    countConnectFailure(outcome.connectFailure);
                    logUnknownFields(*instance, answer.head);
                    balancer.probeEnded(ticket, number, outcome, core::now());
@@ -408,6 +410,7 @@
 void Gateway::Impl::attemptEnded(balance::Ticket ticket, unsigned attempt, balance::Outcome outcome,
                                  priv::ServerAnswer answer)
 {
+    progress.enter("attempt-end");
     detectStall();
     countConnectFailure(outcome.connectFailure);
     counters.attemptsThroughHelpers += outcome.helper.empty() ? 0 : 1;
