End requests without an answer on a quick route instead of looping over them

Cause: Balancer::processDue goes on while the earliest wake time is not after its constant `now`, and relied on each handled request getting a later one. The time by which a hedge is put off was a multiple of the route's learned processing time, which had no lower bound: it is moved by the ratio of the measured to the expected time, and the expected one also holds 4 ms for another data centre and 8 ms for a new connection, so any answer below that lowers it by up to 4.5%. Below 1 us it is 0 as a duration, and the request is due again at once, for ever.

--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -395,6 +395,10 @@
     void                            hedge(Ticket ticket, Request& request, core::Timestamp now);
     void                            abandonRunning(Ticket ticket, Request& request, core::Timestamp now);
     void                            scheduleWake(Ticket ticket, Request& request, core::Timestamp now);
+    /// \brief Return when a hedge is next considered for a request whose last attempt is running
+    [[nodiscard]] core::Timestamp   nextHedgeAt(const Request& request, core::Timestamp now) const;
+    /// \brief Set the next timeout of a request, which is always after `now`
+    void                            setWake(Ticket ticket, Request& request, core::Timestamp at, core::Timestamp now);
     void                            close(Ticket ticket);
     [[nodiscard]] SelectionCriteria wishOf(const Request& request) const;
     [[nodiscard]] bool   mayRetry(ServicePool& pool, core::Timestamp now);    //!< Whether the budget allows a retry
--- a/include/sailpath/balance/Settings.hpp
+++ b/include/sailpath/balance/Settings.hpp
@@ -46,7 +46,9 @@
     core::Duration maxConfigurationAgeToDeny{
         core::Duration::max()};    //!< Age since the last confirmation up to which the configuration may deny a request
     double         stuckFactor{3}; //!< Multiple of the expected time after which an attempt counts as stuck
-    double         probeRate{20};  //!< Probes per second that one server may get from all nodes together
+    core::Duration minHedgeInterval{
+        std::chrono::milliseconds{10}}; //!< Shortest time between two decisions on a further send of one request
+    double         probeRate{20};       //!< Probes per second that one server may get from all nodes together
     core::Duration freshReportAge{std::chrono::milliseconds{15}};    //!< Age up to which a load report needs no probe
     core::Duration probeRoundTimeout{std::chrono::milliseconds{15}}; //!< Longest wait for the answers to a probe round
     core::Duration probeRoundPause{
--- a/include/sailpath/balance/WorkEstimator.hpp
+++ b/include/sailpath/balance/WorkEstimator.hpp
@@ -12,6 +12,9 @@
 {
 ////////////////////////////////////////////////////////////
 /// \brief Learns the usual values of the instances of a service from load reports and answers
+///
+/// Processing times stay between 1 ms and 10 minutes, whatever answers and
+/// snapshots say: delays are derived from them, and one of 0 would never pass.
 ////////////////////////////////////////////////////////////
 class WorkEstimator
 {
@@ -45,7 +48,7 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] bool allowExploration(std::string_view route, core::Timestamp now);
 
-    /// \brief Return the usual processing time of a request of the route, milliseconds
+    /// \brief Return the usual processing time of a request of the route, milliseconds; 1 at least
     [[nodiscard]] double ms(std::string_view route) const;
 
     [[nodiscard]] bool hasLearned(std::string_view route) const; //!< Whether enough answers of the route were seen
--- a/src/sailpath/balance/BalancerTiming.cpp
+++ b/src/sailpath/balance/BalancerTiming.cpp
@@ -65,33 +65,42 @@
 {
     if (request.wakeAt != core::Timestamp{})
         m_wakeTimes.erase({request.wakeAt, ticket});
-    request.wakeAt = request.deadline;
+    core::Timestamp at = request.deadline;
     if (request.search.active)
-        request.wakeAt = std::min(request.wakeAt, request.search.endsAt);
-    if (request.search.active || request.attempts.empty())
+        at = std::min(at, request.search.endsAt);
+    else if (!request.attempts.empty())
     {
-        m_wakeTimes.insert({request.wakeAt, ticket});
-        return;
+        const bool mayHedge = m_settings.hedging && request.route.repeatable && !request.callerGone &&
+                              request.sends < request.route.attempts && request.attempts.back().running;
+        if (mayHedge)
+            at = std::min(at, nextHedgeAt(request, now));
     }
+    setWake(ticket, request, at, now);
+}
+
+////////////////////////////////////////////////////////////
+core::Timestamp Balancer::nextHedgeAt(const Request& request, core::Timestamp now) const
+{
     const Attempt& last = request.attempts.back();
-    const bool     mayHedge = m_settings.hedging && request.route.repeatable && !request.callerGone &&
-                          request.sends < request.route.attempts && last.running;
-    if (mayHedge)
-    {
-        const double typical = request.pool->work().ms(request.route.name);
-        const auto   target = request.firstTriedAt + request.route.targetLatency;
-        const auto latestUseful = target - core::fromMilliseconds(hedgeRoom * typical) - m_settings.answerTripReserve -
-                                  m_settings.probeRoundTimeout - m_settings.connectCost;
-        const auto patience = last.sentAt + core::fromMilliseconds(minHedgeDelayWorks * typical);
-        const auto stuck =
-            last.sentAt + core::fromMilliseconds(m_settings.stuckFactor * std::max(typical, last.expectedMs));
-        // After `latestUseful` a hedge cannot meet the target and is sent only when the first attempt is stuck.
-        core::Timestamp at = patience <= latestUseful ? latestUseful : stuck;
-        if (at <= now)
-            at = std::max(stuck, now + core::fromMilliseconds(typical));
-        at = std::max(at, request.noHedgeUntil);
-        request.wakeAt = std::min(request.wakeAt, at);
-    }
+    const double   typical = request.pool->work().ms(request.route.name);
+    const auto     target = request.firstTriedAt + request.route.targetLatency;
+    const auto     latestUseful = target - core::fromMilliseconds(hedgeRoom * typical) - m_settings.answerTripReserve -
+                              m_settings.probeRoundTimeout - m_settings.connectCost;
+    const auto patience = last.sentAt + core::fromMilliseconds(minHedgeDelayWorks * typical);
+    const auto stuck =
+        last.sentAt + core::fromMilliseconds(m_settings.stuckFactor * std::max(typical, last.expectedMs));
+    // After `latestUseful` a hedge cannot meet the target and is sent only when the first attempt is stuck.
+    core::Timestamp at = patience <= latestUseful ? latestUseful : stuck;
+    if (at <= now)
+        at = std::max(stuck, now + std::max(core::fromMilliseconds(typical), m_settings.minHedgeInterval));
+    return std::max(at, request.noHedgeUntil);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::setWake(Ticket ticket, Request& request, core::Timestamp at, core::Timestamp now)
+{
+    // A timeout that has already expired would let `processDue` handle the request again and again at the same `now`.
+    request.wakeAt = std::max(at, now + core::Duration{1});
     m_wakeTimes.insert({request.wakeAt, ticket});
 }
 
@@ -101,8 +110,8 @@
     if (!maySendAgain(request, now) || mayEndAnotherServer(request, now))
     {
         // The next hedge is considered when the attempt counts as stuck; the deadline applies in any case.
-        request.noHedgeUntil =
-            now + core::fromMilliseconds(m_settings.stuckFactor * request.pool->work().ms(request.route.name));
+        const double stuckMs = m_settings.stuckFactor * request.pool->work().ms(request.route.name);
+        request.noHedgeUntil = now + std::max(core::fromMilliseconds(stuckMs), m_settings.minHedgeInterval);
         return scheduleWake(ticket, request, now);
     }
     startSearch(ticket, request, now);
--- a/src/sailpath/balance/WorkEstimator.cpp
+++ b/src/sailpath/balance/WorkEstimator.cpp
@@ -15,17 +15,26 @@
 constexpr double   maxCrowdedSlowdown = 4;
 constexpr unsigned minAnswers = 3;          // Answers of a route before its usual processing time is relied on
 constexpr unsigned minAnswersToExport = 20; // Answers of a route before others may rely on its processing time
-constexpr double   maxWorkMs = 600'000;     // Largest processing time accepted from a snapshot, milliseconds
+constexpr double   minWorkMs = 1;           // Smallest processing time told apart from none, milliseconds
+constexpr double   maxWorkMs = 600'000;     // Largest processing time, milliseconds
 constexpr double   minSlowdown = 0.2;       // Smallest slowdown accepted from a snapshot
 constexpr double   maxSlowdown = 5;         // Largest slowdown accepted from a snapshot
 constexpr auto     firstExplorationInterval = std::chrono::milliseconds{250}; // Doubles with each exploration
 constexpr unsigned maxExplorationDoublings = 5;                               // To 8 s
 
+////////////////////////////////////////////////////////////
+/// \brief Return a processing time within the bounds of what can be learned, milliseconds
+////////////////////////////////////////////////////////////
+double boundedWork(double ms)
+{
+    return std::clamp(ms, minWorkMs, maxWorkMs);
+}
+
 } // namespace
 
 ////////////////////////////////////////////////////////////
 WorkEstimator::WorkEstimator(core::Duration initialWork) :
-m_baseline{core::toMilliseconds(initialWork), 0, 1, initialCrowdedSlowdown}
+m_baseline{boundedWork(core::toMilliseconds(initialWork)), 0, 1, initialCrowdedSlowdown}
 {
 }
 
@@ -47,21 +56,24 @@
 ////////////////////////////////////////////////////////////
 void WorkEstimator::setInitialEstimate(std::string_view route, double ms)
 {
-    const bool isFirstRoute = m_routes.empty();
-    if (m_routes.try_emplace(std::string(route), RouteWork{ms, 0}).second && isFirstRoute)
-        m_baseline.workMs = ms;
+    const bool   isFirstRoute = m_routes.empty();
+    const double bounded = boundedWork(ms);
+    if (m_routes.try_emplace(std::string(route), RouteWork{bounded, 0}).second && isFirstRoute)
+        m_baseline.workMs = bounded;
 }
 
 ////////////////////////////////////////////////////////////
 void WorkEstimator::startFrom(const snapshot::LearnedRoute& route)
 {
-    if (route.workMs <= 0 || route.workMs > maxWorkMs)
+    // The comparisons are also false for a value that is not a number.
+    const bool valid = route.workMs > 0 && route.workMs <= maxWorkMs;
+    if (!valid)
         return;
     RouteWork& work = m_routes.try_emplace(route.route).first->second;
     if (work.answers > 0)
         return;
     // The next answers weigh as much as those after the first ones, so a wrong value is replaced soon.
-    work.ms = route.workMs;
+    work.ms = boundedWork(route.workMs);
     work.answers = minAnswers;
 }
 
@@ -100,7 +112,7 @@
 ////////////////////////////////////////////////////////////
 void WorkEstimator::learn(std::string_view route, double latencyMs, double expectedMs, double crowding)
 {
-    const double observedRatio = std::clamp(latencyMs / std::max(1.0, expectedMs), 0.1, 5.0);
+    const double observedRatio = std::clamp(latencyMs / std::max(minWorkMs, expectedMs), 0.1, 5.0);
     RouteWork&   work = m_routes.try_emplace(std::string(route), RouteWork{m_baseline.workMs, 0}).first->second;
     // The first answers weigh more, as the initial value is only the mean of other routes.
     ++work.answers;
@@ -116,7 +128,8 @@
         m_uncrowdedRatio += crowdedSlowdownGain * (observedRatio - m_uncrowdedRatio);
     // A longer time at a crowded instance is mostly caused by the crowding.
     const double gain = crowded ? workGain / 5 : std::max(workGain, 1.0 / (work.answers + 1));
-    work.ms *= 1 + gain * (observedRatio - 1);
+    // Without bounds, a series of equal ratios would take the value to 0 or beyond what a duration can hold.
+    work.ms = boundedWork(work.ms * (1 + gain * (observedRatio - 1)));
     m_baseline.workMs += workGain * (work.ms - m_baseline.workMs);
 }
 
