Wait in a planned stop until callers have got all bytes of their answers

Cause: a request was forgotten when the first byte of its answer was written, and the stop asked for unfinished requests alone. What was in m_writing, or in the socket, was nobody's. Closing a connection with unread input resets it, which destroys what its caller has not acknowledged; an idle connection was closed so although its caller still read the answer before.

Fix: StopSchedule decides from what is open: requests without an answer, answers written in part or not acknowledged (SIOCOUTQ; taken for sent where the system does not tell), tunnels, connections. It ends at once when nothing is left, after a second when only callers without a whole request are left, and when the grace is over in any case. A connection that is closed while an answer is in transit is closed for sending only and read on.

Log and metrics: `leaving` and `stopped` name what is open and why the process ends (a warning when the grace is over), `answer-cut`, `sailpath_answers_cut_total`, `sailpath_answers_in_transit`.

Test: soak/stops, ten cases over real processes.

--- a/include/sailpath/gateway/Gateway.hpp
+++ b/include/sailpath/gateway/Gateway.hpp
@@ -7,6 +7,7 @@
 #include <sailpath/gateway/GatewaySettings.hpp>
 #include <sailpath/gateway/LoopProgress.hpp>
 #include <sailpath/gateway/Metrics.hpp>
+#include <sailpath/gateway/StopSchedule.hpp>
 #include <sailpath/ports/EventLog.hpp>
 
 #include <functional>
@@ -106,7 +107,7 @@
 
     [[nodiscard]] snapshot::LearnedState learned() const; //!< What this node has learned of services and callers
     [[nodiscard]] std::size_t unfinishedRequests() const; //!< Requests without an answer, those of other nodes included
-    [[nodiscard]] std::size_t callerConnections() const;  //!< Number of open caller connections
+    [[nodiscard]] OpenWork    openWork() const;           //!< What a planned stop has to wait for
     [[nodiscard]] const LoopProgress& progress() const;   //!< Of the event loop; may be read from any thread
     [[nodiscard]] const Counters&     counters() const;   //!< Counters since the start of the process
     [[nodiscard]] std::uint16_t       port() const;       //!< Port that callers connect to
--- a/include/sailpath/gateway/Metrics.hpp
+++ b/include/sailpath/gateway/Metrics.hpp
@@ -17,6 +17,7 @@
     std::uint64_t refusedBeforeRead{0};      //!< Requests refused before they were received whole
     std::uint64_t failed{0};                 //!< Requests failed by the gateway that a server may have run
     std::uint64_t callersDisconnected{0};    //!< Callers that disconnected before their answer
+    std::uint64_t answersCut{0};             //!< Connections closed before all bytes of an answer were written
     std::uint64_t attempts{0};               //!< Attempts sent to servers
     std::uint64_t attemptsAgainstNotice{0};  //!< Attempts to servers that leave or asked to back off
     std::uint64_t attemptsThroughHelpers{0}; //!< Attempts on connections through other nodes that have ended
--- a/src/programs/GatewayProgram.cpp
+++ b/src/programs/GatewayProgram.cpp
@@ -64,9 +64,7 @@
 
 constexpr adapters::settings::Program program{"sailpath-gateway", "Takes callers' requests, decides, forwards.", "",
                                               options};
-constexpr auto                        noticeTime = std::chrono::milliseconds{2300}; // For the balancer in front
 constexpr auto                        stopCheck = std::chrono::milliseconds{50};
-constexpr auto                        lingerTime = std::chrono::seconds{1}; // For callers' connections to end
 constexpr double                      graceShare = 0.9;   // Of the grace; the process has ended by then
 constexpr double                      bufferShare = 0.25; // Of the memory, for request bodies
 constexpr double                      bytesPerMegabyte = 1e6;
@@ -198,7 +196,7 @@
     PlannedStop(asio::io_context& context, gateway::Gateway& gateway, core::Duration grace, ports::EventLog& log) :
     m_context(context),
     m_gateway(gateway),
-    m_grace(grace),
+    m_schedule(grace),
     m_log(log),
     m_timer(context)
     {
@@ -210,10 +208,9 @@
             return;
         m_begun = true;
         m_since = core::now();
-        m_log.write(ports::Level::Info, "leaving",
-                    {{"unfinished", m_gateway.unfinishedRequests()}, {"callers", m_gateway.callerConnections()}});
+        write("leaving", ports::Level::Info, "asked");
         m_gateway.startDraining();
-        wait(noticeTime);
+        wait(m_schedule.noticeTime());
     }
 
 private:
@@ -231,23 +228,34 @@
     void check()
     {
         m_gateway.closeIdle();
-        const auto elapsed = core::now() - m_since;
-        // What is left then are callers that have not sent a whole request.
-        const bool patient = elapsed < noticeTime + lingerTime;
-        const bool done = m_gateway.unfinishedRequests() == 0 && (m_gateway.callerConnections() == 0 || !patient);
-        if (!done && elapsed < m_grace)
+        const auto reason = m_schedule.decide(m_gateway.openWork(), core::now() - m_since);
+        if (reason == gateway::StopReason::None)
             return wait(stopCheck);
-        m_log.write(ports::Level::Info, "stopped", {{"unfinished", m_gateway.unfinishedRequests()}});
+        const bool cuts = reason == gateway::StopReason::GraceIsOver;
+        write("stopped", cuts ? ports::Level::Warning : ports::Level::Info, gateway::toString(reason));
         m_context.stop();
     }
 
-    asio::io_context&  m_context;      //!< Loop
-    gateway::Gateway&  m_gateway;      //!< Is stopped
-    core::Duration     m_grace;        //!< Longest time
-    ports::EventLog&   m_log;          //!< Told
-    asio::steady_timer m_timer;        //!< Next check
-    core::Timestamp    m_since{};      //!< Start
-    bool               m_begun{false}; //!< It was told to stop
+    void write(std::string_view event, ports::Level level, std::string_view reason)
+    {
+        const gateway::OpenWork work = m_gateway.openWork();
+        m_log.write(level, event,
+                    {{"unfinished", work.requests + work.answers + work.tunnels},
+                     {"requests", work.requests},
+                     {"answers", work.answers},
+                     {"tunnels", work.tunnels},
+                     {"callers", work.connections},
+                     {"reason", reason},
+                     {"ms", core::toMilliseconds(core::now() - m_since)}});
+    }
+
+    asio::io_context&     m_context;      //!< Loop
+    gateway::Gateway&     m_gateway;      //!< Is stopped
+    gateway::StopSchedule m_schedule;     //!< Decides when the process ends
+    ports::EventLog&      m_log;          //!< Told
+    asio::steady_timer    m_timer;        //!< Next check
+    core::Timestamp       m_since{};      //!< Start
+    bool                  m_begun{false}; //!< It was told to stop
 };
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -1,5 +1,6 @@
 #include "CallerConnection.hpp"
 
+#include <sailpath/adapters/net/SendQueue.hpp>
 #include <sailpath/core/Clock.hpp>
 
 #include <asio/write.hpp>
@@ -8,6 +9,7 @@
 #include <chrono>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace sailpath::gateway::priv
 {
@@ -62,7 +64,7 @@
                                  if (self->m_state == State::Closed)
                                      return;
                                  if (error)
-                                     return self->close();
+                                     return self->close("caller-closed");
                                  self->handleBytes(bytes);
                              });
 }
@@ -95,7 +97,7 @@
             socklen_t  size = sizeof(info);
             const bool known = ::getsockopt(self->m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
             if (known && (info.tcpi_state == TCP_CLOSE_WAIT || info.tcpi_state == TCP_CLOSE))
-                return self->close();
+                return self->close("caller-closed");
             self->read();
         });
 }
@@ -278,20 +280,14 @@
 ////////////////////////////////////////////////////////////
 void CallerConnection::handleWritten(bool succeeded)
 {
+    if (m_state == State::Open && !succeeded)
+        close("write-failed");
     m_writing.reset();
     if (m_state != State::Open)
         return;
     m_lastActivity = core::now();
-    if (!succeeded)
-        return close();
     if (m_closeAfterWrite)
-    {
-        // Further input is read and discarded: closing with unread input sends a reset, which can destroy the answer.
-        m_state = State::Lingering;
-        asio::error_code ignored;
-        m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-        return read();
-    }
+        return linger();
     writeNext();
     m_readResumedAt = m_lastActivity;
     if (hasNoPendingAnswer() && m_deferred)
@@ -302,15 +298,47 @@
     read();
 }
 
+////////////////////////////////////////////////////////////
+void CallerConnection::linger()
+{
+    // Further input is read and discarded: closing with unread input sends a reset, which can destroy the answer.
+    m_state = State::Lingering;
+    m_reader.stop();
+    asio::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    read();
+}
+
+////////////////////////////////////////////////////////////
+bool CallerConnection::isSending()
+{
+    if (m_state == State::Closed)
+        return false;
+    return m_writing || adapters::net::unacknowledgedBytes(m_socket.native_handle()) > 0;
+}
+
+////////////////////////////////////////////////////////////
+void CallerConnection::recordProgress(core::Timestamp now)
+{
+    const std::size_t unacknowledged = adapters::net::unacknowledgedBytes(m_socket.native_handle());
+    if (std::exchange(m_unacknowledged, unacknowledged) != unacknowledged)
+        m_lastActivity = now;
+}
+
 ////////////////////////////////////////////////////////////
 void CallerConnection::checkTimeouts(core::Timestamp at)
 {
     const deployment::CallerLimits& limits = m_events.limits();
-    const core::Duration            inactive = at - m_lastActivity;
-    if (m_state == State::Lingering && inactive > lingerTimeout)
-        return close();
+    if (m_state == State::Lingering)
+    {
+        recordProgress(at);
+        const core::Duration longest =
+            m_unacknowledged > 0 ? std::max<core::Duration>(limits.idleTime, lingerTimeout) : lingerTimeout;
+        return at - m_lastActivity > longest ? close("idle-time") : void();
+    }
+    const core::Duration inactive = at - m_lastActivity;
     if (m_writing && inactive > limits.idleTime)
-        return close();
+        return close("idle-time");
     if (m_reader.hasRequest() && canReadRequest())
     {
         const core::Timestamp readSince = std::max(m_reader.firstByteAt(), m_readResumedAt);
@@ -321,14 +349,18 @@
         return;
     }
     if (m_state == State::Open && hasNoPendingAnswer() && !m_reader.hasRequest() && inactive > limits.idleTime)
-        close();
+        return isSending() ? linger() : close("idle-time");
 }
 
 ////////////////////////////////////////////////////////////
 void CallerConnection::closeIfIdle()
 {
-    if (idleSince())
-        close();
+    if (!idleSince())
+        return;
+    // A caller that still reads an earlier answer may be sending its next request.
+    if (isSending())
+        return linger();
+    close("planned-stop");
 }
 
 ////////////////////////////////////////////////////////////
@@ -339,11 +371,13 @@
 }
 
 ////////////////////////////////////////////////////////////
-void CallerConnection::close()
+void CallerConnection::close(std::string_view reason)
 {
     if (m_state == State::Closed)
         return;
     const auto self = shared_from_this();
+    if (m_writing)
+        m_events.answerCut(*this, m_writing->answer->head.size() + m_writing->answer->body.size(), reason);
     m_state = State::Closed;
     m_closePollTimer.cancel();
     asio::error_code ignored;
--- a/src/sailpath/gateway/CallerConnection.hpp
+++ b/src/sailpath/gateway/CallerConnection.hpp
@@ -46,6 +46,13 @@
     void checkTimeouts(core::Timestamp now); //!< Close the connection or refuse the request when a limit has passed
     void closeIfIdle();                      //!< Close if no request is being read or answered
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Whether an answer is being sent: written in part, or not yet acknowledged by the caller's system
+    ///
+    /// A connection that is closed while input is unread is reset, which destroys what was not acknowledged.
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] bool isSending();
+
     [[nodiscard]] std::optional<core::Timestamp> idleSince() const; //!< Null while a request is read or answered
     [[nodiscard]] const std::string&             address() const;   //!< IP address of the caller
 
@@ -53,7 +60,7 @@
     enum class State
     {
         Open,      //!< Requests are read and answers written
-        Lingering, //!< The last answer is written; further input is discarded
+        Lingering, //!< All answers are written and the caller is told the end; further input is discarded
         Closed     //!< The socket is closed
     };
 
@@ -72,7 +79,9 @@
     void               handleWritten(bool succeeded);
     void               pollForClose();
     [[nodiscard]] bool hasNoPendingAnswer() const;
-    void               close();
+    void               linger();
+    void               recordProgress(core::Timestamp now);
+    void               close(std::string_view reason);
 
     asio::ip::tcp::socket        m_socket;                 //!< Socket of the connection
     std::string                  m_address;                //!< IP address of the caller
@@ -86,6 +95,7 @@
     std::optional<PendingAnswer> m_writing;                //!< The answer that is being written
     std::array<char, 4096>       m_buffer{};               //!< Receive buffer
     core::Timestamp              m_lastActivity{};         //!< When bytes were last received, or a write began or ended
+    std::size_t                  m_unacknowledged{0};      //!< Bytes of answers in transit when last checked
     core::Timestamp              m_readResumedAt{};        //!< When a completed write last let reading resume
     State                        m_state{State::Open};     //!< State of the connection
     bool                         m_reading{false};         //!< A read operation is pending
--- a/src/sailpath/gateway/CallerEvents.hpp
+++ b/src/sailpath/gateway/CallerEvents.hpp
@@ -24,8 +24,15 @@
     [[nodiscard]] virtual balance::Ticket newTicket() = 0; //!< Ticket for the next request
 
     virtual void requestRead(CallerConnection& caller, balance::Ticket ticket, CallerRequest request) = 0; //!< Complete
-    virtual void answerStarted(balance::Ticket ticket) = 0;      //!< The answer begins to be written
-    virtual void callerLeft(balance::Ticket ticket) = 0;         //!< Closed before the answer was written
+    virtual void answerStarted(balance::Ticket ticket) = 0; //!< The answer begins to be written
+    virtual void callerLeft(balance::Ticket ticket) = 0;    //!< Closed before the answer was written
+    ////////////////////////////////////////////////////////////
+    /// \brief Record that the connection closes before an answer was written whole
+    ///
+    /// \param bytes  Size of the answer
+    /// \param reason `caller-closed`, `write-failed` or `idle-time`
+    ////////////////////////////////////////////////////////////
+    virtual void answerCut(const CallerConnection& caller, std::size_t bytes, std::string_view reason) = 0;
     virtual void connectionClosed(CallerConnection& caller) = 0; //!< Last call of the connection
 
     ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -196,6 +196,13 @@
     return lastRunAt < catchUpUntil ? stalledSince : lastRunAt;
 }
 
+////////////////////////////////////////////////////////////
+std::size_t Gateway::Impl::countSendingCallers() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(callers.begin(), callers.end(), [](const auto& caller) { return caller->isSending(); }));
+}
+
 ////////////////////////////////////////////////////////////
 std::string Gateway::Impl::quarantineList() const
 {
@@ -420,6 +427,8 @@
     add("requests_held_callers_left_total", "counter", held.left);
     add("callers", "gauge", callers.size());
     add("requests_unfinished", "gauge", exchanges.size());
+    add("answers_in_transit", "gauge", countSendingCallers());
+    add("answers_cut_total", "counter", counters.answersCut);
     add("body_bytes_held", "gauge", bodies->used());
     add("configuration_version", "gauge", version);
     text += admissionMetrics();
@@ -570,9 +579,9 @@
 }
 
 ////////////////////////////////////////////////////////////
-std::size_t Gateway::callerConnections() const
+OpenWork Gateway::openWork() const
 {
-    return m_impl->callers.size();
+    return {m_impl->exchanges.size(), m_impl->countSendingCallers(), m_impl->tunnels.busy(), m_impl->callers.size()};
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/GatewayImpl.hpp
+++ b/src/sailpath/gateway/GatewayImpl.hpp
@@ -33,15 +33,16 @@
          ports::EventLog& events);
 
     void accept();
-    void addCaller(asio::ip::tcp::socket socket); //!< Close the connection when there is no room for it
-    void retryAccept(const std::string& reason);  //!< Free descriptors and accept again after a delay
-    bool closeLongestIdleCaller();                //!< Return false when no caller is idle
-    void scheduleSweep();                         //!< Close connections that exceed their times, at a fixed interval
-    void detectStall();                           //!< Detect a pause of the event loop, such as a suspended VM
-    void armDueTimer();                           //!< Set the timer for the next time at which the balancer has to act
-    void logBalancerChanges();                    //!< Log what the balancer concluded about servers and requests
-    void logLimit(const balance::LimitChange& change);
-    void logNotice(const balance::NoticeChange& change);
+    void addCaller(asio::ip::tcp::socket socket);          //!< Close the connection when there is no room for it
+    void retryAccept(const std::string& reason);           //!< Free descriptors and accept again after a delay
+    bool closeLongestIdleCaller();                         //!< Return false when no caller is idle
+    [[nodiscard]] std::size_t countSendingCallers() const; //!< Callers that have not got all bytes of an answer
+    void                      scheduleSweep(); //!< Close connections that exceed their times, at a fixed interval
+    void                      detectStall();   //!< Detect a pause of the event loop, such as a suspended VM
+    void                      armDueTimer();   //!< Set the timer for the next time at which the balancer has to act
+    void                      logBalancerChanges(); //!< Log what the balancer concluded about servers and requests
+    void                      logLimit(const balance::LimitChange& change);
+    void                      logNotice(const balance::NoticeChange& change);
     void recordNotice(const std::shared_ptr<const deployment::Instance>& instance, const balance::ServerNotice& notice,
                       balance::NoticeSource source); //!< Process a server's notice to leave or back off
     void recordRefusal(priv::Exchange& exchange, const balance::Refusal& refusal); //!< Count and log Retry-After
@@ -77,6 +78,7 @@
     void requestRead(priv::CallerConnection& caller, balance::Ticket ticket, priv::CallerRequest request) override;
     void answerStarted(balance::Ticket ticket) override;
     void callerLeft(balance::Ticket ticket) override;
+    void answerCut(const priv::CallerConnection& caller, std::size_t bytes, std::string_view reason) override;
     void connectionClosed(priv::CallerConnection& caller) override;
     void refusedUnread(const http::Head* head, unsigned status, std::string_view reason) override;
     [[nodiscard]] std::string                     workspaceOf(const http::Head& head) const override;
@@ -109,9 +111,9 @@
     std::uint64_t                        version{0};                        //!< Version of the configuration in force
     core::Timestamp                      lastRunAt{core::Timestamp::max()}; //!< Time of the last run of the loop
     core::Timestamp                      stalledSince{}; //!< Time of the last run before the latest stall
-    core::Timestamp              catchUpUntil{}; //!< Bytes read before this time may have arrived during the stall
-    bool                         ready{false};   //!< Routes and servers have been configured
-    bool                         isDraining{false};
+    core::Timestamp              catchUpUntil{};    //!< Bytes read before this time may have arrived during the stall
+    bool                         ready{false};      //!< Routes and servers have been configured
+    bool                         isDraining{false}; //!< A planned stop has begun
     bool                         performingSteps{false}; //!< Guards against reentry of `performPendingSteps`
     metrics::TrafficMetrics      trafficMetrics;
     metrics::StageTimes          stageTimes;
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -134,6 +134,15 @@
                   {"bodyLimit", callerLimits.bodyBytes}});
 }
 
+////////////////////////////////////////////////////////////
+void Gateway::Impl::answerCut(const CallerConnection& caller, std::size_t bytes, std::string_view reason)
+{
+    ++counters.answersCut;
+    events.write(
+        ports::Level::Info, "answer-cut",
+        {{"caller", caller.address()}, {"bytes", bytes}, {"reason", reason}, {"stopping", isDraining ? 1 : 0}});
+}
+
 ////////////////////////////////////////////////////////////
 void Gateway::Impl::connectionClosed(CallerConnection& caller)
 {
