Answer in a planned stop all requests that have arrived on a connection

What callers saw: a caller that pipelined lost requests in a planned stop. Of the two kinds, one that may not be repeated waits for the answers before it and was dropped when the last of these closed the connection; requests that arrived after the stop had begun, while an earlier one was answered, were read from the socket and dropped with the close, whatever their age.

Cause: the answer that closed the connection was the last of those forwarded, not of those that had arrived.

Fix: the connection ends with the answer to the last request that has arrived; input younger than 100 ms crosses the close and is dropped, as the caller is told. Once the stop closes idle connections, nothing is read behind an unanswered request, so a caller that pipelines without end cannot keep its connection.

--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -18,6 +18,7 @@
 constexpr auto        refusalRetryAfter = std::chrono::seconds{1};
 constexpr auto        lingerTimeout = std::chrono::seconds{1};            // Without input after the last answer
 constexpr auto        closePollInterval = std::chrono::milliseconds{200}; // Between checks by pollForClose
+constexpr auto        crossingTime = std::chrono::milliseconds{100};      // Age of input that crosses a planned close
 constexpr std::size_t maxReadAhead = 64UL * 1024;                         // Unparsed bytes above which reading pauses
 constexpr std::size_t maxPipelined = 16; // Unanswered requests of one connection: enough to cover a few round trips,
                                          // and few enough that one caller cannot use up the capacity of a node
@@ -53,7 +54,8 @@
 {
     if (m_reading || m_state == State::Closed)
         return;
-    if (m_reader.unreadBytes() > maxReadAhead)
+    const bool answersFirst = !m_events.takesFurtherRequests() && !hasNoPendingAnswer();
+    if (m_reader.unreadBytes() > maxReadAhead || answersFirst)
         return pollForClose();
     m_reading = true;
     auto self = shared_from_this();
@@ -109,7 +111,7 @@
         return false;
     if (m_pendingAnswers.empty())
         return true;
-    return m_pendingAnswers.size() < maxPipelined && !m_events.closesConnections() &&
+    return m_pendingAnswers.size() < maxPipelined && m_events.takesFurtherRequests() &&
            !m_bodyMemory->isSharedPartUsedUp();
 }
 
@@ -259,8 +261,7 @@
     // The idle time of a write counts from its start. Counted from the caller's last bytes, a timeout check cut answers
     // that took longer than the idle time while they were written: 15 of 160 such answers, against none of 320 since.
     m_lastActivity = core::now();
-    // A planned stop closes the connection after the last forwarded request is answered.
-    m_closeAfterWrite = !m_writing->keepAlive || (m_events.closesConnections() && m_pendingAnswers.empty());
+    m_closeAfterWrite = !m_writing->keepAlive || endsWithNextAnswer();
     if (m_closeAfterWrite)
     {
         m_requestsEnded = true;
@@ -277,6 +278,17 @@
                       [self](const asio::error_code& error, std::size_t) { self->handleWritten(!error); });
 }
 
+////////////////////////////////////////////////////////////
+bool CallerConnection::endsWithNextAnswer() const
+{
+    // A planned stop closes the connection with the answer to the last request that has arrived. What arrived only just
+    // now crosses the close, and its caller sends it again.
+    if (!m_events.closesConnections() || !m_pendingAnswers.empty() || m_deferred)
+        return false;
+    const auto oldestInput = m_reader.oldestInputAt();
+    return !oldestInput || core::now() - *oldestInput < crossingTime;
+}
+
 ////////////////////////////////////////////////////////////
 void CallerConnection::handleWritten(bool succeeded)
 {
--- a/src/sailpath/gateway/CallerConnection.hpp
+++ b/src/sailpath/gateway/CallerConnection.hpp
@@ -79,6 +79,7 @@
     void               handleWritten(bool succeeded);
     void               pollForClose();
     [[nodiscard]] bool hasNoPendingAnswer() const;
+    [[nodiscard]] bool endsWithNextAnswer() const;
     void               linger();
     void               recordProgress(core::Timestamp now);
     void               close(std::string_view reason);
--- a/src/sailpath/gateway/CallerEvents.hpp
+++ b/src/sailpath/gateway/CallerEvents.hpp
@@ -54,6 +54,7 @@
     [[nodiscard]] virtual const deployment::CallerLimits& limits() const = 0;  //!< Limits in force
     [[nodiscard]] virtual bool configured() const = 0;                         //!< The limits are those of the operator
     [[nodiscard]] virtual bool closesConnections() const = 0;                  //!< A planned stop has begun
+    [[nodiscard]] virtual bool takesFurtherRequests() const = 0; //!< Requests are read while earlier ones are answered
 };
 
 } // namespace sailpath::gateway::priv
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -559,6 +559,7 @@
 ////////////////////////////////////////////////////////////
 void Gateway::closeIdle()
 {
+    m_impl->isClosing = true;
     asio::error_code ignored;
     m_impl->acceptor.close(ignored);
     const std::vector<std::shared_ptr<CallerConnection>> all(m_impl->callers.begin(), m_impl->callers.end());
--- a/src/sailpath/gateway/GatewayImpl.hpp
+++ b/src/sailpath/gateway/GatewayImpl.hpp
@@ -86,6 +86,7 @@
     [[nodiscard]] const deployment::CallerLimits& limits() const override;
     [[nodiscard]] bool                            configured() const override;
     [[nodiscard]] bool                            closesConnections() const override;
+    [[nodiscard]] bool                            takesFurtherRequests() const override;
 
     asio::io_context&                                 context;
     GatewaySettings                                   settings;
@@ -114,6 +115,7 @@
     core::Timestamp              catchUpUntil{};    //!< Bytes read before this time may have arrived during the stall
     bool                         ready{false};      //!< Routes and servers have been configured
     bool                         isDraining{false}; //!< A planned stop has begun
+    bool                         isClosing{false};  //!< A planned stop closes idle connections
     bool                         performingSteps{false}; //!< Guards against reentry of `performPendingSteps`
     metrics::TrafficMetrics      trafficMetrics;
     metrics::StageTimes          stageTimes;
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -202,6 +202,12 @@
     return isDraining;
 }
 
+////////////////////////////////////////////////////////////
+bool Gateway::Impl::takesFurtherRequests() const
+{
+    return !isClosing;
+}
+
 ////////////////////////////////////////////////////////////
 void Gateway::Impl::performPendingSteps()
 {
--- a/src/sailpath/gateway/RequestReader.cpp
+++ b/src/sailpath/gateway/RequestReader.cpp
@@ -89,6 +89,14 @@
     return !m_message && m_unread.find_first_not_of("\r\n") == std::string::npos;
 }
 
+////////////////////////////////////////////////////////////
+std::optional<core::Timestamp> RequestReader::oldestInputAt() const
+{
+    if (m_message)
+        return m_firstByteAt;
+    return empty() ? std::nullopt : std::optional(m_chunks.front().receivedAt);
+}
+
 ////////////////////////////////////////////////////////////
 bool RequestReader::headComplete() const
 {
--- a/src/sailpath/gateway/RequestReader.hpp
+++ b/src/sailpath/gateway/RequestReader.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -37,8 +38,10 @@
     [[nodiscard]] std::string takeBody();      //!< Move the body out of the complete request
     void                      finishRequest(); //!< Drop the complete request, so that the next one can begin
 
-    [[nodiscard]] bool              hasRequest() const;         //!< A byte of a request was read
-    [[nodiscard]] bool              empty() const;              //!< No byte of a request was received
+    [[nodiscard]] bool hasRequest() const; //!< A byte of a request was read
+    [[nodiscard]] bool empty() const;      //!< No byte of a request was received
+    [[nodiscard]] std::optional<core::Timestamp>
+                                    oldestInputAt() const;      //!< Arrival of the first byte not yet handled; or null
     [[nodiscard]] bool              headComplete() const;       //!< The head of the current request is read
     [[nodiscard]] const http::Head& head() const;               //!< Head of the current request
     [[nodiscard]] core::Timestamp   firstByteAt() const;        //!< Arrival of the current request's first byte
