--- a/src/sailpath/gateway/ServedTunnel.cpp
+++ b/src/sailpath/gateway/ServedTunnel.cpp
@@ -3,6 +3,7 @@
 #include "ServerDial.hpp"
 
 #include <sailpath/adapters/links/TunnelCodec.hpp>
+#include <sailpath/adapters/net/SendQueue.hpp>
 #include <sailpath/core/Clock.hpp>
 
 #include <asio/write.hpp>
@@ -16,7 +17,7 @@
 namespace
 {
 constexpr auto quietTime =
-    std::chrono::milliseconds{500}; // After the server's last bytes, an answer is taken for whole
+    std::chrono::milliseconds{500}; // After the server's last bytes, for the other node's next request
 constexpr auto connectTimeout = std::chrono::milliseconds{250}; // Shorter than the other node waits for an answer
 // Of a node that is silent; after the last of these the unacknowledged timeout ends the connection, as it counts for
 // keep-alive probes too.
@@ -86,6 +87,7 @@
     m_openedAt = core::now();
     m_events.connected(m_instance);
     send(paths::TunnelOpened{paths::TunnelStatus::Open}, false);
+    m_traffic.passToServer(m_toServer);
     if (m_toServer.empty())
         readPeer();
     else
@@ -102,9 +104,11 @@
 void ServedTunnel::send(const paths::TunnelMessage& message, bool last)
 {
     m_toPeer = adapters::links::encodeTunnel(message);
+    m_sending = true;
     asio::async_write(m_peer, asio::buffer(m_toPeer),
                       [self = shared_from_this(), last](const asio::error_code& error, std::size_t)
                       {
+                          self->m_sending = false;
                           if (error || last)
                               return self->end();
                           if (!self->m_ended)
@@ -123,6 +127,7 @@
                                    return self->end();
                                self->m_toServer.assign(self->m_fromPeer.data(), bytes);
                                self->m_awaitsServer = true;
+                               self->m_traffic.passToServer(self->m_toServer);
                                self->writeServer();
                            });
 }
@@ -152,6 +157,7 @@
                                  if (error)
                                      return self->end();
                                  self->recordHeard();
+                                 self->m_traffic.passFromServer({self->m_fromServer.data(), bytes});
                                  self->send(paths::TunnelData{{self->m_fromServer.data(), bytes}}, false);
                              });
 }
@@ -167,9 +173,12 @@
 }
 
 ////////////////////////////////////////////////////////////
-bool ServedTunnel::isBusy() const
+bool ServedTunnel::isBusy()
 {
-    return !m_connected || m_awaitsServer || core::now() - m_heardAt < quietTime;
+    if (!m_connected || m_sending || m_traffic.isAnswerDue())
+        return true;
+    return m_awaitsServer || core::now() - m_heardAt < quietTime ||
+           adapters::net::unacknowledgedBytes(m_peer.native_handle()) > 0;
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/ServedTunnel.hpp
+++ b/src/sailpath/gateway/ServedTunnel.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "TunnelTraffic.hpp"
+
 #include <sailpath/deployment/Instance.hpp>
 #include <sailpath/gateway/GatewaySettings.hpp>
 #include <sailpath/paths/TunnelMessage.hpp>
@@ -43,7 +45,7 @@
     void deny(paths::TunnelStatus status);           //!< Tell the other node that no tunnel is opened, and end
     void close();                                    //!< Break both connections off
 
-    [[nodiscard]] bool isBusy() const; //!< The server has something to answer, or is answering
+    [[nodiscard]] bool isBusy(); //!< An answer is due, or not all of its bytes have reached the other node
 
 private:
     void connected(const asio::error_code& error);
@@ -67,6 +69,8 @@
     core::Timestamp        m_openedAt{};          //!< When the server accepted
     core::Timestamp        m_heardAt{};           //!< Last bytes of the server
     bool                   m_awaitsServer{false}; //!< The last bytes that passed were for the server
+    bool                   m_sending{false};      //!< A message to the other node is being written
+    TunnelTraffic          m_traffic;             //!< Requests and answers that have passed
     bool                   m_connected{false};
     bool                   m_ended{false};
 };
--- a/test/gateway/LostPaths.test.cpp
+++ b/test/gateway/LostPaths.test.cpp
@@ -320,6 +320,30 @@
     BOOST_TEST(caller.readAnswer().ends_with("late"));
 }
 
+// Guards against a helper that ends while a server pauses within an answer.
+BOOST_AUTO_TEST_CASE(AHelperThatStopsAsPlannedWaitsForAServerThatPausesWithinItsAnswer)
+{
+    PatientFixture fixture(
+        [](const std::string& request)
+        {
+            const std::string answer = Fixture::okAnswer(fieldOf(request, "X-Id"), "first, then the rest");
+            Script            script{answer.substr(0, answer.size() - 8)};
+            script.rest = answer.substr(answer.size() - 8);
+            script.restDelay = 1500ms;
+            return script;
+        });
+    Helper helper(fixture);
+    losePath(fixture, {&helper});
+    TestCaller caller(fixture.gateway->port());
+    caller.write(Fixture::request("/read/1", "r1"));
+    BOOST_TEST(waitFor([&] { return fixture.server.requests().size() == 1; }));
+    asio::post(helper.context, [&] { helper.gateway->startDraining(); });
+    std::this_thread::sleep_for(1s);
+    BOOST_TEST(helper.tunnels() == 1U);
+    BOOST_TEST(caller.readAnswer().ends_with("the rest"));
+    BOOST_TEST(waitFor([&] { return helper.tunnels() == 0; }));
+}
+
 BOOST_AUTO_TEST_CASE(AHelperConnectsToDeclaredServersOnly)
 {
     PatientFixture                 fixture;
--- a/test/support/ScriptedServer.cpp
+++ b/test/support/ScriptedServer.cpp
@@ -116,6 +116,11 @@
             return;
         }
         asio::write(socket, asio::buffer(script.bytes), error);
+        if (!script.rest.empty())
+        {
+            std::this_thread::sleep_for(script.restDelay);
+            asio::write(socket, asio::buffer(script.rest), error);
+        }
         if (script.reset)
             socket.set_option(asio::socket_base::linger(true, 0), error);
         if (script.close || script.reset || error)
--- a/test/support/ScriptedServer.hpp
+++ b/test/support/ScriptedServer.hpp
@@ -23,6 +23,8 @@
     bool                      close{false};  //!< Close the connection after the bytes
     bool                      reset{false};  //!< Reset the connection after the bytes
     bool                      silent{false}; //!< Write nothing and wait until the client closes
+    std::string               rest{};        //!< Further bytes
+    std::chrono::milliseconds restDelay{0};  //!< From the first bytes until the further ones are written
 };
 
 ////////////////////////////////////////////////////////////
