Write 100 Continue without blocking the thread for traffic

Cause: the interim answer was written by a blocking call on the thread that serves all callers; the invariant that this thread never waits for one peer was in nobody's charge.

The soak learns a route of no work whose servers fall silent, answers of up to 3 MiB read at the rate of a slow link, and planned stops in series.

--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -15,11 +15,12 @@
 {
 namespace
 {
-constexpr auto        refusalRetryAfter = std::chrono::seconds{1};
-constexpr auto        lingerTimeout = std::chrono::seconds{1};            // Without input after the last answer
-constexpr auto        closePollInterval = std::chrono::milliseconds{200}; // Between checks by pollForClose
-constexpr auto        crossingTime = std::chrono::milliseconds{100};      // Age of input that crosses a planned close
-constexpr std::size_t maxReadAhead = 64UL * 1024;                         // Unparsed bytes above which reading pauses
+constexpr auto             refusalRetryAfter = std::chrono::seconds{1};
+constexpr auto             lingerTimeout = std::chrono::seconds{1};            // Without input after the last answer
+constexpr auto             closePollInterval = std::chrono::milliseconds{200}; // Between checks by pollForClose
+constexpr auto             crossingTime = std::chrono::milliseconds{100}; // Age of input that crosses a planned close
+constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr std::size_t      maxReadAhead = 64UL * 1024; // Unparsed bytes above which reading pauses
 constexpr std::size_t maxPipelined = 16; // Unanswered requests of one connection: enough to cover a few round trips,
                                          // and few enough that one caller cannot use up the capacity of a node
 
@@ -166,17 +167,29 @@
         return;
     m_expectHandled = true;
     m_continuePending = true;
-    if (hasNoPendingAnswer())
-        writeContinue();
+    writeContinue();
 }
 
 ////////////////////////////////////////////////////////////
 void CallerConnection::writeContinue()
 {
+    if (!m_continuePending || m_writingContinue || !hasNoPendingAnswer() || m_state != State::Open)
+        return;
     m_continuePending = false;
-    // No earlier answer is pending and none is written before the body is read, so the bytes of two writes cannot mix.
-    asio::error_code ignored;
-    asio::write(m_socket, asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ignored);
+    m_writingContinue = true;
+    auto self = shared_from_this();
+    asio::async_write(m_socket, asio::buffer(continueAnswer),
+                      [self](const asio::error_code& error, std::size_t)
+                      {
+                          self->m_writingContinue = false;
+                          if (self->m_state != State::Open)
+                              return;
+                          if (error)
+                              return self->close("write-failed");
+                          self->m_lastActivity = core::now();
+                          self->writeNext();
+                          self->writeContinue();
+                      });
 }
 
 ////////////////////////////////////////////////////////////
@@ -253,7 +266,7 @@
 ////////////////////////////////////////////////////////////
 void CallerConnection::writeNext()
 {
-    if (m_writing || m_state != State::Open)
+    if (m_writing || m_writingContinue || m_state != State::Open)
         return;
     m_writing = m_pendingAnswers.popReady();
     if (!m_writing)
@@ -304,8 +317,7 @@
     m_readResumedAt = m_lastActivity;
     if (hasNoPendingAnswer() && m_deferred)
         forward(*std::exchange(m_deferred, std::nullopt));
-    if (hasNoPendingAnswer() && m_continuePending)
-        writeContinue();
+    writeContinue();
     readRequests();
     read();
 }
@@ -326,7 +338,7 @@
 {
     if (m_state == State::Closed)
         return false;
-    return m_writing || adapters::net::unacknowledgedBytes(m_socket.native_handle()) > 0;
+    return m_writing || m_writingContinue || adapters::net::unacknowledgedBytes(m_socket.native_handle()) > 0;
 }
 
 ////////////////////////////////////////////////////////////
@@ -349,7 +361,7 @@
         return at - m_lastActivity > longest ? close("idle-time") : void();
     }
     const core::Duration inactive = at - m_lastActivity;
-    if (m_writing && inactive > limits.idleTime)
+    if ((m_writing || m_writingContinue) && inactive > limits.idleTime)
         return close("idle-time");
     if (m_reader.hasRequest() && canReadRequest())
     {
--- a/src/sailpath/gateway/CallerConnection.hpp
+++ b/src/sailpath/gateway/CallerConnection.hpp
@@ -103,6 +103,7 @@
     bool                         m_pollingForClose{false}; //!< `m_closePollTimer` is set
     bool                         m_expectHandled{false};   //!< `Expect: 100-continue` of the current request was seen
     bool                         m_continuePending{false}; //!< `100 Continue` has to be written
+    bool                         m_writingContinue{false}; //!< `100 Continue` is being written
     bool                         m_requestRead{false};     //!< A request was read from the connection
     bool                         m_requestsEnded{false};   //!< No further request is read from the connection
     bool                         m_closeAfterWrite{false}; //!< The answer being written is the last one
--- a/src/sailpath/gateway/StallDetector.cpp
+++ b/src/sailpath/gateway/StallDetector.cpp
@@ -29,7 +29,7 @@
         return ended;
     }
     // An observer that was itself held up, as all threads of a suspended VM are, cannot tell that the loop stalled.
-    if (sinceObserved > 2 * m_interval && !m_reported)
+    if (sinceObserved > m_interval + m_interval / 4 && !m_reported)
     {
         m_lastBeatAt = now;
         return std::nullopt;
--- a/test/gateway/Stalls.test.cpp
+++ b/test/gateway/Stalls.test.cpp
@@ -38,6 +38,8 @@
     StallDetector   detector(1500ms, 1s, now);
     now += 60s;
     BOOST_TEST(!detector.observe(0, now).has_value());
+    now += 1600ms;
+    BOOST_TEST(!detector.observe(0, now).has_value());
     now += 1s;
     BOOST_TEST(!detector.observe(0, now).has_value());
     now += 1s;
--- a/test/platform/soak/bulk.py
+++ b/test/platform/soak/bulk.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import socket
 import time
 from dataclasses import dataclass, field
@@ -13,6 +14,7 @@
 SEGMENT_BYTES = 1448  # as on Ethernet; loopback would use 64 KiB
 READ_BYTES = 16 << 10
 HEAD_END = b"\r\n\r\n"
+SILENT_S = 3600.0
 
 
 @dataclass
@@ -30,7 +32,9 @@
 
     @staticmethod
     def of(target: str) -> "Answer":
-        """The answer that a target asks for."""
+        """The answer that a target asks for; a small one at once unless it says more."""
+        if not target.startswith("/bulk/"):
+            return Answer(16)
         _, _, size, wait_ms, form, pause_ms = target.split("/")
         return Answer(int(size), int(wait_ms), form, int(pause_ms))
 
@@ -48,7 +52,8 @@
         self.id = identity
         self.port = 0
         self.slots = slots
-        self.done: set[str] = set()  # requests that were answered whole
+        self.silent = 0.0       # share of requests that are never answered
+        self._random = random.Random(identity)
 
     async def listen(self) -> None:
         """Listen on a free port."""
@@ -74,6 +79,9 @@
         writer.close()
 
     async def _answer(self, message: wire.Message, own: dict[str, str], writer: asyncio.StreamWriter) -> bool:
+        if self._random.random() < self.silent:
+            await asyncio.sleep(SILENT_S)
+            return False
         wanted = Answer.of(message.target)
         request = message.headers[wire.REQUEST_ID]
         await asyncio.sleep(wanted.wait_ms / 1000)
@@ -92,7 +100,6 @@
         if wanted.form == "chunked":
             writer.write(b"0\r\n\r\n")
         await writer.drain()
-        self.done.add(request)
         return wanted.form != "end"
 
 
--- a/test/platform/soak/callers.py
+++ b/test/platform/soak/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import socket
 from dataclasses import dataclass
 
 import wire
@@ -10,6 +11,8 @@
 
 PATIENCE_S = 2.5
 OPENING_S = 1.0
+READ_BYTES = 16 << 10
+SEGMENT_BYTES = 1448  # as on Ethernet; loopback would use 64 KiB
 
 
 @dataclass
@@ -20,6 +23,7 @@
     port: int       # of the proxy in front of it
     life: int = 0
     ready: bool = False
+    direct_port: int = 0  # of the gateway itself
 
 
 @dataclass
@@ -33,6 +37,11 @@
     body: int
 
 
+BULK = Kind("/bulk/", True, 8.0, 30, 0)
+LARGEST_ANSWER = 3 << 20
+SLOWEST_READ_S = 4.0    # an answer is read within this time, shorter than the grace of a planned stop
+
+
 class Caller:
     """Sends one request after the other until it is told to end."""
 
@@ -74,8 +83,10 @@
         ready = [door for door in self._doors if door.ready]
         self._door = self._random.choice(ready or self._doors)
         self._life = self._door.life
-        self._reader, self._writer = await asyncio.wait_for(
-            asyncio.open_connection("127.0.0.1", self._door.port), OPENING_S)
+        self._reader, self._writer = await asyncio.wait_for(self._open(), OPENING_S)
+
+    async def _open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection("127.0.0.1", self._door.port)
 
     def _drop(self) -> None:
         if self._writer is not None:
@@ -112,3 +123,60 @@
             self._drop()
         if call.status == 503:
             await asyncio.sleep(min(0.5, float(answer.headers.get("retry-after", "0.1"))))
+
+
+class SlowReader(Caller):
+    """Asks for large answers and reads them at the rate of a slow link; connects to gateways directly."""
+
+    async def _one(self, target: str | None = None) -> None:
+        assert self._reader is not None and self._writer is not None
+        self._count += 1
+        request = f"{self._number}-{self._count}-{self._random.randrange(1 << 30):x}"
+        size = self._random.randrange(LARGEST_ANSWER)
+        pause = self._random.uniform(0, SLOWEST_READ_S) / (size / READ_BYTES + 1)
+        headers = {"Host": "soak.example", wire.REQUEST_ID: request, wire.DEADLINE_MS: str(int(BULK.timeout * 1000)),
+                   "x-work-ms": str(BULK.work_ms), "x-answer-bytes": str(size)}
+        call = Call(request, self._door.number, self._life, BULK.path, BULK.repeatable, self._now(), BULK.timeout)
+        self._history.calls.append(call)
+        self._writer.write(wire.request_bytes("GET", f"{BULK.path}{self._count}", headers, b""))
+        try:
+            async with asyncio.timeout(BULK.timeout + 1):
+                answer = await self._read_slowly(pause)
+        except asyncio.TimeoutError:
+            call.left_at = self._now()
+            return self._drop()
+        except (OSError, asyncio.IncompleteReadError):
+            call.closed_at = self._now()
+            return self._drop()
+        call.answered_at = self._now()
+        call.status, call.body = answer.status, answer.body
+        call.signature = answer.headers.get(wire.SIGNATURE, "")
+        if answer.headers.get("connection", "").lower() == "close":
+            self._drop()
+
+    async def _read_slowly(self, pause: float) -> wire.Message:
+        assert self._reader is not None
+        message = await wire.read_head(self._reader)
+        left = int(message.headers.get("content-length", "0"))
+        parts = []
+        while left > 0:
+            part = await self._reader.read(min(left, READ_BYTES))
+            if not part:
+                raise asyncio.IncompleteReadError(b"", left)
+            parts.append(part)
+            left -= len(part)
+            await asyncio.sleep(pause * len(part) / READ_BYTES)
+        message.body = b"".join(parts)
+        return message
+
+    async def _open(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BYTES)
+        caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+        caller.setblocking(False)
+        try:
+            await asyncio.get_running_loop().sock_connect(caller, ("127.0.0.1", self._door.direct_port))
+        except OSError:
+            caller.close()
+            raise
+        return await asyncio.open_connection(sock=caller, limit=READ_BYTES)
--- a/test/platform/soak/fleet.py
+++ b/test/platform/soak/fleet.py
@@ -55,7 +55,7 @@
         self.ports = Ports(free_port(), free_port(), free_port())
         self.front = Proxy(("127.0.0.1", self.ports.callers))
         self.to_store = Proxy(("127.0.0.1", 0))
-        self.door = Door(number, 0)
+        self.door = Door(number, 0, direct_port=self.ports.callers)
         self.seeds: list[int] = []
         self.source = f"127.0.1.{number + 1}"  # Its connections to servers come from here
         self._program = program
@@ -73,8 +73,8 @@
         await self.to_store.start()
         self.door.port = self.front.port
 
-    def start(self) -> None:
-        """Begin a life, unless another fault that overlaps has begun one already."""
+    def start(self, output: int | None = None) -> None:
+        """Begin a life, unless another fault that overlaps has begun one already; `output`: a descriptor for the log."""
         if self.running:
             return
         self.door.life += 1
@@ -88,7 +88,13 @@
             f"--retry-window-s={self._bounds.retry_window}", "--probe-rate=60", "--log-lines=400",
             f"--server-source={self.source}"]
         with open(self._out / f"gateway-{self.number}.log", "ab") as log:
-            self._process = subprocess.Popen([str(self._program), *arguments], stdout=log, stderr=log)
+            self._process = subprocess.Popen([str(self._program), *arguments], stdout=output or log, stderr=log)
+
+    @property
+    def pid(self) -> int:
+        """Number of the process."""
+        assert self._process is not None
+        return self._process.pid
 
     @property
     def running(self) -> bool:
@@ -155,6 +161,10 @@
             self.door.ready = good or (self.door.ready and self._misses < 2)
             await asyncio.sleep(1)
 
+    def log_names(self, event: str) -> bool:
+        """Whether the log has a line of this event."""
+        return f" event={event} " in (self._out / f"gateway-{self.number}.log").read_text(errors="replace")
+
     def end(self) -> None:
         """End the process for good."""
         if self.running and self._process is not None:
--- a/test/platform/soak/servers.py
+++ b/test/platform/soak/servers.py
@@ -16,6 +16,7 @@
 QUEUE = 6
 ENDING = "/ends-"      # in the target of a request that ends the server that runs it
 ENDS_AFTER_S = 0.03
+SILENT_S = 60.0
 
 
 @dataclass
@@ -27,6 +28,7 @@
     garble: float = 0.0     # share of answers cut short
     extra: float = 0.0      # share of answers followed by a second one
     fail: float = 0.0       # share answered 500
+    silent: float = 0.0     # share of requests that are run and never answered
     shed: bool = False      # turns all away as not run
     back_off: float = 0.1   # seconds that it asks for when it turns all away
     leaving: bool = False   # says in its answers that it leaves; the store does not know
@@ -215,11 +217,16 @@
             arrival.signature = rules.sign(arrival.server, arrival.id, b"")
             self._reply(writer, arrival, 504, {wire.SIGNATURE: arrival.signature}, b"")
             return True
-        return self._answer(message, arrival, writer)
+        return await self._answer(message, arrival, writer)
 
-    def _answer(self, message: wire.Message, arrival: Arrival, writer: asyncio.StreamWriter) -> bool:
+    async def _answer(self, message: wire.Message, arrival: Arrival, writer: asyncio.StreamWriter) -> bool:
         chance = self._random.random
+        if chance() < self.behaviour.silent:
+            await asyncio.sleep(SILENT_S)
+            return False
         body = arrival.id.encode() * (1 + self._random.randrange(40)) + message.body
+        size = int(message.headers.get("x-answer-bytes", "0"))
+        body = body if size == 0 else (body * (size // len(body) + 1))[:size]
         if chance() < self.behaviour.lose:
             arrival.ended_at = self._now()
             return False
--- a/test/platform/soak/soak.py
+++ b/test/platform/soak/soak.py
@@ -16,7 +16,7 @@
 
 import rules
 import wire
-from callers import Caller, Kind
+from callers import BULK, Caller, Kind, SlowReader
 from fleet import Gateway
 from history import History, Limited, PathCut, Span, Version
 from proxy import Cut, Mode, Proxy
@@ -25,9 +25,9 @@
 
 ZONES = ("north", "south", "east")
 KINDS = [Kind("/read/", True, 1.0, 30, 0), Kind("/slow/", True, 1.5, 300, 0), Kind("/pay/", False, 1.2, 40, 2000),
-         Kind("/move/", True, 1.0, 20, 0)]
+         Kind("/move/", True, 1.0, 20, 0), Kind("/quick/", True, 1.0, 0, 0)]
 MOVING = ("m0", "m1", "m2")
-SERVERS = [("a", 4), ("b", 3), ("m0", 2), ("m1", 2), ("m2", 2)]
+SERVERS = [("a", 4), ("b", 3), ("m0", 2), ("m1", 2), ("m2", 2), ("q", 3), ("k", 2)]
 QUIET_S = 5.0
 
 
@@ -67,6 +67,9 @@
         until = begun + self._options.seconds
         callers = [Caller(n, [gateway.door for gateway in self._gateways], KINDS, self._history, time.monotonic,
                           self._options.seed * 1000 + n) for n in range(self._options.callers)]
+        callers += [SlowReader(2000 + n, [gateway.door for gateway in self._gateways], [BULK], self._history,
+                               time.monotonic, self._options.seed * 1000 + 500 + n)
+                    for n in range(self._options.slow_readers)]
         traffic = [asyncio.create_task(caller.run(until)) for caller in callers]
         self._ends_by = until - QUIET_S - 4
         await self._inject(self._ends_by)
@@ -130,9 +133,9 @@
                     "RouteType": "safe" if kind.repeatable else "unsafe", "TimeoutS": kind.timeout,
                     "TargetLatencyS": 0.6, "Priority": 1, "Service": target, "MaxAttempts": 2}
 
-        targets = {"/read/": "a", "/slow/": "a", "/pay/": "b", "/move/": service}
+        targets = {"/read/": "a", "/slow/": "a", "/pay/": "b", "/move/": service, "/quick/": "q", BULK.path: "k"}
         await self._store.put("op/config", {
-            "Version": self._version, "Routes": [route(kind.path, kind, targets[kind.path]) for kind in KINDS],
+            "Version": self._version, "Routes": [route(kind.path, kind, targets[kind.path]) for kind in [*KINDS, BULK]],
             "Services": [{"Name": name, "HealthPath": wire.HEALTH_PATH, "MaxConns": 200} for name, _ in SERVERS],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutS": 3, "IdleTimeoutS": 15}})
         self._history.versions.append(Version(self._version, service, time.monotonic()))
@@ -171,6 +174,19 @@
                 not self._history.disturbed(time.monotonic() - 9, time.monotonic() - 0.1, gateway.number):
             self._overdue_stops += 1
 
+    async def fault_planned_stops_in_series(self, _: float) -> None:
+        for _ in range(2):
+            await self.fault_planned_stop(0)
+
+    async def fault_servers_silent(self, seconds: float) -> None:
+        quick = [server for server in self._servers if server.service == "q" and server.up]
+        behaviours = [server.behaviour for server in quick]
+        for behaviour in behaviours:
+            behaviour.silent = 0.45
+        await asyncio.sleep(2 * seconds)
+        for behaviour in behaviours:
+            behaviour.silent = 0.0
+
     async def fault_hang_up(self, _: float) -> None:
         for gateway in self._gateways:
             gateway.send(signal.SIGHUP)
@@ -258,7 +274,7 @@
     async def fault_server_behaves(self, seconds: float) -> None:
         server = self._random.choice(self._servers)
         wrong = self._random.choice([("slowdown", 8.0), ("lose", 0.4), ("garble", 0.4), ("extra", 0.4), ("fail", 0.5),
-                                     ("shed", True)])
+                                     ("shed", True), ("silent", 0.45)])
         setattr(server.behaviour, *wrong)
         await asyncio.sleep(seconds)
         setattr(server.behaviour, wrong[0], type(server.behaviour)().__dict__[wrong[0]])
@@ -387,6 +403,9 @@
             findings += [f"{name}: {finding}" for finding in rule(self._history, self._bounds)]
         late = [call for call in self._history.calls if call.sent_at > quiet_since]
         findings += [f"recovery: {finding}" for finding in rules.recovery(late)]
+        for gateway in self._gateways:
+            if gateway.log_names("loop-stalled"):
+                findings.append(f"stall: gateway {gateway.number} stood still")
         if self._overdue_stops:
             findings.append(f"planned-stop: {self._overdue_stops} gateways did not end within the grace")
         return findings
@@ -413,6 +432,7 @@
     parser.add_argument("--seconds", type=float, default=40)
     parser.add_argument("--gateways", type=int, default=5)
     parser.add_argument("--callers", type=int, default=40)
+    parser.add_argument("--slow-readers", type=int, default=5, help="callers that read large answers slowly")
     parser.add_argument("--slack", type=float, default=0.4, help="added to bounds in time, seconds")
     parser.add_argument("--scenario", default="", help="only faults whose name contains this")
     return 1 if asyncio.run(Soak(parser.parse_args()).run()) else 0
--- a/test/platform/soak/stops_test.py
+++ b/test/platform/soak/stops_test.py
@@ -1,117 +1,24 @@
 """Real gateways that are stopped as planned while answers are under way: each caller that reads gets all of its answer."""
 
 import asyncio
-import shutil
-import signal
 import sys
 import time
 import unittest
-from pathlib import Path
 
-import rules
 import wire
-from bulk import Answer, BulkServer, SlowCaller
-from fleet import GRACE_S, Gateway
-from history import History
-from proxy import Cut, Proxy
-from store import Store
+from bulk import Answer, SlowCaller
+from fleet import GRACE_S
+from stage import MIB, SLACK_S, Stage
 
 BUILD = "build"
-SLACK_S = 1.0          # for a busy machine
 NOTICE_S = 2.3         # a stop closes idle connections after that time
-MIB = 1 << 20
 LINK = 860_000         # bytes a second, 7 Mbit/s
 
 
-class Stage:
-    """Gateways, servers of one service and a store."""
-
-    def __init__(self, name: str, gateways: int):
-        self.out = Path(BUILD) / "soak-stops" / name
-        shutil.rmtree(self.out, ignore_errors=True)
-        self.out.mkdir(parents=True)
-        self._store = Store(time.monotonic)
-        self._history = History()
-        self._count = gateways
-        self._cut_off: set[str] = set()
-        self.links: list[Proxy] = []
-        self.servers = [BulkServer(f"i-{number}") for number in range(3)]
-        self.gateways: list[Gateway] = []
-
-    async def __aenter__(self) -> "Stage":
-        await self._store.start()
-        for server in self.servers:
-            await server.listen()
-            link = Proxy(("127.0.0.1", server.port))
-            link.is_cut_off = lambda source: source in self._cut_off
-            await link.start()
-            self.links.append(link)
-            await server.announce(self._store, "bulk", "north", link.port)
-        await self._store.put("op/config", {
-            "Version": 1, "Services": [{"Name": "bulk", "HealthPath": wire.HEALTH_PATH, "MaxConns": 200}],
-            "Routes": [{"Name": "r-bulk", "Host": "soak.example", "PathPrefix": "/bulk/", "RouteType": "safe",
-                        "TimeoutS": 9.0, "TargetLatencyS": 8.0, "Priority": 1, "Service": "bulk", "MaxAttempts": 1}],
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": MIB, "HeaderTimeoutS": 3, "IdleTimeoutS": 15}})
-        program = Path(BUILD) / "bin" / "sailpath-gateway"
-        for number in range(self._count):
-            gateway = Gateway(number, "north", program, self.out, rules.Bounds(), self._history, time.monotonic)
-            await gateway.prepare(self._store.port)
-            self.gateways.append(gateway)
-        for gateway in self.gateways:
-            gateway.seeds = [other.ports.peers for other in self.gateways]
-            gateway.start()
-        for gateway in self.gateways:
-            await self.wait_until(lambda: self.is_ready(gateway), 10)
-        return self
-
-    async def __aexit__(self, *_) -> None:
-        for gateway in self.gateways:
-            gateway.end()
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-
-    @staticmethod
-    async def is_ready(gateway: Gateway) -> bool:
-        """Ask for readiness once."""
-        try:
-            async with asyncio.timeout(1):
-                reader, writer = await asyncio.open_connection("127.0.0.1", gateway.ports.readiness)
-                writer.write(wire.request_bytes("GET", wire.READINESS_PATH, {"Host": "x"}, b""))
-                ready = (await wire.read_message(reader)).status == 200
-                writer.close()
-                return ready
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            return False
-
-    @staticmethod
-    async def wait_until(condition, longest_s: float) -> None:
-        until = time.monotonic() + longest_s
-        while not await condition():
-            if time.monotonic() > until:
-                raise RuntimeError("a gateway did not become ready")
-            await asyncio.sleep(0.05)
-
-    def cut_off(self, gateway: Gateway) -> None:
-        """Take the path to servers from a gateway."""
-        self._cut_off.add(gateway.source)
-        for link in self.links:
-            link.set_cut(Cut.RESET)
-
-    async def stop(self, gateway: Gateway) -> float:
-        """Ask a gateway to stop; seconds until its process has ended."""
-        begun = time.monotonic()
-        gateway.send(signal.SIGTERM)
-        while gateway.running:
-            if time.monotonic() - begun > GRACE_S + SLACK_S:
-                gateway.end()
-                return float("inf")
-            await asyncio.sleep(0.01)
-        return time.monotonic() - begun
-
-
 class StopsTest(unittest.IsolatedAsyncioTestCase):
     async def play(self, callers: list[tuple[float, list[Answer]]], after_s: float = 0.2, chatter: bytes = b"") -> float:
         """Let callers ask, stop the gateway after that, check that all answers are whole; time that the stop took."""
-        async with Stage(self._testMethodName, 1) as stage:
+        async with Stage(BUILD, self.id(), 1) as stage:
             gateway = stage.gateways[0]
             asking = [asyncio.create_task(SlowCaller(gateway.ports.callers, rate, chatter=chatter).ask(
                 [(f"c{number}-{place}", answer) for place, answer in enumerate(answers)]))
@@ -147,7 +54,7 @@
         await self.play([(LINK, [Answer(4 * MIB, 300)])], chatter=b"GET /bulk/1/0/length/0 HTTP/1.1\r\n")
 
     async def test_a_caller_that_does_not_read_keeps_the_process_no_longer_than_its_grace(self):
-        async with Stage(self._testMethodName, 1) as stage:
+        async with Stage(BUILD, self.id(), 1) as stage:
             gateway = stage.gateways[0]
             asking = [asyncio.create_task(SlowCaller(gateway.ports.callers, 0).ask([(f"c{number}", Answer(8 * MIB))]))
                       for number in range(5)]
@@ -159,7 +66,7 @@
             self.assertIn("reason=grace-over", (stage.out / "gateway-0.log").read_text())
 
     async def test_an_idle_process_ends_at_once_and_is_not_ready_meanwhile(self):
-        async with Stage(self._testMethodName, 1) as stage:
+        async with Stage(BUILD, self.id(), 1) as stage:
             gateway = stage.gateways[0]
             kept = [await asyncio.open_connection("127.0.0.1", gateway.ports.callers) for _ in range(20)]
             for number, (reader, writer) in enumerate(kept):
@@ -174,7 +81,7 @@
                 writer.close()
 
     async def test_a_helper_passes_on_a_whole_answer_before_it_ends(self):
-        async with Stage(self._testMethodName, 2) as stage:
+        async with Stage(BUILD, self.id(), 2) as stage:
             cut_off, helper = stage.gateways
             stage.cut_off(cut_off)
             # Until the gateways know each other, nobody can help.
@@ -196,7 +103,7 @@
             self.assertLessEqual(took, GRACE_S)
 
     async def test_stops_in_series_cut_nothing(self):
-        async with Stage(self._testMethodName, 2) as stage:
+        async with Stage(BUILD, self.id(), 2) as stage:
             results = []
             for number in range(4):
                 gateway = stage.gateways[number % 2]
--- a/test/platform/soak/wire.py
+++ b/test/platform/soak/wire.py
@@ -39,6 +39,17 @@
 
 async def read_message(reader: asyncio.StreamReader) -> Message:
     """Read one whole message; raises IncompleteReadError when the connection ends before."""
+    message = await read_head(reader)
+    headers = message.headers
+    if headers.get("transfer-encoding", "").lower() == "chunked":
+        message.body = await read_chunks(reader)
+    else:
+        message.body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return message
+
+
+async def read_head(reader: asyncio.StreamReader) -> Message:
+    """Read the head of a message; its body is left empty."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     lines = head.split("\r\n")
     headers = {}
@@ -46,12 +57,7 @@
         if line:
             name, _, value = line.partition(":")
             headers[name.strip().lower()] = value.strip()
-    message = Message(lines[0], headers)
-    if headers.get("transfer-encoding", "").lower() == "chunked":
-        message.body = await read_chunks(reader)
-    else:
-        message.body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return message
+    return Message(lines[0], headers)
 
 
 async def read_chunks(reader: asyncio.StreamReader) -> bytes:
