--- a/test/platform/soak/history.py
+++ b/test/platform/soak/history.py
@@ -20,6 +20,7 @@
     body: bytes = b""
     closed_at: float | None = None  # the connection ended without a whole answer
     left_at: float | None = None    # the caller left before an answer
+    reading: float = 0.0            # seconds that the caller takes to read the answer
 
 
 @dataclass
--- a/test/platform/soak/rules_test.py
+++ b/test/platform/soak/rules_test.py
@@ -138,6 +138,15 @@
         self.assert_broken("planned-stop", History(calls=[cut], arrivals=[arrival()], stops=[Stop(0, 1, 10.05)]))
         cut.closed_at = 10.1
         self.assert_kept("planned-stop", History(calls=[cut], stops=[Stop(0, 1, 10.05)]))
+        # The process is started again at once, while its caller still reads what it had handed over.
+        late = call(answered_at=None, closed_at=14.2, reading=4.0)
+        stop = Stop(0, 1, 10.05, ended_at=13.3)
+        again = Span(13.31, 14.31, gateway=0)
+        self.assert_broken("planned-stop", History(calls=[late], arrivals=[arrival()], stops=[stop], spans=[again]))
+        before = Span(9.0, 9.5, gateway=0)
+        self.assert_kept("planned-stop", History(calls=[late], arrivals=[arrival()], stops=[stop], spans=[before]))
+        longer = call(answered_at=None, closed_at=15.5, reading=5.6)
+        self.assert_kept("planned-stop", History(calls=[longer], arrivals=[arrival()], stops=[Stop(0, 1, 10.05)]))
 
     def test_too_many_further_sends(self):
         many = [arrival(f"r{n}", server, at=10 + n / 100) for n in range(30) for server in ("s1", "s2")]
