--- a/test/platform/soak/bulk.py
+++ b/test/platform/soak/bulk.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import random
 import socket
 import time
 from dataclasses import dataclass, field
@@ -14,7 +13,6 @@
 SEGMENT_BYTES = 1448  # as on Ethernet; loopback would use 64 KiB
 READ_BYTES = 16 << 10
 HEAD_END = b"\r\n\r\n"
-SILENT_S = 3600.0
 
 
 @dataclass
@@ -32,9 +30,7 @@
 
     @staticmethod
     def of(target: str) -> "Answer":
-        """The answer that a target asks for; a small one at once unless it says more."""
-        if not target.startswith("/bulk/"):
-            return Answer(16)
+        """The answer that a target asks for."""
         _, _, size, wait_ms, form, pause_ms = target.split("/")
         return Answer(int(size), int(wait_ms), form, int(pause_ms))
 
@@ -52,8 +48,6 @@
         self.id = identity
         self.port = 0
         self.slots = slots
-        self.silent = 0.0       # share of requests that are never answered
-        self._random = random.Random(identity)
 
     async def listen(self) -> None:
         """Listen on a free port."""
@@ -79,9 +73,6 @@
         writer.close()
 
     async def _answer(self, message: wire.Message, own: dict[str, str], writer: asyncio.StreamWriter) -> bool:
-        if self._random.random() < self.silent:
-            await asyncio.sleep(SILENT_S)
-            return False
         wanted = Answer.of(message.target)
         request = message.headers[wire.REQUEST_ID]
         await asyncio.sleep(wanted.wait_ms / 1000)
--- a/test/platform/soak/stage.py
+++ b/test/platform/soak/stage.py
@@ -46,7 +46,8 @@
             self.links.append(link)
             await server.announce(self._store, "bulk", self._zone, link.port)
         await self._store.put("op/config", {
-            "Version": 1, "Services": [{"Name": name, "HealthPath": wire.HEALTH_PATH, "MaxConns": 200} for name in ("bulk", "quick")],
+            "Version": 1,
+            "Services": [{"Name": name, "HealthPath": wire.HEALTH_PATH, "MaxConns": 200} for name in ("bulk", "quick")],
             "Routes": [{"Name": "r-bulk", "Host": "soak.example", "PathPrefix": "/bulk/", "RouteType": "safe",
                         "TimeoutS": 9.0, "TargetLatencyS": 8.0, "Priority": 1, "Service": "bulk", "MaxAttempts": 1},
                        {"Name": "r-quick", "Host": "soak.example", "PathPrefix": "/quick/", "RouteType": "safe",
