--- a/test/platform/soak/servers.py
+++ b/test/platform/soak/servers.py
@@ -24,6 +24,7 @@
     """What a server does wrong."""
 
     slowdown: float = 1.0   # times as long as usual
+    delay_s: float = 0.0    # added to the work of each request
     lose: float = 0.0       # share of answers that are lost after the work
     garble: float = 0.0     # share of answers cut short
     extra: float = 0.0      # share of answers followed by a second one
@@ -201,6 +202,7 @@
             return False
         arrival.executed = True
         arrival.work = float(message.headers.get("x-work-ms", "30")) / 1000 * self.behaviour.slowdown
+        arrival.work += self.behaviour.delay_s
         left = float(message.headers.get(wire.DEADLINE_MS, "60000")) / 1000
         closed = asyncio.ensure_future(reader.read(1))
         done, _ = await asyncio.wait([closed], timeout=min(arrival.work, left))
