Log what a refusal by an estimate relies on

Until now a refusal told the expected time and the age of the load report, which cannot tell a stale estimate from full servers. `sends` of a refused request tells the learned processing time of its route, the age of the last answer that it was learned from, and the latency ratio of the best server; `sailpath_route_work_ms` and `sailpath_route_answer_age_ms` show the same by route.

--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -195,6 +195,9 @@
     /// \brief State of the admission to each service, by name of the service
     [[nodiscard]] std::map<std::string, admission::AdmissionState> admissions(core::Timestamp now) const;
 
+    /// \brief What is believed of each route's processing time, for metrics
+    [[nodiscard]] std::map<std::string, WorkEvidence> works(core::Timestamp now) const;
+
     ////////////////////////////////////////////////////////////
     /// \brief Process other nodes' reports on request limits and on the requests that they sent
     ////////////////////////////////////////////////////////////
--- a/include/sailpath/balance/Step.hpp
+++ b/include/sailpath/balance/Step.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sailpath/balance/WorkEvidence.hpp>
 #include <sailpath/balance/admission/AdmissionState.hpp>
 #include <sailpath/core/Time.hpp>
 #include <sailpath/deployment/Instance.hpp>
@@ -64,6 +65,8 @@
     core::Duration triedFor{};         //!< Estimated time that the caller had been retrying before this request
     bool           retryAtOnce{false}; //!< The caller may retry at once; then `retryAfter` is 0
     double         chance{1};          //!< For `NoRoom`: probability with which the request was to be admitted
+    double         latencyRatio{1};    //!< For `Overloaded`: learned latency ratio of the best server
+    WorkEvidence   work;               //!< For refusals by an estimate: the route's processing time; 0 for others
 
     admission::AdmissionState service{}; //!< For `NoRoom`: state of the service's admission
 };
--- a/include/sailpath/balance/WorkEstimator.hpp
+++ b/include/sailpath/balance/WorkEstimator.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <sailpath/balance/Baseline.hpp>
+#include <sailpath/balance/WorkEvidence.hpp>
 #include <sailpath/core/Time.hpp>
 #include <sailpath/snapshot/LearnedState.hpp>
 
@@ -39,7 +40,7 @@
     /// \param expectedMs Time expected of an instance with a latency ratio of 1, milliseconds
     /// \param crowding   Crowding of the instance when the request was sent, 0 to 1
     ////////////////////////////////////////////////////////////
-    void learn(std::string_view route, double latencyMs, double expectedMs, double crowding);
+    void learn(std::string_view route, double latencyMs, double expectedMs, double crowding, core::Timestamp now);
 
     ////////////////////////////////////////////////////////////
     /// \brief Whether to admit a request only to learn the processing time of its route, against the initial estimate
@@ -53,6 +54,7 @@
 
     [[nodiscard]] bool hasLearned(std::string_view route) const; //!< Whether enough answers of the route were seen
     [[nodiscard]] const Baseline& baseline() const;              //!< Recent values over all routes
+    [[nodiscard]] WorkEvidence    evidence(std::string_view route, core::Timestamp now) const; //!< For logs and metrics
 
 private:
     struct RouteWork
@@ -61,6 +63,7 @@
         unsigned        answers{0};        //!< Answers learned from
         unsigned        explorations{0};   //!< Requests admitted only to learn
         core::Timestamp nextExploration{}; //!< Earliest time of the next exploration
+        core::Timestamp lastAnswer{};      //!< Time of the last answer learned from; the epoch without one
     };
 
     Baseline m_baseline;          //!< Recent values over all routes
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -276,7 +276,7 @@
             break;
         }
         server.recordAnswer(latency, attempt.unscaledMs);
-        request.pool->work().learn(request.route.name, latency, attempt.unscaledMs, attempt.crowding);
+        request.pool->work().learn(request.route.name, latency, attempt.unscaledMs, attempt.crowding, now);
         if (outcome.load)
             request.pool->admission().recordAnswer(sampleOf(*outcome.load), attempt.held, latency,
                                                    request.pool->work().ms(request.route.name),
--- a/src/sailpath/balance/BalancerAdmission.cpp
+++ b/src/sailpath/balance/BalancerAdmission.cpp
@@ -89,6 +89,7 @@
     Refusal refusal{RefusalReason::NoRoom, false, retryAfterForRoom(request)};
     refusal.triedFor = request.firstByteAt - request.firstTriedAt;
     refusal.chance = chance;
+    refusal.work = request.pool->work().evidence(request.route.name, now);
     refusal.service = request.pool->admission().state(now);
     refuse(ticket, refusal);
     close(ticket);
@@ -174,6 +175,18 @@
     return states;
 }
 
+////////////////////////////////////////////////////////////
+std::map<std::string, WorkEvidence> Balancer::works(core::Timestamp now) const
+{
+    std::map<std::string, WorkEvidence> works;
+    for (const auto& [service, pool] : m_pools)
+    {
+        for (const auto& [route, activity] : pool->routes())
+            works.insert_or_assign(route, pool->work().evidence(route, now));
+    }
+    return works;
+}
+
 ////////////////////////////////////////////////////////////
 std::shared_ptr<ServicePool> Balancer::choosePool(const deployment::HostRoute& route)
 {
--- a/src/sailpath/balance/BalancerSearch.cpp
+++ b/src/sailpath/balance/BalancerSearch.cpp
@@ -53,6 +53,7 @@
     {
         Refusal refusal{RefusalReason::CameBackLate, false, retryAfterWork(*request.pool, 0)};
         refusal.triedFor = request.firstByteAt - request.firstTriedAt;
+        refusal.work = request.pool->work().evidence(request.route.name, now);
         refuse(ticket, refusal);
         return close(ticket);
     }
@@ -224,8 +225,15 @@
     }
     if (refusesForLoad(request, choice, now))
     {
-        refuse(ticket, {RefusalReason::Overloaded, false, retryAfterWork(*request.pool, choice.finishMs),
-                        choice.finishMs, choice.server->reportAgeMs(now), request.firstByteAt - request.firstTriedAt});
+        Refusal refusal{RefusalReason::Overloaded,
+                        false,
+                        retryAfterWork(*request.pool, choice.finishMs),
+                        choice.finishMs,
+                        choice.server->reportAgeMs(now),
+                        request.firstByteAt - request.firstTriedAt};
+        refusal.latencyRatio = choice.server->latencyRatio();
+        refusal.work = request.pool->work().evidence(request.route.name, now);
+        refuse(ticket, refusal);
         return close(ticket);
     }
     forward(ticket, request, choice, now);
--- a/src/sailpath/balance/WorkEstimator.cpp
+++ b/src/sailpath/balance/WorkEstimator.cpp
@@ -110,12 +110,14 @@
 }
 
 ////////////////////////////////////////////////////////////
-void WorkEstimator::learn(std::string_view route, double latencyMs, double expectedMs, double crowding)
+void WorkEstimator::learn(std::string_view route, double latencyMs, double expectedMs, double crowding,
+                          core::Timestamp now)
 {
     const double observedRatio = std::clamp(latencyMs / std::max(minWorkMs, expectedMs), 0.1, 5.0);
     RouteWork&   work = m_routes.try_emplace(std::string(route), RouteWork{m_baseline.workMs, 0}).first->second;
     // The first answers weigh more, as the initial value is only the mean of other routes.
     ++work.answers;
+    work.lastAnswer = now;
     const bool crowded = crowding > crowdedAbove && work.answers > minAnswers;
     if (crowded)
     {
@@ -147,6 +149,16 @@
     return known != m_routes.end() && known->second.answers >= minAnswers;
 }
 
+////////////////////////////////////////////////////////////
+WorkEvidence WorkEstimator::evidence(std::string_view route, core::Timestamp now) const
+{
+    const auto known = m_routes.find(std::string(route));
+    if (known == m_routes.end())
+        return {m_baseline.workMs, -1};
+    const RouteWork& work = known->second;
+    return {work.ms, work.lastAnswer == core::Timestamp{} ? -1 : core::toMilliseconds(now - work.lastAnswer)};
+}
+
 ////////////////////////////////////////////////////////////
 const Baseline& WorkEstimator::baseline() const
 {
--- a/src/sailpath/gateway/Exchange.cpp
+++ b/src/sailpath/gateway/Exchange.cpp
@@ -147,14 +147,23 @@
 void Exchange::recordEstimate(const balance::Refusal& refusal)
 {
     attemptLog += "best-expected=" + std::to_string(static_cast<int>(refusal.expectedMs)) +
-                  "ms/report=" + std::to_string(static_cast<int>(refusal.reportAgeMs)) + "ms";
+                  "ms/report=" + std::to_string(static_cast<int>(refusal.reportAgeMs)) +
+                  "ms/ratio=" + std::to_string(refusal.latencyRatio) + ",";
+}
+
+////////////////////////////////////////////////////////////
+void Exchange::recordWork(const balance::WorkEvidence& work)
+{
+    attemptLog += "work=" + std::to_string(static_cast<int>(work.workMs)) +
+                  "ms/answered=" + std::to_string(static_cast<int>(work.answerAgeMs)) + "ms";
 }
 
 ////////////////////////////////////////////////////////////
 void Exchange::recordRoom(const balance::Refusal& refusal)
 {
     attemptLog += "load=" + std::to_string(refusal.service.load) + "/best=" + std::to_string(refusal.service.bestLoad) +
-                  "/admitted=" + std::to_string(refusal.service.admitted) + "/own=" + std::to_string(refusal.chance);
+                  "/admitted=" + std::to_string(refusal.service.admitted) + "/own=" + std::to_string(refusal.chance) +
+                  ",";
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/Exchange.hpp
+++ b/src/sailpath/gateway/Exchange.hpp
@@ -86,6 +86,7 @@
     void recordRefusal(const balance::Refusal& refusal);  //!< Log when the caller was told to return
     void recordRoom(const balance::Refusal& refusal);     //!< Log the state of a service that refuses for lack of room
     void recordEstimate(const balance::Refusal& refusal); //!< Log the estimate that a refusal is based on
+    void recordWork(const balance::WorkEvidence& work);   //!< Log the processing time that a refusal relies on
     void setEnding(unsigned status, std::string_view reason, core::Timestamp now); //!< Set the outcome
 
     ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -359,6 +359,30 @@
     return text;
 }
 
+////////////////////////////////////////////////////////////
+std::string Gateway::Impl::workMetrics() const
+{
+    constexpr std::size_t                                                                 maxRoutes = 256;
+    constexpr std::array<std::pair<std::string_view, double balance::WorkEvidence::*>, 2> gauges{
+        {{"route_work_ms", &balance::WorkEvidence::workMs},
+         {"route_answer_age_ms", &balance::WorkEvidence::answerAgeMs}}};
+    const auto  works = balancer.works(core::now());
+    std::string text;
+    for (const auto& [name, member] : gauges)
+    {
+        text.append("# TYPE sailpath_").append(name).append(" gauge\n");
+        std::size_t count = 0;
+        for (const auto& [route, work] : works)
+        {
+            if (++count > maxRoutes)
+                break;
+            text.append("sailpath_").append(name).append("{route=\"").append(route).append("\"} ");
+            text.append(std::to_string(work.*member)).append("\n");
+        }
+    }
+    return text;
+}
+
 ////////////////////////////////////////////////////////////
 void Gateway::Impl::addQuotaMetrics(std::string& text) const
 {
@@ -432,6 +456,7 @@
     add("body_bytes_held", "gauge", bodies->used());
     add("configuration_version", "gauge", version);
     text += admissionMetrics();
+    text += workMetrics();
     text += pathMetrics();
     if (additionalMetrics)
         text += additionalMetrics();
--- a/src/sailpath/gateway/GatewayImpl.hpp
+++ b/src/sailpath/gateway/GatewayImpl.hpp
@@ -52,8 +52,9 @@
     void updateFleetContact(); //!< Tell the balancer the time of the last contact with other nodes
     [[nodiscard]] std::string_view keyOf(const http::Head& head) const; //!< Empty when absent or ambiguous
     [[nodiscard]] std::string      admissionMetrics() const;            //!< Load and admission of each service
-    void addQuotaMetrics(std::string& text) const; //!< Append the sums over all quotas to the metrics
-    [[nodiscard]] std::string quotaList() const;   //!< Page with one line per workspace that has a quota
+    [[nodiscard]] std::string      workMetrics() const; //!< Learned processing time of each route and its age
+    void addQuotaMetrics(std::string& text) const;      //!< Append the sums over all quotas to the metrics
+    [[nodiscard]] std::string quotaList() const;        //!< Page with one line per workspace that has a quota
     void logUnknownFields(const deployment::Instance& instance, const http::Head& head); //!< Log uninterpreted fields
     void performPendingSteps(); //!< Perform all steps of the balancer and publish its news
     void performStep(const balance::Step& step);
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -480,6 +480,8 @@
             recordRoomRefusal(exchange, step.refusal);
         if (step.refusal.expectedMs > 0)
             exchange.recordEstimate(step.refusal);
+        if (step.refusal.work.workMs > 0)
+            exchange.recordWork(step.refusal.work);
         recordRefusal(exchange, step.refusal);
         exchange.setEnding(own.status, own.reason, core::now());
         queued = caller && caller->answer(ticket, own);
--- a/test/balance/ServicePool.test.cpp
+++ b/test/balance/ServicePool.test.cpp
@@ -39,8 +39,9 @@
     {
         for (int i = 0; i < answers; ++i)
         {
-            pool.work().learn("read", workMs, workMs, 0);
-            pool.work().learn("read", slowdown * workMs, pool.find("full")->finishMs(workMs, baseline(), start), 1);
+            pool.work().learn("read", workMs, workMs, 0, start);
+            pool.work().learn("read", slowdown * workMs, pool.find("full")->finishMs(workMs, baseline(), start), 1,
+                              start);
         }
     }
 
