Learn from an answer what was assumed at its send, and test refusing estimates by requests

Callers saw 503 for good: after all gateways returned while servers were slow for some seconds, five of twelve gateways refused a route of idle servers for ten minutes, until they were ended.

Cause, two parts. Each answer multiplied the processing time of its route as it was now by the ratio to what had been expected at the send, so a burst moved it as often as it had answers: first far down, then far up, to minutes. And a refusal sends nothing, so an estimate that refused all was never compared with what servers do. Latency ratios of servers kept the same for each server.

An answer now implies a time by what was assumed at its send (at most the time that it took), and the estimate moves towards it; the slowdown of crowded servers likewise. What all servers have in common goes into the route's time, not into each server's ratio, and a ratio fades (half in 10 s).

--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -279,8 +279,11 @@
         double                      expectedMs{0}; //!< Estimated time to the answer in milliseconds
         double                      unscaledMs{0}; //!< `expectedMs` without the instance's own latency ratio
         double                      crowding{0};   //!< Crowding of the instance at the time of the send
-        double                      held{0};       //!< Requests that the instance held then, this one included
-        bool                        running{true}; //!< Whether the end of the attempt is still to be reported
+        double                      workMs{0};     //!< Processing time that `expectedMs` was derived from, milliseconds
+        double                      crowdedSlowdown{1}; //!< Slowdown of crowded instances assumed at the send
+        bool                        trial{false};       //!< Sent against the estimate, to test it
+        double                      held{0};            //!< Requests that the instance held then, this one included
+        bool                        running{true};      //!< Whether the end of the attempt is still to be reported
         bool pathAtFault{false}; //!< The path was lost meanwhile; the end says nothing about the server
     };
 
@@ -326,6 +329,14 @@
         bool firstOnConnection{false};                       //!< No earlier request arrived on the caller's connection
     };
 
+    /// \brief Decision about a request for which a server was chosen
+    enum class Admission
+    {
+        Admit, //!< It is sent
+        Trial, //!< It is sent to test the estimates, which would refuse it
+        Refuse //!< It is refused
+    };
+
     /// \brief A request whose connection closed, while it is unknown whether the server crashed
     struct LostRequest
     {
@@ -354,8 +365,12 @@
     [[nodiscard]] std::shared_ptr<ServicePool> choosePool(const deployment::HostRoute& route);
     /// \brief Refuse a request that gets no room in its service; return whether it is refused
     [[nodiscard]] bool        refusedForRoom(Ticket ticket, const Request& request, core::Timestamp now);
-    /// \brief Return whether a request is refused for load, and record the decision in the pressure of its service
-    [[nodiscard]] bool        refusesForLoad(const Request& request, const Choice& choice, core::Timestamp now) const;
+    /// \brief Decide whether a request is refused for load, and record the decision in the pressure of its service
+    [[nodiscard]] Admission   admissionOf(const Request& request, const Choice& choice, core::Timestamp now) const;
+    /// \brief Return whether the estimates let a request through; they only judge whether it can be in time
+    [[nodiscard]] bool        estimatesAdmit(const Request& request, const Choice& choice, core::Timestamp now) const;
+    /// \brief Return whether a request that the estimates refuse is sent all the same, to test them
+    [[nodiscard]] static bool mayBecomeTrial(const Request& request, bool hasRoom, core::Timestamp now);
     /// \brief Return whether a request may be sent to a server, judged by this server's load alone
     [[nodiscard]] bool        isAdmissible(const Request& request, const Choice& choice, core::Timestamp now) const;
     [[nodiscard]] static bool exceedsDeadline(const Request& request, const Choice& choice, core::Timestamp now);
@@ -373,11 +388,12 @@
     [[nodiscard]] static bool worthFurtherRound(const Request& request);
     [[nodiscard]] bool        isFresh(const Choice& choice, core::Timestamp now) const;
     [[nodiscard]] bool        meetsTarget(const Request& request, double finishMs, core::Timestamp now) const;
-    void                      forward(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now);
-    void               learnOutcome(Request& request, Attempt& attempt, const Outcome& outcome, core::Timestamp now);
+    void forward(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now, bool trial = false);
+    void learnOutcome(Request& request, Attempt& attempt, const Outcome& outcome, core::Timestamp now);
+    void learnLatency(Request& request, const Attempt& attempt, double latencyMs, core::Timestamp now);
     /// \brief Remember a request whose connection closed and check whether its server crashed
-    void               checkAfterLoss(const Request& request, const Attempt& attempt, core::Timestamp now);
-    void               recordServed(const deployment::RequestIdentity& identity, core::Timestamp now);
+    void checkAfterLoss(const Request& request, const Attempt& attempt, core::Timestamp now);
+    void recordServed(const deployment::RequestIdentity& identity, core::Timestamp now);
     /// \brief Refuse a request that is quarantined or has a trial in flight; return whether it is refused
     [[nodiscard]] bool refuseIfQuarantined(Ticket ticket, const Request& request, core::Timestamp now);
     /// \brief Return whether a request with the same content is in flight after crashes during such requests
--- a/include/sailpath/balance/ServerView.hpp
+++ b/include/sailpath/balance/ServerView.hpp
@@ -69,11 +69,13 @@
     void recordSent(core::Timestamp now);        //!< A request was sent
     void recordEnd(core::Timestamp now);         //!< A request ended
     void recordReport(const Load& load, core::Timestamp now); //!< A load report arrived
-    void recordAnswer(double latencyMs, double expectedMs);   //!< A successful answer arrived
-    void recordOverdue(double elapsedMs, double expectedMs);  //!< An attempt was abandoned after that time
-    void recordFailure(core::Timestamp now);                  //!< An attempt failed because of the server
-    void forgetFailures();                                    //!< The path to the server was at fault, not the server
-    void recordRejection(core::Timestamp now);                //!< The server rejected a request because of load
+    /// \brief A successful answer arrived; `trial`: its request was sent to test the estimate
+    void recordAnswer(double latencyMs, double expectedMs, bool trial, core::Timestamp now);
+    /// \brief An attempt was abandoned after that time
+    void recordOverdue(double elapsedMs, double expectedMs, core::Timestamp now);
+    void recordFailure(core::Timestamp now);   //!< An attempt failed because of the server
+    void forgetFailures();                     //!< The path to the server was at fault, not the server
+    void recordRejection(core::Timestamp now); //!< The server rejected a request because of load
 
     ////////////////////////////////////////////////////////////
     /// \brief Record that a node of the fleet saw the instance fail a request
@@ -105,6 +107,9 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] double crowding(double otherRequests, core::Timestamp now) const;
 
+    /// \brief Whether one more request delays no other, as far as is known
+    [[nodiscard]] bool hasRoom(double otherRequests, core::Timestamp now) const;
+
     ////////////////////////////////////////////////////////////
     /// \brief Whether the total throughput with one more request would be no higher than with fewer requests
     ///
@@ -138,13 +143,15 @@
     [[nodiscard]] std::optional<double> reportedOtherRequests() const; //!< Other nodes' requests as of the last report
 
     [[nodiscard]] const std::shared_ptr<const deployment::Instance>& instance() const; //!< Last announcement
-    [[nodiscard]] unsigned inFlight() const;        //!< Requests of this node in progress there
-    [[nodiscard]] unsigned openConnections() const; //!< Connections of this node to it
-    [[nodiscard]] unsigned idleConnections() const; //!< Those of these connections that are idle
-    [[nodiscard]] double   latencyRatio() const;    //!< Observed over expected latency
+    [[nodiscard]] unsigned inFlight() const;                        //!< Requests of this node in progress there
+    [[nodiscard]] unsigned openConnections() const;                 //!< Connections of this node to it
+    [[nodiscard]] unsigned idleConnections() const;                 //!< Those of these connections that are idle
+    [[nodiscard]] double   latencyRatio(core::Timestamp now) const; //!< Observed over expected latency
 
 private:
     [[nodiscard]] double currentSlowdown(double baseline, core::Timestamp now) const;
+    [[nodiscard]] double decayedLatencyRatio(core::Timestamp now) const;
+    void                 learnLatencyRatio(double observedRatio, double gain, core::Timestamp now);
 
     struct Report
     {
@@ -169,7 +176,8 @@
     unsigned                   m_idleConnections{0}; //!< Idle connections
     unsigned                   m_openConnections{0}; //!< All connections
     std::optional<Report>      m_report;             //!< Last load report
-    double                     m_latencyRatio{1};    //!< Observed over expected latency
+    double                     m_latencyRatio{1};    //!< Observed over expected latency, as of `m_latencyRatioAt`
+    core::Timestamp            m_latencyRatioAt{};   //!< Time of the last observation
     double                     m_failures{0};        //!< Share of recent attempts that failed, as of `m_failuresAt`
     core::Timestamp            m_failuresAt{};       //!< Time of the last failure
     std::vector<std::pair<std::uint32_t, core::Timestamp>>
--- a/include/sailpath/balance/Step.hpp
+++ b/include/sailpath/balance/Step.hpp
@@ -66,7 +66,7 @@
     bool           retryAtOnce{false}; //!< The caller may retry at once; then `retryAfter` is 0
     double         chance{1};          //!< For `NoRoom`: probability with which the request was to be admitted
     double         latencyRatio{1};    //!< For `Overloaded`: learned latency ratio of the best server
-    WorkEvidence   work;               //!< For refusals by an estimate: the route's processing time; 0 for others
+    WorkEvidence   work{};             //!< For refusals by an estimate: the route's processing time; 0 for others
 
     admission::AdmissionState service{}; //!< For `NoRoom`: state of the service's admission
 };
@@ -98,6 +98,7 @@
     bool           repeatable{false}; //!< For `Forward` and `Abandon`: whether the request may run more than once
     std::string    workspace;         //!< For `Forward`: workspace of the request; empty without one
     core::Duration triedFor{};        //!< For `Forward`: estimated time that the caller had been retrying before
+    bool           trial{false};      //!< For `Forward`: whether it is sent to test an estimate that would refuse it
     double         expectedMs{0};     //!< For `Forward`: estimated time to the answer in milliseconds
     double         reportAgeMs{-1};   //!< For `Forward`: age of the load report used; negative without one
     core::Duration leavingFor{};      //!< For `Forward`: time since `instance` announced its shutdown
--- a/include/sailpath/gateway/Metrics.hpp
+++ b/include/sailpath/gateway/Metrics.hpp
@@ -26,6 +26,7 @@
     std::uint64_t connectsTimedOut{0};       //!< Connections to servers that were not established in time
     std::uint64_t connectsBroken{0};         //!< Connections to servers that were reset before they could be used
     std::uint64_t furtherAttempts{0};        //!< Attempts of a request beyond its first
+    std::uint64_t trials{0};                 //!< Attempts that test an estimate, which would refuse the request
     std::uint64_t idleCallersClosed{0};      //!< Idle caller connections closed to make room
     std::uint64_t refusedAtOnce{0};          //!< Refusals whose callers were told to return at once
     std::uint64_t refusedLater{0};           //!< Refusals whose callers were told to return after a time
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -275,8 +275,7 @@
             recordFailure(*request.pool, server, now);
             break;
         }
-        server.recordAnswer(latency, attempt.unscaledMs);
-        request.pool->work().learn(request.route.name, latency, attempt.unscaledMs, attempt.crowding, now);
+        learnLatency(request, attempt, latency, now);
         if (outcome.load)
             request.pool->admission().recordAnswer(sampleOf(*outcome.load), attempt.held, latency,
                                                    request.pool->work().ms(request.route.name),
@@ -300,6 +299,20 @@
     }
 }
 
+////////////////////////////////////////////////////////////
+void Balancer::learnLatency(Request& request, const Attempt& attempt, double latencyMs, core::Timestamp now)
+{
+    WorkEstimator& work = request.pool->work();
+    work.learn(
+        request.route.name,
+        {latencyMs, attempt.unscaledMs, attempt.workMs, attempt.crowding, attempt.crowdedSlowdown, attempt.trial}, now);
+    // What all servers have in common belongs to the route's processing time, not to each server.
+    const double expectedMs = attempt.unscaledMs * work.ms(request.route.name) / attempt.workMs;
+    attempt.server->recordAnswer(latencyMs, expectedMs, attempt.trial, now);
+    if (attempt.trial && now - attempt.sentAt <= request.route.targetLatency)
+        work.recordContradiction(request.route.name);
+}
+
 ////////////////////////////////////////////////////////////
 void Balancer::recordFailure(ServicePool& pool, const ServerView& server, core::Timestamp now)
 {
@@ -346,14 +359,18 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Balancer::forward(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now)
+void Balancer::forward(Ticket ticket, Request& request, const Choice& choice, core::Timestamp now, bool trial)
 {
     Attempt attempt;
     attempt.server = choice.server;
     attempt.sentAt = now;
     attempt.expectedMs = choice.finishMs;
-    attempt.unscaledMs = choice.finishMs / choice.server->latencyRatio();
+    attempt.unscaledMs = choice.finishMs / choice.server->latencyRatio(now);
     attempt.crowding = choice.crowding;
+    attempt.workMs = request.pool->work().ms(request.route.name);
+    attempt.crowdedSlowdown = request.pool->work().baseline().crowdedSlowdown;
+    attempt.trial = trial;
+    request.pool->work().recordSent(request.route.name, trial, now);
     attempt.held = choice.server->occupancy(request.pool->work().baseline().otherRequests, now) + 1;
     request.pool->recordSent(*choice.server, now);
     // A server may run a further attempt as well, unless the earlier ones surely did not run.
@@ -376,6 +393,7 @@
     step.repeatable = request.route.repeatable;
     step.workspace = request.workspace;
     step.triedFor = request.firstByteAt - request.firstTriedAt;
+    step.trial = trial;
     step.expectedMs = choice.finishMs;
     step.reportAgeMs = choice.server->reportAgeMs(now);
     step.leavingFor = choice.server->notices().leavingFor(now);
@@ -395,7 +413,7 @@
         attempt.server->recordEnd(now);
         const double elapsed = core::toMilliseconds(now - attempt.sentAt);
         if (!attempt.pathAtFault)
-            attempt.server->recordOverdue(elapsed, attempt.unscaledMs);
+            attempt.server->recordOverdue(elapsed, attempt.unscaledMs, now);
         if (!attempt.pathAtFault &&
             elapsed >
                 m_settings.stuckFactor * std::max(attempt.expectedMs, request.pool->work().ms(request.route.name)))
--- a/src/sailpath/balance/BalancerAdmission.cpp
+++ b/src/sailpath/balance/BalancerAdmission.cpp
@@ -97,27 +97,44 @@
 }
 
 ////////////////////////////////////////////////////////////
-bool Balancer::refusesForLoad(const Request& request, const Choice& choice, core::Timestamp now) const
+Balancer::Admission Balancer::admissionOf(const Request& request, const Choice& choice, core::Timestamp now) const
 {
-    ServicePool&      pool = *request.pool;
-    const ServerView& server = *choice.server;
-    const unsigned    rank = request.route.priority;
+    ServicePool&   pool = *request.pool;
+    const unsigned rank = request.route.priority;
     if (!m_settings.admissionControl)
-        return false;
-    if (!mayBeInTime(request, now))
-        return pool.underPressure(rank, now) || pool.wouldLoseThroughput(server, now) ||
-               exceedsDeadline(request, choice, now);
-    if (isAdmissible(request, choice, now))
+        return Admission::Admit;
+    const bool judged = mayBeInTime(request, now);
+    if (estimatesAdmit(request, choice, now))
     {
-        pool.recordAdmitted(rank, now);
-        return false;
+        if (judged)
+            pool.recordAdmitted(rank, now);
+        return Admission::Admit;
     }
-    // A few requests of a route with unknown service time are sent as a trial; the estimate keeps the others from
-    // overloading full servers.
-    if (pool.work().allowExploration(request.route.name, now))
-        return false;
-    pool.recordRejected(rank, now);
-    return true;
+    const bool hasRoom = choice.server->hasRoom(pool.work().baseline().otherRequests, now);
+    if (mayBecomeTrial(request, hasRoom, now))
+        return Admission::Trial;
+    if (judged)
+        pool.recordRejected(rank, now);
+    return Admission::Refuse;
+}
+
+////////////////////////////////////////////////////////////
+bool Balancer::estimatesAdmit(const Request& request, const Choice& choice, core::Timestamp now) const
+{
+    const ServicePool& pool = *request.pool;
+    if (mayBeInTime(request, now))
+        return isAdmissible(request, choice, now);
+    return !pool.underPressure(request.route.priority, now) && !pool.wouldLoseThroughput(*choice.server, now) &&
+           !exceedsDeadline(request, choice, now);
+}
+
+////////////////////////////////////////////////////////////
+bool Balancer::mayBecomeTrial(const Request& request, bool hasRoom, core::Timestamp now)
+{
+    // A caller that has used up its target tells nothing about the estimates.
+    const double passed = core::toMilliseconds(now - request.firstTriedAt);
+    const bool   fresh = passed < core::toMilliseconds(request.route.targetLatency) / 2;
+    return fresh && request.pool->work().trialDue(request.route.name, hasRoom, now);
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/balance/BalancerSearch.cpp
+++ b/src/sailpath/balance/BalancerSearch.cpp
@@ -48,7 +48,8 @@
     request.rank =
         request.pool->hasLimitedInstance(now) ? request.pool->countMoreUrgentRanks(request.route.priority, now) : 0;
     // Under load, a retrying caller's request that can no longer be in time yields to requests that can.
-    const bool gated = m_settings.admissionControl && request.attempts.empty();
+    const bool gated = m_settings.admissionControl && request.attempts.empty() &&
+                       (mayBeInTime(request, now) || !mayBecomeTrial(request, true, now));
     if (gated && request.pool->underPressure(request.route.priority, now) && !mayBeInTime(request, now))
     {
         Refusal refusal{RefusalReason::CameBackLate, false, retryAfterWork(*request.pool, 0)};
@@ -223,7 +224,8 @@
         refuse(ticket, {reasonOf(shortage), false, retryAfterShortage(shortage, *request.pool, now)});
         return close(ticket);
     }
-    if (refusesForLoad(request, choice, now))
+    const Admission admission = admissionOf(request, choice, now);
+    if (admission == Admission::Refuse)
     {
         Refusal refusal{RefusalReason::Overloaded,
                         false,
@@ -231,12 +233,12 @@
                         choice.finishMs,
                         choice.server->reportAgeMs(now),
                         request.firstByteAt - request.firstTriedAt};
-        refusal.latencyRatio = choice.server->latencyRatio();
+        refusal.latencyRatio = choice.server->latencyRatio(now);
         refusal.work = request.pool->work().evidence(request.route.name, now);
         refuse(ticket, refusal);
         return close(ticket);
     }
-    forward(ticket, request, choice, now);
+    forward(ticket, request, choice, now, admission == Admission::Trial);
     scheduleWake(ticket, request, now);
 }
 
--- a/src/sailpath/balance/ServerView.cpp
+++ b/src/sailpath/balance/ServerView.cpp
@@ -7,14 +7,17 @@
 {
 namespace
 {
-constexpr double   latencyRatioGain = 0.2;   // Weight of one answer in the latency ratio
-constexpr double   minLatencyRatio = 0.5;    // Lower bound of the latency ratio
-constexpr double   maxObservedRatio = 20;    // Upper bound of one observation
-constexpr double   coldSlowdown = 1.6;       // Assumed of an instance in its warm-up
-constexpr double   failureGain = 0.3;        // Weight of one attempt in the failure share
-constexpr double   failureHalfLifeMs = 3000; // Half-life of the failure share without further attempts
-constexpr double   crowdedFrom = 0.7;        // Share of slots taken from which an instance may become slower
-constexpr unsigned failuresToEject = 2;      // Failures in a row
+constexpr double   latencyRatioGain = 0.2;        // Weight of one answer in the latency ratio
+constexpr double   trialRatioGain = 0.75;         // Weight of the answer to a trial
+constexpr double   latencyRatioHalfLifeMs = 10000; // Half-life of the deviation from 1 without further answers
+constexpr double   minLatencyRatio = 0.5;         // Lower bound of the latency ratio
+constexpr double   maxObservedRatio = 20;         // Upper bound of one observation
+constexpr double   coldSlowdown = 1.6;            // Assumed of an instance in its warm-up
+constexpr double   failureGain = 0.3;             // Weight of one attempt in the failure share
+constexpr double   failureHalfLifeMs = 3000;      // Half-life of the failure share without further attempts
+constexpr double   crowdedFrom = 0.7;             // Share of slots taken from which an instance may become slower
+constexpr double   idleBelow = 0.5;               // Estimated requests below which a server counts as idle
+constexpr unsigned failuresToEject = 2;           // Failures in a row
 constexpr auto     firstEjection = std::chrono::milliseconds{800};
 constexpr auto     maxEjection = std::chrono::seconds{6};
 // Two or more requests of all nodes reach a server in this time.
@@ -179,10 +182,10 @@
 }
 
 ////////////////////////////////////////////////////////////
-void ServerView::recordAnswer(double latencyMs, double expectedMs)
+void ServerView::recordAnswer(double latencyMs, double expectedMs, bool trial, core::Timestamp now)
 {
     const double observedRatio = std::min(maxObservedRatio, latencyMs / std::max(1.0, expectedMs));
-    m_latencyRatio += latencyRatioGain * (observedRatio - m_latencyRatio);
+    learnLatencyRatio(observedRatio, trial ? trialRatioGain : latencyRatioGain, now);
     m_failures -= failureGain * m_failures;
     m_consecutiveFailures = 0;
     m_consecutiveRejections = 0;
@@ -191,11 +194,27 @@
 }
 
 ////////////////////////////////////////////////////////////
-void ServerView::recordOverdue(double elapsedMs, double expectedMs)
+void ServerView::recordOverdue(double elapsedMs, double expectedMs, core::Timestamp now)
 {
     const double observedRatio = std::min(maxObservedRatio, elapsedMs / std::max(1.0, expectedMs));
-    if (observedRatio > m_latencyRatio)
-        m_latencyRatio += latencyRatioGain * (observedRatio - m_latencyRatio);
+    if (observedRatio > decayedLatencyRatio(now))
+        learnLatencyRatio(observedRatio, latencyRatioGain, now);
+}
+
+////////////////////////////////////////////////////////////
+void ServerView::learnLatencyRatio(double observedRatio, double gain, core::Timestamp now)
+{
+    m_latencyRatio = decayedLatencyRatio(now);
+    m_latencyRatio += gain * (observedRatio - m_latencyRatio);
+    m_latencyRatioAt = now;
+}
+
+////////////////////////////////////////////////////////////
+double ServerView::decayedLatencyRatio(core::Timestamp now) const
+{
+    // A server that looks slow gets no requests, and without them nothing else corrects the ratio.
+    const double ageMs = std::max(0.0, core::toMilliseconds(now - m_latencyRatioAt));
+    return 1 + (m_latencyRatio - 1) * std::exp2(-ageMs / latencyRatioHalfLifeMs);
 }
 
 ////////////////////////////////////////////////////////////
@@ -274,6 +293,13 @@
     return std::clamp((takenShare - crowdedFrom) / (1 - crowdedFrom), 0.0, 1.0);
 }
 
+////////////////////////////////////////////////////////////
+bool ServerView::hasRoom(double otherRequests, core::Timestamp now) const
+{
+    // A server with a single slot counts as crowded by the first request.
+    return crowding(otherRequests, now) <= 0 || occupancy(otherRequests, now) < idleBelow;
+}
+
 ////////////////////////////////////////////////////////////
 bool ServerView::wouldLoseThroughput(const Baseline& baseline, core::Timestamp now) const
 {
@@ -297,7 +323,7 @@
 {
     const double slots = std::max(1U, m_instance->slots);
     const double queued = std::max(0.0, occupancy(baseline.otherRequests, now) + 1 - slots);
-    double       slowdown = currentSlowdown(baseline.slowdown, now) * latencyRatio();
+    double       slowdown = currentSlowdown(baseline.slowdown, now) * latencyRatio(now);
     slowdown *= 1 + (baseline.crowdedSlowdown - 1) * crowding(baseline.otherRequests, now);
     double finish = slowdown * (workMs + queued / slots * baseline.workMs);
     if (m_instance->dataCentre != m_settings.dataCentre)
@@ -422,9 +448,9 @@
 }
 
 ////////////////////////////////////////////////////////////
-double ServerView::latencyRatio() const
+double ServerView::latencyRatio(core::Timestamp now) const
 {
-    return std::max(minLatencyRatio, m_latencyRatio);
+    return std::max(minLatencyRatio, decayedLatencyRatio(now));
 }
 
 } // namespace sailpath::balance
--- a/src/sailpath/balance/WorkEstimator.cpp
+++ b/src/sailpath/balance/WorkEstimator.cpp
@@ -9,6 +9,7 @@
 constexpr double   otherRequestsGain = 0.05;   // Weight of one load report in the moving average
 constexpr double   slowdownGain = 0.03;        // Weight of one load report in the moving average
 constexpr double   workGain = 0.05;            // Weight of one answer in the usual processing time
+constexpr double   trialGain = 0.75;           // Weight of the answer to a trial
 constexpr double   crowdedAbove = 0.5;         // Crowding above which an answer tells the slowdown of crowded instances
 constexpr double   crowdedSlowdownGain = 0.03; // Weight of one answer in that slowdown
 constexpr double   initialCrowdedSlowdown = 1.4; // Assumed until answers arrive
@@ -19,8 +20,6 @@
 constexpr double   maxWorkMs = 600'000;     // Largest processing time, milliseconds
 constexpr double   minSlowdown = 0.2;       // Smallest slowdown accepted from a snapshot
 constexpr double   maxSlowdown = 5;         // Largest slowdown accepted from a snapshot
-constexpr auto     firstExplorationInterval = std::chrono::milliseconds{250}; // Doubles with each exploration
-constexpr unsigned maxExplorationDoublings = 5;                               // To 8 s
 
 ////////////////////////////////////////////////////////////
 /// \brief Return a processing time within the bounds of what can be learned, milliseconds
@@ -39,18 +38,47 @@
 }
 
 ////////////////////////////////////////////////////////////
-bool WorkEstimator::allowExploration(std::string_view route, core::Timestamp now)
+void WorkEstimator::RecentTimes::add(double ms)
 {
-    const auto found = m_routes.find(std::string(route));
-    if (found == m_routes.end())
+    times.at(count % times.size()) = static_cast<float>(ms);
+    ++count;
+}
+
+////////////////////////////////////////////////////////////
+double WorkEstimator::RecentTimes::clamp(double ms) const
+{
+    if (count < times.size())
+        return ms;
+    const auto [lowest, highest] = std::minmax_element(times.begin(), times.end());
+    return std::clamp(ms, static_cast<double>(*lowest), static_cast<double>(*highest));
+}
+
+////////////////////////////////////////////////////////////
+WorkEstimator::RouteWork& WorkEstimator::workOf(std::string_view route)
+{
+    return m_routes.try_emplace(std::string(route), RouteWork{m_baseline.workMs, 0, {}, {}, {}}).first->second;
+}
+
+////////////////////////////////////////////////////////////
+bool WorkEstimator::trialDue(std::string_view route, bool hasRoom, core::Timestamp now) const
+{
+    const auto known = m_routes.find(std::string(route));
+    if (known == m_routes.end())
         return true;
-    RouteWork& work = found->second;
-    if (work.answers >= minAnswers || now < work.nextExploration)
-        return false;
-    work.nextExploration =
-        now + firstExplorationInterval * (1U << std::min(work.explorations, maxExplorationDoublings));
-    ++work.explorations;
-    return true;
+    const RefusalBasis learned = hasRoom ? RefusalBasis::Estimates : RefusalBasis::Load;
+    return known->second.trials.due(known->second.answers < minAnswers ? RefusalBasis::Guess : learned, now);
+}
+
+////////////////////////////////////////////////////////////
+void WorkEstimator::recordSent(std::string_view route, bool trial, core::Timestamp now)
+{
+    workOf(route).trials.recordSent(trial, now);
+}
+
+////////////////////////////////////////////////////////////
+void WorkEstimator::recordContradiction(std::string_view route)
+{
+    workOf(route).trials.recordContradiction();
 }
 
 ////////////////////////////////////////////////////////////
@@ -58,7 +86,7 @@
 {
     const bool   isFirstRoute = m_routes.empty();
     const double bounded = boundedWork(ms);
-    if (m_routes.try_emplace(std::string(route), RouteWork{bounded, 0}).second && isFirstRoute)
+    if (m_routes.try_emplace(std::string(route), RouteWork{bounded, 0, {}, {}, {}}).second && isFirstRoute)
         m_baseline.workMs = bounded;
 }
 
@@ -110,31 +138,42 @@
 }
 
 ////////////////////////////////////////////////////////////
-void WorkEstimator::learn(std::string_view route, double latencyMs, double expectedMs, double crowding,
-                          core::Timestamp now)
+void WorkEstimator::learn(std::string_view route, const WorkSample& sample, core::Timestamp now)
 {
-    const double observedRatio = std::clamp(latencyMs / std::max(minWorkMs, expectedMs), 0.1, 5.0);
-    RouteWork&   work = m_routes.try_emplace(std::string(route), RouteWork{m_baseline.workMs, 0}).first->second;
+    const double expectedMs = std::max(minWorkMs, sample.expectedMs);
+    RouteWork&   work = workOf(route);
+    // An answer cannot have taken longer to process than to arrive.
+    const double impliedMs =
+        boundedWork(std::min(sample.latencyMs, sample.assumedWorkMs * sample.latencyMs / expectedMs));
     // The first answers weigh more, as the initial value is only the mean of other routes.
     ++work.answers;
     work.lastAnswer = now;
-    const bool crowded = crowding > crowdedAbove && work.answers > minAnswers;
+    const bool   crowded = sample.crowding > crowdedAbove && work.answers > minAnswers;
+    const double observedRatio = std::clamp(sample.latencyMs / expectedMs, 0.1, 5.0);
     if (crowded)
-    {
-        const double initialShare = 1.0 / (++m_crowdedAnswers + 4);
-        const double share = std::max(crowdedSlowdownGain, initialShare);
-        m_baseline.crowdedSlowdown = std::clamp(
-            m_baseline.crowdedSlowdown * (1 + share * (observedRatio / m_uncrowdedRatio - 1)), 1.0, maxCrowdedSlowdown);
-    }
+        learnCrowding(sample, observedRatio);
     else
+    {
         m_uncrowdedRatio += crowdedSlowdownGain * (observedRatio - m_uncrowdedRatio);
-    // A longer time at a crowded instance is mostly caused by the crowding.
-    const double gain = crowded ? workGain / 5 : std::max(workGain, 1.0 / (work.answers + 1));
-    // Without bounds, a series of equal ratios would take the value to 0 or beyond what a duration can hold.
-    work.ms = boundedWork(work.ms * (1 + gain * (observedRatio - 1)));
+        work.recent.add(impliedMs);
+    }
+    // A longer time at a crowded instance is mostly caused by the crowding. A trial is the only recent evidence.
+    const double usualGain = crowded ? workGain / 5 : std::max(workGain, 1.0 / (work.answers + 1));
+    const double gain = sample.trial ? trialGain : usualGain;
+    work.ms = boundedWork(work.recent.clamp(work.ms + gain * (impliedMs - work.ms)));
     m_baseline.workMs += workGain * (work.ms - m_baseline.workMs);
 }
 
+////////////////////////////////////////////////////////////
+void WorkEstimator::learnCrowding(const WorkSample& sample, double observedRatio)
+{
+    const double initialShare = 1.0 / (++m_crowdedAnswers + 4);
+    const double share = std::max(crowdedSlowdownGain, initialShare);
+    const double implied =
+        std::clamp(sample.assumedCrowdedSlowdown * observedRatio / m_uncrowdedRatio, 1.0, maxCrowdedSlowdown);
+    m_baseline.crowdedSlowdown += share * (implied - m_baseline.crowdedSlowdown);
+}
+
 ////////////////////////////////////////////////////////////
 double WorkEstimator::ms(std::string_view route) const
 {
--- a/src/sailpath/gateway/Exchange.cpp
+++ b/src/sailpath/gateway/Exchange.cpp
@@ -112,6 +112,8 @@
                   std::to_string(static_cast<int>(core::toMilliseconds(now - firstByteAt))) +
                   "ms/expected=" + std::to_string(static_cast<int>(step.expectedMs)) +
                   "ms/report=" + std::to_string(static_cast<int>(step.reportAgeMs)) + "ms";
+    if (step.trial)
+        attemptLog += "/trial";
     if (step.leavingFor.count() > 0)
         attemptLog += "/leaving-for=" + std::to_string(static_cast<int>(core::toMilliseconds(step.leavingFor))) + "ms";
     if (step.backOffLeft.count() > 0)
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -419,6 +419,7 @@
     };
     add("attempts_total", "counter", counters.attempts);
     add("further_attempts_total", "counter", counters.furtherAttempts);
+    add("trials_total", "counter", counters.trials);
     add("probes_total", "counter", counters.probes);
     add("connects_refused_total", "counter", counters.connectsRefused);
     add("connects_timed_out_total", "counter", counters.connectsTimedOut);
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -368,6 +368,7 @@
     Exchange& exchange = found->second;
     ++counters.attempts;
     counters.furtherAttempts += step.attempt > 1 ? 1 : 0;
+    counters.trials += step.trial ? 1 : 0;
     counters.attemptsAgainstNotice += step.leavingFor.count() > 0 || step.backOffLeft.count() > 0 ? 1 : 0;
     exchange.recordAttempt(step, core::now());
     const auto connection = servers.acquire(step.instance, !step.repeatable);
--- a/test/balance/QuickRoutes.test.cpp
+++ b/test/balance/QuickRoutes.test.cpp
@@ -156,13 +156,13 @@
         balance::WorkEstimator work(100ms);
         work.setInitialEstimate("r", 210);
         for (unsigned i = 0; i < 100'000; ++i)
-            work.learn("r", latencyMs, work.ms("r") + 4, 0, core::Timestamp{1h});
+            work.learn("r", {latencyMs, work.ms("r") + 4, work.ms("r"), 0, 1, false}, core::Timestamp{1h});
         BOOST_TEST(work.ms("r") >= 1);
         BOOST_TEST(work.ms("r") <= 600'000);
         BOOST_TEST(work.baseline().workMs >= 1);
         // The time is found again once answers take long.
         for (unsigned i = 0; i < 1000; ++i)
-            work.learn("r", 300, work.ms("r"), 0, core::Timestamp{1h});
+            work.learn("r", {300, work.ms("r"), work.ms("r"), 0, 1, false}, core::Timestamp{1h});
         BOOST_TEST(work.ms("r") > 200);
         BOOST_TEST(work.ms("r") < 400);
     }
--- a/test/balance/ServicePool.test.cpp
+++ b/test/balance/ServicePool.test.cpp
@@ -39,8 +39,12 @@
     {
         for (int i = 0; i < answers; ++i)
         {
-            pool.work().learn("read", workMs, workMs, 0, start);
-            pool.work().learn("read", slowdown * workMs, pool.find("full")->finishMs(workMs, baseline(), start), 1,
+            const double assumedMs = pool.work().ms("read");
+            const double crowdedSlowdown = pool.work().baseline().crowdedSlowdown;
+            pool.work().learn("read", {workMs, workMs, workMs, 0, crowdedSlowdown, false}, start);
+            pool.work().learn("read",
+                              {slowdown * workMs, pool.find("full")->finishMs(workMs, baseline(), start), assumedMs, 1,
+                               crowdedSlowdown, false},
                               start);
         }
     }
