Bound what servers without end in their answers take

Seen: one server whose health answer has no end takes a gateway of 256 MB to gigabytes within seconds; such bodies of all servers of a service do the same to callers' answers. Cause: a body was kept up to 16 MiB a connection, for health checks as well, which use none of it; a health check had no end of its own, and others began beside it; answers counted in no limit of memory.

A health answer ends with 8 KB of body or one second after it began; 32 checks at most are in progress at one server that is not silent; 64 interim or foreign answers end a request. Bodies of answers beyond 64 KB are reserved from a fifth of the memory, shared by service, declared lengths at once; one that does not fit is broken off as lost. A declared length is allocated in one piece, as growth would take up to twice as much.

--- a/include/sailpath/gateway/GatewaySettings.hpp
+++ b/include/sailpath/gateway/GatewaySettings.hpp
@@ -25,12 +25,13 @@
     core::Duration maxServerIdle{std::chrono::seconds{6}}; //!< Idle time until a server connection is closed
     core::Duration maxIdleBeforeNonRepeatable{
         std::chrono::milliseconds{1500}}; //!< Longest idle time of a connection that may carry a non-repeatable request
-    std::uint64_t     maxAnswerBytes{std::uint64_t{16} << 20U};   //!< Largest body of a server's answer
-    std::uint64_t     maxBufferedBytes{std::uint64_t{64} << 20U}; //!< Request bodies in memory, over all callers
-    std::size_t       maxCallers{3000};                           //!< Open connections of callers
-    std::string       self;                                       //!< Address by which other nodes know this one
-    std::size_t       maxTunnels{256};                            //!< Tunnels to servers that are open for other nodes
-    balance::Settings balance;                                    //!< Settings of the balancer
+    std::uint64_t     maxAnswerBytes{std::uint64_t{16} << 20U};         //!< Largest body of a server's answer
+    std::uint64_t     maxBufferedBytes{std::uint64_t{64} << 20U};       //!< Request bodies in memory, over all callers
+    std::uint64_t     maxBufferedAnswerBytes{std::uint64_t{64} << 20U}; //!< Bodies of servers' answers in memory
+    std::size_t       maxCallers{3000};                                 //!< Open connections of callers
+    std::string       self;                                             //!< Address by which other nodes know this one
+    std::size_t       maxTunnels{256}; //!< Tunnels to servers that are open for other nodes
+    balance::Settings balance;         //!< Settings of the balancer
 };
 
 } // namespace sailpath::gateway
--- a/src/programs/GatewayProgram.cpp
+++ b/src/programs/GatewayProgram.cpp
@@ -67,6 +67,7 @@
 constexpr auto                        stopCheck = std::chrono::milliseconds{50};
 constexpr double                      graceShare = 0.9;   // Of the grace; the process has ended by then
 constexpr double                      bufferShare = 0.25; // Of the memory, for request bodies
+constexpr double                      answerShare = 0.2;  // Of the memory, for bodies of servers' answers
 constexpr double                      bytesPerMegabyte = 1e6;
 constexpr auto                        snapshotInterval = std::chrono::seconds{5}; // Between offers to the fleet
 constexpr std::size_t                 callersShare = 2;  // One in two descriptors may be a caller's
@@ -89,6 +90,8 @@
     gateway.serverSource = settings.text("server-source");
     gateway.maxBufferedBytes =
         static_cast<std::uint64_t>(bufferShare * settings.number("memory-mb") * bytesPerMegabyte);
+    gateway.maxBufferedAnswerBytes =
+        static_cast<std::uint64_t>(answerShare * settings.number("memory-mb") * bytesPerMegabyte);
     gateway.maxCallers = settings.whole("descriptors") / callersShare;
     gateway.balance.dataCentre = settings.text("data-centre");
     gateway.balance.retryRatio = settings.number("retry-ratio");
--- a/src/sailpath/gateway/CallerAnswer.hpp
+++ b/src/sailpath/gateway/CallerAnswer.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "BodyReservation.hpp"
+
 #include <sailpath/core/Time.hpp>
 #include <sailpath/http/Head.hpp>
 
@@ -30,6 +32,8 @@
     std::string head; //!< Status line and header fields
     std::string body; //!< Empty when the answer has no body
 
+    BodyReservation reservation{}; //!< Memory of the body of a server's answer
+
     void finishHead(bool close); //!< Add `Connection: close` if asked for, and the empty line
 };
 
--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -242,10 +242,14 @@
 }
 
 ////////////////////////////////////////////////////////////
-bool CallerConnection::answer(balance::Ticket ticket, const http::Head& head, std::string body)
+bool CallerConnection::answer(balance::Ticket ticket, const http::Head& head, std::string body, BodyReservation memory)
 {
     PendingAnswer* const pending = m_pendingAnswers.findUnanswered(ticket);
-    return pending != nullptr && setAnswer(pending, makeAnswer(head, std::move(body), pending->headOnly));
+    if (pending == nullptr)
+        return false;
+    CallerAnswer answer = makeAnswer(head, std::move(body), pending->headOnly);
+    answer.reservation = std::move(memory);
+    return setAnswer(pending, std::move(answer));
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/CallerConnection.hpp
+++ b/src/sailpath/gateway/CallerConnection.hpp
@@ -39,7 +39,7 @@
     ///
     /// \return False when the connection no longer expects an answer to the request
     ////////////////////////////////////////////////////////////
-    [[nodiscard]] bool answer(balance::Ticket ticket, const http::Head& head, std::string body);
+    [[nodiscard]] bool answer(balance::Ticket ticket, const http::Head& head, std::string body, BodyReservation memory);
 
     [[nodiscard]] bool answer(balance::Ticket ticket, const LocalAnswer& local); //!< Queue an answer of the gateway
 
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -49,6 +49,7 @@
 dueTimer(loop),
 sweepTimer(loop),
 bodies(std::make_shared<priv::BodyMemory>(static_cast<std::int64_t>(settings.maxBufferedBytes))),
+answerBodies(std::make_shared<priv::BodyMemory>(static_cast<std::int64_t>(settings.maxBufferedAnswerBytes))),
 unknownFieldDetector(headerDialect),
 readinessServer(loop, settings.readinessListen, {{headerDialect.readinessPath, [this] {
                                                       return priv::StatusAnswer{ready && !isDraining ? 200U : 503U, {}};
@@ -455,6 +456,7 @@
     add("answers_in_transit", "gauge", countSendingCallers());
     add("answers_cut_total", "counter", counters.answersCut);
     add("body_bytes_held", "gauge", bodies->used());
+    add("answer_bytes_held", "gauge", answerBodies->used());
     add("configuration_version", "gauge", version);
     text += admissionMetrics();
     text += workMetrics();
--- a/src/sailpath/gateway/GatewayImpl.hpp
+++ b/src/sailpath/gateway/GatewayImpl.hpp
@@ -110,6 +110,7 @@
     std::map<std::string, std::uint64_t> noRoom; //!< Requests refused for lack of room, by workspace or route; bounded
     balance::Ticket                      nextTicket{1};
     std::shared_ptr<priv::BodyMemory>    bodies;                            //!< Memory budget of request bodies
+    std::shared_ptr<priv::BodyMemory>    answerBodies;                      //!< Memory budget of answers, by service
     std::uint64_t                        version{0};                        //!< Version of the configuration in force
     core::Timestamp                      lastRunAt{core::Timestamp::max()}; //!< Time of the last run of the loop
     core::Timestamp                      stalledSince{}; //!< Time of the last run before the latest stall
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -377,6 +377,7 @@
     const auto            attempt = step.attempt;
     priv::OutgoingRequest send = exchange.buildRequest(*step.instance, step.deadline - core::now(), dialect);
     send.atMostOnce = !step.repeatable;
+    send.answerMemory = priv::BodyReservation(answerBodies, step.instance->service);
     connection->send(
         std::move(send),
         [this, ticket, attempt, instance = step.instance](const balance::Outcome& outcome, priv::ServerAnswer answer)
@@ -400,6 +401,9 @@
 ////////////////////////////////////////////////////////////
 void Gateway::Impl::probe(const balance::Step& step)
 {
+    // The search goes on without the answer when its round ends.
+    if (!servers.mayCheck(*step.instance))
+        return;
     ++counters.probes;
     if (const auto found = exchanges.find(step.ticket); found != exchanges.end())
         ++found->second.probes;
@@ -465,7 +469,7 @@
         priv::ServerAnswer answer = std::move(exchange.answers[step.attempt]);
         ++counters.answered;
         exchange.setEnding(answer.head.status, "answered", core::now());
-        queued = caller && caller->answer(ticket, answer.head, std::move(answer.body));
+        queued = caller && caller->answer(ticket, answer.head, std::move(answer.body), std::move(answer.reservation));
     }
     else
     {
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -8,6 +8,7 @@
 #include <asio/write.hpp>
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 namespace sailpath::gateway::priv
@@ -15,6 +16,11 @@
 namespace
 {
 constexpr std::uint32_t maxHeadBytes = 64U * 1024;
+constexpr std::uint64_t maxCheckBytes = 8U * 1024;              // Body of a health answer, of which nothing is used
+constexpr auto          checkTimeout = std::chrono::seconds{1}; // For a health answer that has begun
+constexpr auto          silentCheckAfter = std::chrono::milliseconds{100}; // Without a byte of the health answer
+constexpr unsigned      maxSkippedAnswers = 64;                      // Interim answers, and answers to other requests
+constexpr std::size_t   uncountedBytes = 64U * 1024;                 // Of each body; larger ones are reserved
 constexpr auto          minResetWait = std::chrono::milliseconds{1}; // Bounds of the wait for a reset, which is as long
 constexpr auto          maxResetWait = std::chrono::milliseconds{5}; // as connecting took: about one round trip
 
@@ -41,6 +47,7 @@
     m_request = std::move(request);
     m_onDone = std::move(onDone);
     ++m_sends;
+    m_skippedAnswers = 0;
     startReader();
     if (m_state == State::New)
         return connect();
@@ -65,8 +72,9 @@
 ////////////////////////////////////////////////////////////
 void ServerConnection::startReader()
 {
-    const auto kind = m_request.headOnly ? http::MessageKind::AnswerNoBody : http::MessageKind::Answer;
-    m_reader = std::make_unique<http::MessageReader>(kind, maxHeadBytes, m_settings.maxAnswerBytes);
+    const auto          kind = m_request.headOnly ? http::MessageKind::AnswerNoBody : http::MessageKind::Answer;
+    const std::uint64_t maxBodyBytes = m_request.probe ? maxCheckBytes : m_settings.maxAnswerBytes;
+    m_reader = std::make_unique<http::MessageReader>(kind, maxHeadBytes, maxBodyBytes);
     m_noticeReported = false;
 }
 
@@ -140,6 +148,8 @@
     auto self = shared_from_this();
     m_sentAt = core::now();
     m_events.awaiting(*this);
+    if (m_request.probe)
+        limitCheck();
     asio::async_write(*m_socket, asio::buffer(m_request.bytes),
                       [self](const asio::error_code& error, std::size_t)
                       {
@@ -148,6 +158,31 @@
                       });
 }
 
+////////////////////////////////////////////////////////////
+void ServerConnection::limitCheck()
+{
+    m_timer.expires_after(checkTimeout);
+    m_timer.async_wait(
+        [self = shared_from_this(), send = m_sends](const asio::error_code& error)
+        {
+            // A server that is silent may be out of reach, which `ServerConnections` finds out.
+            if (!error && self->awaits(send) && self->m_heardAt >= self->m_sentAt)
+                self->close();
+        });
+}
+
+////////////////////////////////////////////////////////////
+bool ServerConnection::reserveBody()
+{
+    const std::size_t arrived = m_reader->bodySize();
+    if (m_request.probe || arrived <= uncountedBytes)
+        return true;
+    // A declared length is reserved at once, so that concurrent bodies cannot all run out of memory half way. Otherwise
+    // the memory of the body doubles as it grows.
+    const std::size_t wanted = m_reader->bodyLength().value_or(std::bit_ceil(arrived));
+    return m_request.answerMemory.growTo(static_cast<std::int64_t>(wanted));
+}
+
 ////////////////////////////////////////////////////////////
 void ServerConnection::read()
 {
@@ -216,6 +251,8 @@
         const http::ReadState state = m_reader->state();
         if (state == http::ReadState::Body || state == http::ReadState::Done)
             reportNotice();
+        if (state == http::ReadState::Body && !reserveBody())
+            return handleEnd(false);
         if (state == http::ReadState::Head || state == http::ReadState::Body)
             return;
         if (state != http::ReadState::Done)
@@ -255,7 +292,7 @@
     {
         // An interim answer, or one to an earlier request; the expected answer may follow.
         m_notReusable = m_notReusable || !interim;
-        if (head.untilEnd)
+        if (head.untilEnd || ++m_skippedAnswers > maxSkippedAnswers)
             return handleEnd(false);
         startReader();
         return;
@@ -268,7 +305,7 @@
     const bool keep = head.keepAlive && !head.untilEnd && m_requestWritten && reusable && m_unread.empty();
     m_keepAliveTimeout = parseKeepAlive(head);
     outcome.helper = m_helper;
-    ServerAnswer answer{head, m_reader->takeBody()};
+    ServerAnswer answer{head, m_reader->takeBody(), std::move(m_request.answerMemory)};
     finish(outcome, std::move(answer), keep);
 }
 
@@ -313,6 +350,7 @@
 {
     const DoneCallback onDone = std::move(m_onDone);
     m_onDone = nullptr;
+    m_timer.cancel();
     m_unread.clear();
     m_since = core::now();
     m_state = keep ? State::Idle : State::Closed;
@@ -382,6 +420,16 @@
     return m_request.probe;
 }
 
+////////////////////////////////////////////////////////////
+bool ServerConnection::isChecking() const
+{
+    if (!m_request.probe || (m_state != State::Connecting && m_state != State::Busy))
+        return false;
+    const bool            busy = m_state == State::Busy;
+    const core::Timestamp begun = busy ? m_sentAt : m_since;
+    return (busy && m_heardAt >= m_sentAt) || core::now() - begun < silentCheckAfter;
+}
+
 ////////////////////////////////////////////////////////////
 bool ServerConnection::awaits(std::uint64_t send) const
 {
--- a/src/sailpath/gateway/ServerConnection.hpp
+++ b/src/sailpath/gateway/ServerConnection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "BodyReservation.hpp"
 #include "ServerDial.hpp"
 
 #include <sailpath/balance/Balancer.hpp>
@@ -25,6 +26,8 @@
 {
     http::Head  head; //!< As received
     std::string body; //!< Decoded and complete
+
+    BodyReservation reservation{}; //!< Memory of the body
 };
 
 ////////////////////////////////////////////////////////////
@@ -37,6 +40,8 @@
     bool        headOnly{false};   //!< The answer has no body
     bool        probe{false};      //!< A health check; its answer carries no request id
     bool        atMostOnce{false}; //!< May not run twice; on a new connection, sent only after a wait for a reset
+
+    BodyReservation answerMemory{}; //!< Reserves the memory of the answer's body
 };
 
 class ServerConnection;
@@ -88,6 +93,8 @@
     [[nodiscard]] core::Duration              keepAliveTimeout() const; //!< Named by the server; 0 if not
     [[nodiscard]] const std::string&          helper() const;  //!< Node that it goes through; empty when direct
     [[nodiscard]] bool                        isProbe() const; //!< The request in progress is a health check
+    /// \brief Whether a health check began just now, or its answer has begun and not ended
+    [[nodiscard]] bool                        isChecking() const;
     [[nodiscard]] bool                        awaits(std::uint64_t send) const; //!< This request has no answer yet
     [[nodiscard]] std::uint64_t               sends() const;                    //!< Number of the last request, from 1
     [[nodiscard]] core::Timestamp             sentAt() const;                   //!< When the last request was sent
@@ -117,12 +124,14 @@
     void               handleAnswer();
     void               finish(const balance::Outcome& outcome, ServerAnswer answer, bool keep);
     void               startReader();
+    [[nodiscard]] bool reserveBody();  //!< Reserve memory for what has arrived of the answer's body
+    void               limitCheck();   //!< End a health check that has not ended in time
     void               reportNotice(); //!< From the complete head of the answer, once for each answer
     [[nodiscard]] bool answersRequest(const http::Head& head) const;
 
     asio::io_context&                           m_context;    //!< Event loop
     std::shared_ptr<asio::ip::tcp::socket>      m_socket;     //!< Socket of the connection; null before it is up
-    asio::steady_timer                          m_timer;      //!< Timeout of connecting; wait for a reset
+    asio::steady_timer                          m_timer;      //!< Wait for a reset; timeout of a health check
     std::shared_ptr<const deployment::Instance> m_instance;   //!< Instance at the other end
     const GatewaySettings&                      m_settings;   //!< Timeouts and sizes
     const Dialect&                              m_dialect;    //!< Names of header fields
@@ -148,8 +157,9 @@
     State                                       m_state{State::New};           //!< State of the connection
     balance::ConnectFailure m_connectFailure{balance::ConnectFailure::Broken}; //!< Why no connection was opened
     bool                    m_requestWritten{false};                           //!< All of the request is written
-    bool                    m_noticeReported{false};                           //!< The answer's notice is reported
-    bool                    m_notReusable{false};                              //!< Got an answer to another request
+    unsigned                m_skippedAnswers{0};     //!< Interim answers and such to other requests, since the send
+    bool                    m_noticeReported{false}; //!< The answer's notice is reported
+    bool                    m_notReusable{false};    //!< Got an answer to another request
 };
 
 } // namespace sailpath::gateway::priv
--- a/src/sailpath/gateway/ServerConnections.cpp
+++ b/src/sailpath/gateway/ServerConnections.cpp
@@ -17,6 +17,7 @@
 constexpr auto   silenceMemory = std::chrono::seconds{6};
 constexpr auto   verifyInterval = std::chrono::milliseconds{500}; // Between questions to helpers about one server
 constexpr int    maxVerifications = 4;                            // In that time
+constexpr int    maxChecks = 32; // Health checks in progress at one server that is not silent
 constexpr auto   freshAge = std::chrono::seconds{1};
 
 } // namespace
@@ -88,6 +89,15 @@
     add(instance)->check(std::move(onChecked));
 }
 
+////////////////////////////////////////////////////////////
+bool ServerConnections::mayCheck(const deployment::Instance& instance) const
+{
+    const auto found = m_byInstance.find(instance.id);
+    return found == m_byInstance.end() ||
+           std::count_if(found->second.begin(), found->second.end(),
+                         [](const auto& connection) { return connection->isChecking(); }) < maxChecks;
+}
+
 ////////////////////////////////////////////////////////////
 void ServerConnections::setPeers(std::span<const deployment::Peer> peers)
 {
--- a/src/sailpath/gateway/ServerConnections.hpp
+++ b/src/sailpath/gateway/ServerConnections.hpp
@@ -46,6 +46,9 @@
     ////////////////////////////////////////////////////////////
     void check(const std::shared_ptr<const deployment::Instance>& instance, ServerConnection::CheckCallback onChecked);
 
+    /// \brief Whether a further health check may be sent; not while many answers to earlier ones do not end
+    [[nodiscard]] bool mayCheck(const deployment::Instance& instance) const;
+
     void closeExpired(); //!< Close connections that were idle too long, or whose data centre is evacuated
     void closeIdle();    //!< Close all idle connections
 
--- a/src/sailpath/http/MessageReader.cpp
+++ b/src/sailpath/http/MessageReader.cpp
@@ -14,7 +14,8 @@
 using Text = boost::beast::string_view;
 using ErrorCode = boost::beast::error_code;
 
-constexpr std::size_t fieldMarks = 4; // Bytes of a field beside name and value: colon, space, end of line
+constexpr std::size_t   fieldMarks = 4; // Bytes of a field beside name and value: colon, space, end of line
+constexpr std::uint64_t maxAllocatedAtOnce = std::uint64_t{16} << 20U; // Bytes of a body; pages are used as it arrives
 
 ////////////////////////////////////////////////////////////
 std::string toString(Text text)
@@ -80,8 +81,11 @@
         m_collected.head.untilEnd = this->need_eof();
     }
 
-    void on_body_init_impl(const boost::optional<std::uint64_t>&, ErrorCode&) override // NOLINT
+    void on_body_init_impl(const boost::optional<std::uint64_t>& length, ErrorCode&) override // NOLINT
     {
+        // Grown step by step, the body would take up to twice its length.
+        if (length && *length <= maxAllocatedAtOnce)
+            m_collected.body.reserve(static_cast<std::size_t>(*length));
     }
 
     std::size_t on_body_impl(Text body, ErrorCode&) override // NOLINT
--- /dev/null
+++ b/test/platform/soak/endless_server.py
@@ -0,0 +1,114 @@
+"""A backend server whose answers may never end, as a process of its own: ID. Prints its port.
+
+A line `KIND BYTES_A_SECOND` on standard input starts endless answers until their reader closes; `none 0` ends them; `report 0` prints the most
+connections that were sending at once, and the longest time for which one sent, in seconds.
+"""
+
+import socket
+import sys
+import threading
+import time
+
+import wire
+
+MOST_BYTES = 65536
+SLOTS = 100
+PIECE_S = 0.01
+BEGINNINGS = {
+    "body": b"HTTP/1.1 200 OK\r\n%s\r\n",
+    "chunks": b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n",
+    "line": b"HTTP/1.1 200 OK\r\n%sX-Long: ",
+    "lines": b"HTTP/1.1 200 OK\r\n%s",
+    "continue": b"",
+}
+
+
+def piece_of(kind: str, size: int) -> bytes:
+    """What is sent again and again."""
+    return {"chunks": b"%x\r\n%s\r\n" % (size, b"x" * size), "lines": b"X-Line: y\r\n" * (size // 11 + 1),
+            "continue": b"HTTP/1.1 100 Continue\r\n\r\n" * (size // 25 + 1)}.get(kind, b"x" * size)
+
+
+class Server:
+    """Serves each connection on a thread."""
+
+    def __init__(self, identity: str):
+        self.id = identity
+        self._kind, self._rate, self._health = "none", 0, False
+        self._lock = threading.Lock()
+        self._sending: dict[int, float] = {}
+        self._most = 0
+        self._longest = 0.0
+        self._listener = socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(512)
+        self.port = self._listener.getsockname()[1]
+
+    def follow(self, lines) -> None:
+        """Change the kind of answers with each line."""
+        for line in lines:
+            kind, rate = line.split()
+            if kind == "report":
+                print(self._most, round(self._longest, 2), flush=True)
+                continue
+            self._health = kind.startswith("health-")
+            self._kind, self._rate = kind.removeprefix("health-"), int(rate)
+
+    def accept(self) -> None:
+        """Serve all connections."""
+        while True:
+            connection, _ = self._listener.accept()
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        unread = b""
+        try:
+            while part := connection.recv(MOST_BYTES):
+                unread += part
+                while b"\r\n\r\n" in unread:
+                    head, _, unread = unread.partition(b"\r\n\r\n")
+                    self._answer(connection, head.decode("latin-1").split("\r\n"))
+        except OSError:
+            pass
+        finally:
+            connection.close()
+
+    def _answer(self, connection: socket.socket, lines: list[str]) -> None:
+        own = {wire.INSTANCE_ID: self.id, wire.SERVER_LOAD: f"0,0,{SLOTS},100"}
+        health = lines[0].split(" ")[1] == wire.HEALTH_PATH
+        if not health:
+            fields = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines[1:])}
+            own[wire.REQUEST_ID] = fields[wire.REQUEST_ID]
+            own[wire.SIGNATURE] = f"sig.{fields[wire.REQUEST_ID]}"
+        if self._kind != "none" and self._health == health:
+            return self._send_endlessly(connection, own)
+        size = 0 if health else int(lines[0].split(" ")[1].rpartition("/")[2])
+        connection.sendall(wire.answer_bytes(200, own, b"x" * size))
+
+    def _send_endlessly(self, connection: socket.socket, own: dict[str, str]) -> None:
+        kind, rate = self._kind, self._rate
+        begun = time.monotonic()
+        fields = "".join(f"{name}: {value}\r\n" for name, value in own.items()).encode()
+        piece = piece_of(kind, max(1, int(rate * PIECE_S)))
+        with self._lock:
+            self._sending[threading.get_ident()] = begun
+            self._most = max(self._most, len(self._sending))
+        try:
+            beginning = BEGINNINGS[kind]
+            connection.sendall(beginning % fields if beginning else b"")
+            while kind == self._kind:
+                connection.sendall(piece)
+                self._longest = max(self._longest, time.monotonic() - begun)
+                time.sleep(PIECE_S)
+        finally:
+            with self._lock:
+                del self._sending[threading.get_ident()]
+        raise OSError("the answer was broken off")
+
+
+if __name__ == "__main__":
+    server = Server(sys.argv[1])
+    print(server.port, flush=True)
+    threading.Thread(target=server.follow, args=(sys.stdin,), daemon=True).start()
+    server.accept()
