--- a/src/sailpath/balance/ServerView.cpp
+++ b/src/sailpath/balance/ServerView.cpp
@@ -7,17 +7,17 @@
 {
 namespace
 {
-constexpr double   latencyRatioGain = 0.2;        // Weight of one answer in the latency ratio
-constexpr double   trialRatioGain = 0.75;         // Weight of the answer to a trial
+constexpr double   latencyRatioGain = 0.2;         // Weight of one answer in the latency ratio
+constexpr double   trialRatioGain = 0.75;          // Weight of the answer to a trial
 constexpr double   latencyRatioHalfLifeMs = 10000; // Half-life of the deviation from 1 without further answers
-constexpr double   minLatencyRatio = 0.5;         // Lower bound of the latency ratio
-constexpr double   maxObservedRatio = 20;         // Upper bound of one observation
-constexpr double   coldSlowdown = 1.6;            // Assumed of an instance in its warm-up
-constexpr double   failureGain = 0.3;             // Weight of one attempt in the failure share
-constexpr double   failureHalfLifeMs = 3000;      // Half-life of the failure share without further attempts
-constexpr double   crowdedFrom = 0.7;             // Share of slots taken from which an instance may become slower
-constexpr double   idleBelow = 0.5;               // Estimated requests below which a server counts as idle
-constexpr unsigned failuresToEject = 2;           // Failures in a row
+constexpr double   minLatencyRatio = 0.5;          // Lower bound of the latency ratio
+constexpr double   maxObservedRatio = 20;          // Upper bound of one observation
+constexpr double   coldSlowdown = 1.6;             // Assumed of an instance in its warm-up
+constexpr double   failureGain = 0.3;              // Weight of one attempt in the failure share
+constexpr double   failureHalfLifeMs = 3000;       // Half-life of the failure share without further attempts
+constexpr double   crowdedFrom = 0.7;              // Share of slots taken from which an instance may become slower
+constexpr double   idleBelow = 0.5;                // Estimated requests below which a server counts as idle
+constexpr unsigned failuresToEject = 2;            // Failures in a row
 constexpr auto     firstEjection = std::chrono::milliseconds{800};
 constexpr auto     maxEjection = std::chrono::seconds{6};
 // Two or more requests of all nodes reach a server in this time.
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -16,11 +16,11 @@
 namespace
 {
 constexpr std::uint32_t maxHeadBytes = 64U * 1024;
-constexpr std::uint64_t maxCheckBytes = 8U * 1024;              // Body of a health answer, of which nothing is used
+constexpr std::uint64_t maxCheckBytes = 8192;                   // Body of a health answer, of which nothing is used
 constexpr auto          checkTimeout = std::chrono::seconds{1}; // For a health answer that has begun
 constexpr auto          silentCheckAfter = std::chrono::milliseconds{100}; // Without a byte of the health answer
 constexpr unsigned      maxSkippedAnswers = 64;                      // Interim answers, and answers to other requests
-constexpr std::size_t   uncountedBytes = 64U * 1024;                 // Of each body; larger ones are reserved
+constexpr std::size_t   uncountedBytes = 65'536;                     // Of each body; larger ones are reserved
 constexpr auto          minResetWait = std::chrono::milliseconds{1}; // Bounds of the wait for a reset, which is as long
 constexpr auto          maxResetWait = std::chrono::milliseconds{5}; // as connecting took: about one round trip
 
