--- a/test/platform/soak/endless_server.py
+++ b/test/platform/soak/endless_server.py
@@ -8,11 +8,11 @@
 import sys
 import threading
 import time
+from typing import NoReturn
 
 import wire
+from quick_server import SLOTS, Server
 
-MOST_BYTES = 65536
-SLOTS = 100
 PIECE_S = 0.01
 BEGINNINGS = {
     "body": b"HTTP/1.1 200 OK\r\n%s\r\n",
@@ -29,20 +29,17 @@
             "continue": b"HTTP/1.1 100 Continue\r\n\r\n" * (size // 25 + 1)}.get(kind, b"x" * size)
 
 
-class Server:
+class EndlessServer(Server):
     """Serves each connection on a thread."""
 
     def __init__(self, identity: str):
-        self.id = identity
+        super().__init__(identity, 0.0)
         self._kind, self._rate, self._health = "none", 0, False
         self._lock = threading.Lock()
+        self._connections = threading.local()  # the connection that this thread serves
         self._sending: dict[int, float] = {}
         self._most = 0
         self._longest = 0.0
-        self._listener = socket.socket()
-        self._listener.bind(("127.0.0.1", 0))
-        self._listener.listen(512)
-        self.port = self._listener.getsockname()[1]
 
     def follow(self, lines) -> None:
         """Change the kind of answers with each line."""
@@ -54,27 +51,11 @@
             self._health = kind.startswith("health-")
             self._kind, self._rate = kind.removeprefix("health-"), int(rate)
 
-    def accept(self) -> None:
-        """Serve all connections."""
-        while True:
-            connection, _ = self._listener.accept()
-            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
-
     def _serve(self, connection: socket.socket) -> None:
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        unread = b""
-        try:
-            while part := connection.recv(MOST_BYTES):
-                unread += part
-                while b"\r\n\r\n" in unread:
-                    head, _, unread = unread.partition(b"\r\n\r\n")
-                    self._answer(connection, head.decode("latin-1").split("\r\n"))
-        except OSError:
-            pass
-        finally:
-            connection.close()
+        self._connections.connection = connection
+        super()._serve(connection)
 
-    def _answer(self, connection: socket.socket, lines: list[str]) -> None:
+    def _answer(self, lines: list[str]) -> bytes:
         own = {wire.INSTANCE_ID: self.id, wire.SERVER_LOAD: f"0,0,{SLOTS},100"}
         health = lines[0].split(" ")[1] == wire.HEALTH_PATH
         if not health:
@@ -82,11 +63,11 @@
             own[wire.REQUEST_ID] = fields[wire.REQUEST_ID]
             own[wire.SIGNATURE] = f"sig.{fields[wire.REQUEST_ID]}"
         if self._kind != "none" and self._health == health:
-            return self._send_endlessly(connection, own)
+            self._send_endlessly(self._connections.connection, own)
         size = 0 if health else int(lines[0].split(" ")[1].rpartition("/")[2])
-        connection.sendall(wire.answer_bytes(200, own, b"x" * size))
+        return wire.answer_bytes(200, own, b"x" * size)
 
-    def _send_endlessly(self, connection: socket.socket, own: dict[str, str]) -> None:
+    def _send_endlessly(self, connection: socket.socket, own: dict[str, str]) -> NoReturn:
         kind, rate = self._kind, self._rate
         begun = time.monotonic()
         fields = "".join(f"{name}: {value}\r\n" for name, value in own.items()).encode()
@@ -108,7 +89,7 @@
 
 
 if __name__ == "__main__":
-    server = Server(sys.argv[1])
+    server = EndlessServer(sys.argv[1])
     print(server.port, flush=True)
     threading.Thread(target=server.follow, args=(sys.stdin,), daemon=True).start()
     server.accept()
--- a/test/platform/soak/returns.py
+++ b/test/platform/soak/returns.py
@@ -17,6 +17,7 @@
 from history import History
 from return_callers import HOST, SERVICES, Call
 from return_servers import SLOTS
+from stage import Stage
 from store import Fault, Store
 
 RECOVERY_S = 15.0       # bound of the rule, from the return on
@@ -169,7 +170,7 @@
             gateway.start()
         async with asyncio.timeout(30):
             for gateway in self._gateways:
-                while not await self._ready(gateway):
+                while not await Stage.is_ready(gateway):
                     await asyncio.sleep(0.05)
 
     async def _start_callers(self) -> None:
@@ -228,17 +229,6 @@
         await asyncio.sleep(self.scene.store_silent_s)
         self._store.fault = Fault.NONE
 
-    @staticmethod
-    async def _ready(gateway: Gateway) -> bool:
-        with contextlib.suppress(OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            async with asyncio.timeout(1):
-                reader, writer = await asyncio.open_connection("127.0.0.1", gateway.ports.readiness)
-                writer.write(wire.request_bytes("GET", wire.READINESS_PATH, {"Host": "x"}, b""))
-                ready = (await wire.read_message(reader)).status == 200
-                writer.close()
-                return ready
-        return False
-
 
 def main() -> None:
     """Play a scene by hand: --build DIR --name NAME, and each field of `Scene` as a flag."""
