--- a/src/sailpath/balance/ServerView.cpp
+++ b/src/sailpath/balance/ServerView.cpp
@@ -9,7 +9,7 @@
 {
 constexpr double   latencyRatioGain = 0.2;         // Weight of one answer in the latency ratio
 constexpr double   trialRatioGain = 0.75;          // Weight of the answer to a trial
-constexpr double   latencyRatioHalfLifeMs = 10000; // Half-life of the deviation from 1 without further answers
+constexpr double   latencyRatioHalfLifeMs = 15000; // Half-life of the deviation from 1 without further answers
 constexpr double   minLatencyRatio = 0.5;          // Lower bound of the latency ratio
 constexpr double   maxObservedRatio = 20;          // Upper bound of one observation
 constexpr double   coldSlowdown = 1.6;             // Assumed of an instance in its warm-up
