--- a/test/balance/retry/RejectingServers.test.cpp
+++ b/test/balance/retry/RejectingServers.test.cpp
@@ -72,14 +72,19 @@
 
 BOOST_AUTO_TEST_CASE(CallersOfServersThatRejectHalfOfTheRequestsAreServedInTime)
 {
-    for (const std::uint64_t seed : {1U, 2U})
+    // Chance moves the share of one seed by 0.012, so the bound is that of the mean.
+    constexpr unsigned seeds = 20;
+    double             usual = 0;
+    double             rejecting = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
     {
-        const double usual = play(0, 0.5, seed).tally.targetShare();
-        const auto   result = play(0.5, 0.5, seed);
-        // A fresh send is accepted by every second server, so four tries of a caller leave one request in 16.
-        BOOST_TEST(result.tally.targetShare() >= 0.9 * usual);
+        usual += play(0, 0.5, seed).tally.targetShare() / seeds;
+        const auto result = play(0.5, 0.5, seed);
+        rejecting += result.tally.targetShare() / seeds;
         BOOST_TEST(result.arrivalsPerRequest < 2.2);
     }
+    // A fresh send is accepted by every second server, so four tries of a caller leave one request in 16.
+    BOOST_TEST(rejecting >= 0.9 * usual);
 }
 
 BOOST_AUTO_TEST_CASE(CallersOfServersThatRejectAFifthOfTheRequestsAreServedInTime)
