Take only an answer with a request's id for a proof that it has not run

Cause: each failure without an id counted as the answer to the request in progress, so the second answer of a rejected health check was a proof; and an id could go over a connection twice, so the second answer of its rejection was one.

Change: AnswerMatcher assigns answers by id, skips as many failures without an id as there were health answers on the connection, and ends the request as lost after any other; an id goes over a connection once. provesNotRun is the only place that says what proves it.

Before: LateAnswersTest 30 failures (20 of 20, 10 of 10 requests that ran told 503). Ruled out: statuses without the not-executed field, which end as lost as before; 421 stays a proof (RFC 9110).

--- a/src/sailpath/gateway/AnswerHead.cpp
+++ b/src/sailpath/gateway/AnswerHead.cpp
@@ -1,5 +1,7 @@
 #include "AnswerHead.hpp"
 
+#include "AnswerMatcher.hpp"
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -142,7 +144,7 @@
         outcome.end = whole ? balance::AttemptEnd::Answered : balance::AttemptEnd::Lost;
         return outcome;
     }
-    if (head.has(dialect.notExecuted) || head.status == statusMisdirected)
+    if (provesNotRun(head, dialect))
     {
         outcome.end = balance::AttemptEnd::NotRun;
         outcome.misdirected = head.status == statusMisdirected;
--- a/src/sailpath/gateway/AnswerHead.hpp
+++ b/src/sailpath/gateway/AnswerHead.hpp
@@ -10,7 +10,7 @@
 namespace sailpath::gateway::priv
 {
 ////////////////////////////////////////////////////////////
-/// \brief Derive the outcome of a request from the head of its complete answer
+/// \brief Derive the outcome of a request from the head of its complete answer, which `AnswerMatcher` assigned to it
 ////////////////////////////////////////////////////////////
 [[nodiscard]] balance::Outcome classifyAnswer(const http::Head& head, const Dialect& dialect);
 
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -371,13 +371,13 @@
     counters.trials += step.trial ? 1 : 0;
     counters.attemptsAgainstNotice += step.leavingFor.count() > 0 || step.backOffLeft.count() > 0 ? 1 : 0;
     exchange.recordAttempt(step, core::now());
-    const auto connection = servers.acquire(step.instance, !step.repeatable);
-    exchange.activeAttempts[step.attempt] = connection;
     const auto            ticket = step.ticket;
     const auto            attempt = step.attempt;
     priv::OutgoingRequest send = exchange.buildRequest(*step.instance, step.deadline - core::now(), dialect);
     send.atMostOnce = !step.repeatable;
     send.answerMemory = priv::BodyReservation(answerBodies, step.instance->service);
+    const auto connection = servers.acquire(step.instance, send);
+    exchange.activeAttempts[step.attempt] = connection;
     connection->send(
         std::move(send),
         [this, ticket, attempt, instance = step.instance](const balance::Outcome& outcome, priv::ServerAnswer answer)
@@ -413,17 +413,17 @@
     send.bytes.append("\r\n\r\n");
     const auto ticket = step.ticket;
     const auto number = step.attempt;
-    servers.acquire(step.instance, false)
-        ->send(std::move(send),
-               [this, ticket, number, instance = step.instance](const balance::Outcome&   outcome,
-                                                                const priv::ServerAnswer& answer)
-               {
-                   progress.enter("probe-end");
-                   countConnectFailure(outcome.connectFailure);
-                   logUnknownFields(*instance, answer.head);
-                   balancer.probeEnded(ticket, number, outcome, core::now());
-                   performPendingSteps();
-               });
+    const auto connection = servers.acquire(step.instance, send);
+    connection->send(std::move(send),
+                     [this, ticket, number, instance = step.instance](const balance::Outcome&   outcome,
+                                                                      const priv::ServerAnswer& answer)
+                     {
+                         progress.enter("probe-end");
+                         countConnectFailure(outcome.connectFailure);
+                         logUnknownFields(*instance, answer.head);
+                         balancer.probeEnded(ticket, number, outcome, core::now());
+                         performPendingSteps();
+                     });
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -37,7 +37,8 @@
 m_dialect(dialect),
 m_paths(paths),
 m_ways(ways),
-m_events(events)
+m_events(events),
+m_matcher(dialect)
 {
 }
 
@@ -48,6 +49,7 @@
     m_onDone = std::move(onDone);
     ++m_sends;
     m_skippedAnswers = 0;
+    m_matcher.send(m_request.id);
     startReader();
     if (m_state == State::New)
         return connect();
@@ -261,16 +263,6 @@
     }
 }
 
-////////////////////////////////////////////////////////////
-bool ServerConnection::answersRequest(const http::Head& head) const
-{
-    const std::string_view id = head.field(m_dialect.requestId);
-    const bool             success = head.status >= 200 && head.status < 300;
-    if (m_request.probe)
-        return id.empty();
-    return id.empty() ? !success : id == m_request.id;
-}
-
 ////////////////////////////////////////////////////////////
 void ServerConnection::reportNotice()
 {
@@ -287,15 +279,13 @@
 void ServerConnection::handleAnswer()
 {
     const http::Head& head = m_reader->head();
-    const bool        interim = head.status < 200;
-    if (interim || !answersRequest(head))
+    const AnswerMatch match = m_matcher.match(head);
+    if (match == AnswerMatch::Unidentified)
+        return endUnidentified();
+    if (match != AnswerMatch::Expected)
     {
-        // An interim answer, or one to an earlier request; the expected answer may follow.
-        m_notReusable = m_notReusable || !interim;
-        if (head.untilEnd || ++m_skippedAnswers > maxSkippedAnswers)
-            return handleEnd(false);
-        startReader();
-        return;
+        m_notReusable = m_notReusable || match == AnswerMatch::Other;
+        return skipAnswer();
     }
     m_events.heard(*this);
     balance::Outcome outcome =
@@ -309,6 +299,25 @@
     finish(outcome, std::move(answer), keep);
 }
 
+////////////////////////////////////////////////////////////
+void ServerConnection::skipAnswer()
+{
+    if (m_reader->head().untilEnd || ++m_skippedAnswers > maxSkippedAnswers)
+        return handleEnd(false);
+    startReader();
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::endUnidentified()
+{
+    m_events.heard(*this);
+    balance::Outcome outcome;
+    outcome.status = m_reader->head().status;
+    outcome.end = balance::AttemptEnd::Lost;
+    outcome.helper = m_helper;
+    finish(outcome, {m_reader->head(), {}}, false);
+}
+
 ////////////////////////////////////////////////////////////
 void ServerConnection::handleEnd(bool cleanEnd, bool byServer)
 {
@@ -316,7 +325,7 @@
     if (previous == State::Busy && cleanEnd && m_reader->state() == http::ReadState::Body)
     {
         m_reader->ended();
-        if (m_reader->state() == http::ReadState::Done && answersRequest(m_reader->head()))
+        if (m_reader->state() == http::ReadState::Done && m_matcher.isExpected(m_reader->head()))
             return handleAnswer();
     }
     m_state = State::Closed;
@@ -396,6 +405,12 @@
     return m_state == State::Closed;
 }
 
+////////////////////////////////////////////////////////////
+bool ServerConnection::maySend(const OutgoingRequest& request) const
+{
+    return request.probe || m_matcher.maySend(request.id);
+}
+
 ////////////////////////////////////////////////////////////
 core::Duration ServerConnection::idleTime() const
 {
--- a/src/sailpath/gateway/ServerConnection.hpp
+++ b/src/sailpath/gateway/ServerConnection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AnswerMatcher.hpp"
 #include "BodyReservation.hpp"
 #include "ServerDial.hpp"
 
@@ -35,7 +36,7 @@
 ////////////////////////////////////////////////////////////
 struct OutgoingRequest
 {
-    std::string id;                //!< Request id that the answer has to repeat
+    std::string id;                //!< Request id that the answer has to repeat; empty for a health check
     std::string bytes;             //!< Head and body as sent
     bool        headOnly{false};   //!< The answer has no body
     bool        probe{false};      //!< A health check; its answer carries no request id
@@ -89,7 +90,8 @@
     [[nodiscard]] const deployment::Instance& instance() const; //!< Instance at the other end
     [[nodiscard]] bool                        idle() const;     //!< Open and without a request
     [[nodiscard]] bool                        closed() const;
-    [[nodiscard]] core::Duration              idleTime() const;         //!< Since it became idle
+    [[nodiscard]] bool                        maySend(const OutgoingRequest& request) const; //!< See `AnswerMatcher`
+    [[nodiscard]] core::Duration              idleTime() const;                              //!< Since it became idle
     [[nodiscard]] core::Duration              keepAliveTimeout() const; //!< Named by the server; 0 if not
     [[nodiscard]] const std::string&          helper() const;  //!< Node that it goes through; empty when direct
     [[nodiscard]] bool                        isProbe() const; //!< The request in progress is a health check
@@ -124,10 +126,11 @@
     void               handleAnswer();
     void               finish(const balance::Outcome& outcome, ServerAnswer answer, bool keep);
     void               startReader();
-    [[nodiscard]] bool reserveBody();  //!< Reserve memory for what has arrived of the answer's body
-    void               limitCheck();   //!< End a health check that has not ended in time
-    void               reportNotice(); //!< From the complete head of the answer, once for each answer
-    [[nodiscard]] bool answersRequest(const http::Head& head) const;
+    [[nodiscard]] bool reserveBody();     //!< Reserve memory for what has arrived of the answer's body
+    void               limitCheck();      //!< End a health check that has not ended in time
+    void               reportNotice();    //!< From the complete head of the answer, once for each answer
+    void               endUnidentified(); //!< End the request after a failure without a request id
+    void               skipAnswer();      //!< Await the next answer
 
     asio::io_context&                           m_context;    //!< Event loop
     std::shared_ptr<asio::ip::tcp::socket>      m_socket;     //!< Socket of the connection; null before it is up
@@ -145,6 +148,7 @@
     CheckCallback                               m_onChecked;  //!< Called with the result of a check
     OutgoingRequest                             m_request;    //!< Request in progress
     std::unique_ptr<http::MessageReader>        m_reader;     //!< Parser of the answer
+    AnswerMatcher                               m_matcher;    //!< Assigns answers to requests
     std::string                                 m_unread;     //!< Bytes received but not parsed
     std::array<char, 8192>                      m_buffer{};   //!< Receive buffer
     core::Timestamp                             m_since{};    //!< When the connection became idle, or began to connect
--- a/src/sailpath/gateway/ServerConnections.cpp
+++ b/src/sailpath/gateway/ServerConnections.cpp
@@ -37,11 +37,12 @@
 
 ////////////////////////////////////////////////////////////
 bool ServerConnections::isUsable(const ServerConnection& connection, const deployment::Instance& instance,
-                                 bool recentlyUsed) const
+                                 const OutgoingRequest& request) const
 {
-    const core::Duration limit =
-        recentlyUsed ? std::min(m_settings.maxIdleBeforeNonRepeatable, idleLimit(connection)) : idleLimit(connection);
-    if (!connection.idle() || connection.idleTime() >= limit ||
+    const core::Duration limit = request.atMostOnce
+                                     ? std::min(m_settings.maxIdleBeforeNonRepeatable, idleLimit(connection))
+                                     : idleLimit(connection);
+    if (!connection.idle() || connection.idleTime() >= limit || !connection.maySend(request) ||
         !deployment::sameInstance(connection.instance(), instance))
         return false;
     const auto silent = m_silentSince.find(instance.id);
@@ -55,7 +56,7 @@
 
 ////////////////////////////////////////////////////////////
 std::shared_ptr<ServerConnection>
-ServerConnections::acquire(const std::shared_ptr<const deployment::Instance>& instance, bool recentlyUsed)
+ServerConnections::acquire(const std::shared_ptr<const deployment::Instance>& instance, const OutgoingRequest& request)
 {
     // Direct connections come first. The connection that became idle last is the least likely to have been closed.
     const auto better = [](const ServerConnection& left, const ServerConnection& right)
@@ -66,7 +67,7 @@
     std::shared_ptr<ServerConnection> best;
     for (const auto& connection : m_byInstance[instance->id])
     {
-        if (isUsable(*connection, *instance, recentlyUsed) && (!best || better(*connection, *best)))
+        if (isUsable(*connection, *instance, request) && (!best || better(*connection, *best)))
             best = connection;
     }
     return best ? best : add(instance);
--- a/src/sailpath/gateway/ServerConnections.hpp
+++ b/src/sailpath/gateway/ServerConnections.hpp
@@ -34,12 +34,10 @@
                       CountCallback onCount, NoticeCallback onNotice);
 
     ////////////////////////////////////////////////////////////
-    /// \brief Return an idle connection to the instance, or a new one when none is usable
-    ///
-    /// \param recentlyUsed True to reuse only connections that have been idle for a short time
+    /// \brief Return an idle connection to the instance that may carry the request, or a new one when none is usable
     ////////////////////////////////////////////////////////////
     [[nodiscard]] std::shared_ptr<ServerConnection> acquire(const std::shared_ptr<const deployment::Instance>& instance,
-                                                            bool recentlyUsed);
+                                                            const OutgoingRequest&                             request);
 
     ////////////////////////////////////////////////////////////
     /// \brief Open a new connection to check that the instance still accepts any; it stays in the pool
@@ -96,7 +94,7 @@
                                                         paths::DialWays ways = paths::DialWays::Any);
 
     [[nodiscard]] bool isUsable(const ServerConnection& connection, const deployment::Instance& instance,
-                                bool recentlyUsed) const;
+                                const OutgoingRequest& request) const;
     void               armSilenceTimer();
     void               checkSilence();
     void               handleSilence(ServerConnection& connection, core::Timestamp sentAt);
