Hold one copy of a request's body, shared by all its sends

Cause: each send copied the body into its message, and a connection to a server kept its last message while it rested; neither was counted.

Change: RequestBody holds the bytes and their reservation; sends share it, the write holds it and drops it. A body in chunks reserves the buffer it has, a declared length is allocated at once up to 64 MiB.

--- a/src/sailpath/gateway/AnswerQueue.hpp
+++ b/src/sailpath/gateway/AnswerQueue.hpp
@@ -21,7 +21,7 @@
     balance::Ticket             ticket{0};       //!< Of the request; 0 if refused before it was read whole
     bool                        keepAlive{true}; //!< The caller asked to keep the connection open
     bool                        headOnly{false}; //!< A `HEAD` request, whose answer has no body
-    BodyReservation             reservation;     //!< Memory of the request body, and of the answer while it waits
+    BodyReservation             reservation;     //!< Memory of the answer while it waits
     std::optional<CallerAnswer> answer;          //!< Null until the answer is known
     core::Timestamp             answeredAt{};    //!< When the answer became known
 };
--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -192,11 +192,20 @@
                       });
 }
 
+////////////////////////////////////////////////////////////
+SharedBody CallerConnection::takeBody()
+{
+    BodyReservation reservation = std::exchange(m_reservation, {});
+    std::string     bytes = m_reader.takeBody();
+    if (bytes.empty())
+        return nullptr;
+    return std::make_shared<const RequestBody>(RequestBody{std::move(bytes), std::move(reservation)});
+}
+
 ////////////////////////////////////////////////////////////
 void CallerConnection::handleRequest()
 {
-    CallerRequest request{m_reader.head(), m_reader.takeBody(), m_reader.firstByteAt(),
-                          std::exchange(m_reservation, {}), !std::exchange(m_requestRead, true)};
+    CallerRequest request{m_reader.head(), takeBody(), m_reader.firstByteAt(), !std::exchange(m_requestRead, true)};
     m_reader.finishRequest();
     m_expectHandled = false;
     m_continuePending = false;
@@ -212,8 +221,7 @@
     pending.ticket = m_events.newTicket();
     pending.keepAlive = request.head.keepAlive;
     pending.headOnly = request.head.method == "HEAD";
-    pending.reservation = std::move(request.reservation);
-    if (!pending.reservation.canReserve() && !hasNoPendingAnswer())
+    if (!hasNoPendingAnswer())
         pending.reservation = BodyReservation(m_bodyMemory, m_events.workspaceOf(request.head));
     if (!pending.keepAlive)
     {
@@ -233,7 +241,7 @@
     m_reader.stop();
     PendingAnswer pending;
     pending.keepAlive = false;
-    pending.reservation = std::exchange(m_reservation, {});
+    m_reservation = {};
     pending.answer =
         makeAnswer({status, reason, status == 503 ? core::Duration(refusalRetryAfter) : core::Duration{}}, false);
     pending.answeredAt = core::now();
--- a/src/sailpath/gateway/CallerConnection.hpp
+++ b/src/sailpath/gateway/CallerConnection.hpp
@@ -64,25 +64,26 @@
         Closed     //!< The socket is closed
     };
 
-    void               read();
-    void               handleBytes(std::size_t bytes);
-    void               readRequests();
-    [[nodiscard]] bool canReadRequest() const;
-    [[nodiscard]] bool reserveBody();
-    void               handleExpect();
-    void               writeContinue();
-    void               handleRequest();
-    void               forward(CallerRequest request);
-    void               refuse(unsigned status, std::string_view reason);
-    [[nodiscard]] bool setAnswer(PendingAnswer* pending, CallerAnswer answer);
-    void               writeNext();
-    void               handleWritten(bool succeeded);
-    void               pollForClose();
-    [[nodiscard]] bool hasNoPendingAnswer() const;
-    [[nodiscard]] bool endsWithNextAnswer() const;
-    void               linger();
-    void               recordProgress(core::Timestamp now);
-    void               close(std::string_view reason);
+    void                     read();
+    void                     handleBytes(std::size_t bytes);
+    void                     readRequests();
+    [[nodiscard]] bool       canReadRequest() const;
+    [[nodiscard]] bool       reserveBody();
+    [[nodiscard]] SharedBody takeBody();
+    void                     handleExpect();
+    void                     writeContinue();
+    void                     handleRequest();
+    void                     forward(CallerRequest request);
+    void                     refuse(unsigned status, std::string_view reason);
+    [[nodiscard]] bool       setAnswer(PendingAnswer* pending, CallerAnswer answer);
+    void                     writeNext();
+    void                     handleWritten(bool succeeded);
+    void                     pollForClose();
+    [[nodiscard]] bool       hasNoPendingAnswer() const;
+    [[nodiscard]] bool       endsWithNextAnswer() const;
+    void                     linger();
+    void                     recordProgress(core::Timestamp now);
+    void                     close(std::string_view reason);
 
     asio::ip::tcp::socket        m_socket;                 //!< Socket of the connection
     std::string                  m_address;                //!< IP address of the caller
--- a/src/sailpath/gateway/CallerRequest.hpp
+++ b/src/sailpath/gateway/CallerRequest.hpp
@@ -1,12 +1,10 @@
 #pragma once
 
-#include "BodyReservation.hpp"
+#include "RequestBody.hpp"
 
 #include <sailpath/core/Time.hpp>
 #include <sailpath/http/Head.hpp>
 
-#include <string>
-
 namespace sailpath::gateway::priv
 {
 ////////////////////////////////////////////////////////////
@@ -15,9 +13,8 @@
 struct CallerRequest
 {
     http::Head      head;                     //!< As received
-    std::string     body;                     //!< Decoded and complete
+    SharedBody      body;                     //!< Null when it is empty
     core::Timestamp firstByteAt{};            //!< When the first byte arrived
-    BodyReservation reservation;              //!< Memory of the body
     bool            firstOnConnection{false}; //!< No earlier request arrived on the connection
 };
 
--- a/src/sailpath/gateway/Exchange.cpp
+++ b/src/sailpath/gateway/Exchange.cpp
@@ -53,7 +53,7 @@
     id = head.field(dialect.requestId);
     headOnly = head.method == "HEAD";
     startLine = head.method + " " + head.target + " HTTP/1.1\r\n";
-    hasBody = !request.body.empty() || head.has("Content-Length") || head.has("Transfer-Encoding");
+    hasBody = request.body != nullptr || head.has("Content-Length") || head.has("Transfer-Encoding");
     body = std::move(request.body);
     const std::string_view connection = head.field("Connection");
     for (const http::HeaderField& field : head.fields)
@@ -76,15 +76,15 @@
     OutgoingRequest send;
     send.id = id;
     send.headOnly = headOnly;
-    send.bytes.reserve(startLine.size() + headerFields.size() + body.size() + 128);
-    send.bytes.append(startLine).append(headerFields);
-    send.bytes.append(dialect.deadlineMs).append(": ").append(std::to_string(milliseconds)).append("\r\n");
-    send.bytes.append(dialect.targetInstance).append(": ").append(instance.id).append("\r\n");
+    send.head.append(startLine).append(headerFields);
+    send.head.append(dialect.deadlineMs).append(": ").append(std::to_string(milliseconds)).append("\r\n");
+    send.head.append(dialect.targetInstance).append(": ").append(instance.id).append("\r\n");
     if (!workspace.empty())
-        send.bytes.append(dialect.workspace).append(": ").append(workspace).append("\r\n");
+        send.head.append(dialect.workspace).append(": ").append(workspace).append("\r\n");
     if (hasBody)
-        send.bytes.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
-    send.bytes.append("\r\n").append(body);
+        send.head.append("Content-Length: ").append(std::to_string(body ? body->bytes.size() : 0)).append("\r\n");
+    send.head.append("\r\n");
+    send.body = body;
     return send;
 }
 
@@ -93,7 +93,7 @@
 {
     if (!m_identity)
     {
-        const std::array<std::string_view, 3> content{host, startLine, body};
+        const std::array<std::string_view, 3> content{host, startLine, body ? body->bytes : std::string_view()};
         m_identity = {core::contentHash(content), deployment::shortHash(callerAddress)};
     }
     return *m_identity;
--- a/src/sailpath/gateway/Exchange.hpp
+++ b/src/sailpath/gateway/Exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CallerConnection.hpp"
+#include "RequestBody.hpp"
 #include "ServerConnection.hpp"
 
 #include <sailpath/balance/Step.hpp>
@@ -37,7 +38,7 @@
     std::string                     workspace;       //!< Workspace that the request is sent for; empty without one
     std::string                     startLine;       //!< Request line sent to servers
     std::string                     headerFields;    //!< The caller's header fields that are passed on
-    std::string                     body;            //!< Whole request body
+    SharedBody                      body;            //!< Request body; null when it is empty
     bool                            headOnly{false}; //!< HEAD request, whose answer has no body
     bool                            hasBody{false};  //!< Whether servers get a Content-Length
     core::Timestamp                 firstByteAt{};   //!< When the first byte arrived
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -409,8 +409,8 @@
         ++found->second.probes;
     priv::OutgoingRequest send;
     send.probe = true;
-    send.bytes.append("GET ").append(step.path).append(" HTTP/1.1\r\nHost: ").append(step.instance->address);
-    send.bytes.append("\r\n\r\n");
+    send.head.append("GET ").append(step.path).append(" HTTP/1.1\r\nHost: ").append(step.instance->address);
+    send.head.append("\r\n\r\n");
     const auto ticket = step.ticket;
     const auto number = step.attempt;
     const auto connection = servers.acquire(step.instance, send);
--- a/src/sailpath/gateway/RequestReader.cpp
+++ b/src/sailpath/gateway/RequestReader.cpp
@@ -1,6 +1,7 @@
 #include "RequestReader.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <cassert>
 
 namespace sailpath::gateway::priv
@@ -119,9 +120,10 @@
 ////////////////////////////////////////////////////////////
 std::int64_t RequestReader::bodyBytesToReserve() const
 {
-    // A declared length is reserved at once, so that concurrent bodies cannot all run out of memory half way.
-    const auto declared = static_cast<std::int64_t>(m_message->bodyLength().value_or(0));
-    return std::max(declared, static_cast<std::int64_t>(m_message->bodySize()));
+    // A declared length is reserved at once, so that concurrent bodies cannot all run out of memory half way. Otherwise
+    // the memory of the body doubles as it grows.
+    const std::size_t received = m_message->bodySize();
+    return static_cast<std::int64_t>(m_message->bodyLength().value_or(received > 0 ? std::bit_ceil(received) : 0));
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/RequestReader.hpp
+++ b/src/sailpath/gateway/RequestReader.hpp
@@ -45,7 +45,7 @@
     [[nodiscard]] bool              headComplete() const;       //!< The head of the current request is read
     [[nodiscard]] const http::Head& head() const;               //!< Head of the current request
     [[nodiscard]] core::Timestamp   firstByteAt() const;        //!< Arrival of the current request's first byte
-    [[nodiscard]] std::int64_t      bodyBytesToReserve() const; //!< The larger of declared and received body size
+    [[nodiscard]] std::int64_t      bodyBytesToReserve() const; //!< Memory that the body takes
     [[nodiscard]] std::size_t       unreadBytes() const;        //!< Number of bytes received but not parsed
 
 private:
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -152,8 +152,13 @@
     m_events.awaiting(*this);
     if (m_request.probe)
         limitCheck();
-    asio::async_write(*m_socket, asio::buffer(m_request.bytes),
-                      [self](const asio::error_code& error, std::size_t)
+    // The operation holds the bytes: a connection that waits for an answer, or for its next request, needs none.
+    const auto                              head = std::make_shared<const std::string>(std::move(m_request.head));
+    const auto                              body = std::exchange(m_request.body, nullptr);
+    const std::array<asio::const_buffer, 2> bytes{asio::buffer(*head),
+                                                  asio::buffer(body ? body->bytes : std::string_view())};
+    asio::async_write(*m_socket, bytes,
+                      [self, head, body](const asio::error_code& error, std::size_t)
                       {
                           // A write error is also reported to the pending read, after any answer that was received.
                           self->m_requestWritten = !error;
--- a/src/sailpath/gateway/ServerConnection.hpp
+++ b/src/sailpath/gateway/ServerConnection.hpp
@@ -2,6 +2,7 @@
 
 #include "AnswerMatcher.hpp"
 #include "BodyReservation.hpp"
+#include "RequestBody.hpp"
 #include "ServerDial.hpp"
 
 #include <sailpath/balance/Balancer.hpp>
@@ -37,7 +38,8 @@
 struct OutgoingRequest
 {
     std::string id;                //!< Request id that the answer has to repeat; empty for a health check
-    std::string bytes;             //!< Head and body as sent
+    std::string head;              //!< Head as sent
+    SharedBody  body;              //!< Sent after the head; null when it is empty
     bool        headOnly{false};   //!< The answer has no body
     bool        probe{false};      //!< A health check; its answer carries no request id
     bool        atMostOnce{false}; //!< May not run twice; on a new connection, sent only after a wait for a reset
--- a/src/sailpath/gateway/ServerConnections.cpp
+++ b/src/sailpath/gateway/ServerConnections.cpp
@@ -137,8 +137,8 @@
     }
     OutgoingRequest send;
     send.probe = true;
-    send.bytes.append("GET ").append(path->second).append(" HTTP/1.1\r\nHost: ").append(instance->address);
-    send.bytes.append("\r\n\r\n");
+    send.head.append("GET ").append(path->second).append(" HTTP/1.1\r\nHost: ").append(instance->address);
+    send.head.append("\r\n\r\n");
     connection->send(std::move(send), [](const balance::Outcome&, const ServerAnswer&) {});
 }
 
--- a/src/sailpath/http/MessageReader.cpp
+++ b/src/sailpath/http/MessageReader.cpp
@@ -15,7 +15,7 @@
 using ErrorCode = boost::beast::error_code;
 
 constexpr std::size_t   fieldMarks = 4; // Bytes of a field beside name and value: colon, space, end of line
-constexpr std::uint64_t maxAllocatedAtOnce = std::uint64_t{16} << 20U; // Bytes of a body; pages are used as it arrives
+constexpr std::uint64_t maxAllocatedAtOnce = std::uint64_t{64} << 20U; // Bytes of a body; pages are used as it arrives
 
 ////////////////////////////////////////////////////////////
 std::string toString(Text text)
--- a/test/platform/soak/stage.py
+++ b/test/platform/soak/stage.py
@@ -22,7 +22,7 @@
 class Stage:
     """Gateways, servers of one service and a store."""
 
-    def __init__(self, build: str, name: str, gateways: int, zone: str = "north"):
+    def __init__(self, build: str, name: str, gateways: int, zone: str = "north", body_bytes: int = MIB):
         self._program = Path(build) / "bin" / "sailpath-gateway"
         self.out = Path(build) / "soak-stage" / name
         shutil.rmtree(self.out, ignore_errors=True)
@@ -31,6 +31,7 @@
         self._history = History()
         self._count = gateways
         self._zone = zone                # of the servers
+        self._body_bytes = body_bytes    # the largest body of a request
         self._cut_off: set[str] = set()
         self.links: list[Proxy] = []
         self.servers = [BulkServer(f"i-{number}") for number in range(3)]
@@ -55,9 +56,12 @@
             "Routes": [{"Name": "r-bulk", "Host": "soak.example", "PathPrefix": "/bulk/", "RouteType": "safe",
                         "TimeoutS": 9.0, "TargetLatencyS": 8.0, "Priority": 1, "Service": "bulk", "MaxAttempts": 1},
                        {"Name": "r-quick", "Host": "soak.example", "PathPrefix": "/quick/", "RouteType": "safe",
+                        "TimeoutS": QUICK_TIMEOUT_S, "TargetLatencyS": 0.6, "Priority": 1, "Service": "quick",
+                        "MaxAttempts": 2},
+                       {"Name": "r-pay", "Host": "soak.example", "PathPrefix": "/pay/", "RouteType": "unsafe",
                         "TimeoutS": QUICK_TIMEOUT_S, "TargetLatencyS": 0.6, "Priority": 1, "Service": "quick",
                         "MaxAttempts": 2}],
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": MIB, "HeaderTimeoutS": 3, "IdleTimeoutS": 15}})
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": self._body_bytes, "HeaderTimeoutS": 3, "IdleTimeoutS": 15}})
         for number in range(self._count):
             gateway = Gateway(number, "north", self._program, self.out, rules.Bounds(), self._history, time.monotonic)
             await gateway.prepare(self._store.port)
