Count the time for writing an answer from its last progress

What callers saw: 4 MiB read at 200 kB/s cut after 18.5 s, with IdleTimeoutS 15.

Cause: the time counted from the start of the write, whatever went on meanwhile.

Change: each part that is written counts, and so does each change of the bytes that the caller's system has not acknowledged (a send buffer of megabytes has no room for the next part for long). A caller that stops reading is closed as before.

The comment that went named why the time counted from the write's start rather than from the caller's last bytes; progress of the write covers that.

--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -3,6 +3,7 @@
 #include <sailpath/adapters/net/SendQueue.hpp>
 #include <sailpath/core/Clock.hpp>
 
+#include <asio/completion_condition.hpp>
 #include <asio/write.hpp>
 
 #include <algorithm>
@@ -283,8 +284,6 @@
     m_writing = m_pendingAnswers.popReady();
     if (!m_writing)
         return;
-    // The idle time of a write counts from its start. Counted from the caller's last bytes, a timeout check cut answers
-    // that took longer than the idle time while they were written: 15 of 160 such answers, against none of 320 since.
     m_lastActivity = core::now();
     m_closeAfterWrite = !m_writing->keepAlive || endsWithNextAnswer();
     if (m_closeAfterWrite)
@@ -299,7 +298,12 @@
     const std::array<asio::const_buffer, 2> bytes{asio::buffer(m_writing->answer->head),
                                                   asio::buffer(m_writing->answer->body)};
     auto                                    self = shared_from_this();
-    asio::async_write(m_socket, bytes,
+    const auto                              recordPart = [self](const asio::error_code& error, std::size_t bytesWritten)
+    {
+        self->m_lastActivity = core::now();
+        return asio::transfer_all()(error, bytesWritten);
+    };
+    asio::async_write(m_socket, bytes, recordPart,
                       [self](const asio::error_code& error, std::size_t) { self->handleWritten(!error); });
 }
 
@@ -372,6 +376,9 @@
             m_unacknowledged > 0 ? std::max<core::Duration>(limits.idleTime, lingerTimeout) : lingerTimeout;
         return at - m_lastActivity > longest ? close("idle-time") : void();
     }
+    // A caller on a slow link takes bytes out of the send buffer long before there is room for the next part.
+    if (m_writing || m_writingContinue)
+        recordProgress(at);
     const core::Duration inactive = at - m_lastActivity;
     if ((m_writing || m_writingContinue) && inactive > limits.idleTime)
         return close("idle-time");
--- a/src/sailpath/gateway/CallerConnection.hpp
+++ b/src/sailpath/gateway/CallerConnection.hpp
@@ -96,7 +96,7 @@
     std::optional<CallerRequest> m_deferred;               //!< Not repeatable, so waiting for the earlier answers
     std::optional<PendingAnswer> m_writing;                //!< The answer that is being written
     std::array<char, 4096>       m_buffer{};               //!< Receive buffer
-    core::Timestamp              m_lastActivity{};         //!< When bytes were last received, or a write began or ended
+    core::Timestamp              m_lastActivity{};         //!< When bytes were last received or taken by the caller
     std::size_t                  m_unacknowledged{0};      //!< Bytes of answers in transit when last checked
     core::Timestamp              m_readResumedAt{};        //!< When a completed write last let reading resume
     State                        m_state{State::Open};     //!< State of the connection
--- a/test/platform/soak/stage.py
+++ b/test/platform/soak/stage.py
@@ -22,7 +22,8 @@
 class Stage:
     """Gateways, servers of one service and a store."""
 
-    def __init__(self, build: str, name: str, gateways: int, zone: str = "north", body_bytes: int = MIB):
+    def __init__(self, build: str, name: str, gateways: int, zone: str = "north", body_bytes: int = MIB,
+                 idle_s: float = 15.0):
         self._program = Path(build) / "bin" / "sailpath-gateway"
         self.out = Path(build) / "soak-stage" / name
         shutil.rmtree(self.out, ignore_errors=True)
@@ -32,6 +33,7 @@
         self._count = gateways
         self._zone = zone                # of the servers
         self._body_bytes = body_bytes    # the largest body of a request
+        self._idle_s = idle_s            # after which a connection without progress is closed
         self._cut_off: set[str] = set()
         self.links: list[Proxy] = []
         self.servers = [BulkServer(f"i-{number}") for number in range(3)]
@@ -61,7 +63,7 @@
                        {"Name": "r-pay", "Host": "soak.example", "PathPrefix": "/pay/", "RouteType": "unsafe",
                         "TimeoutS": QUICK_TIMEOUT_S, "TargetLatencyS": 0.6, "Priority": 1, "Service": "quick",
                         "MaxAttempts": 2}],
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": self._body_bytes, "HeaderTimeoutS": 3, "IdleTimeoutS": 15}})
+            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": self._body_bytes, "HeaderTimeoutS": 3, "IdleTimeoutS": self._idle_s}})
         for number in range(self._count):
             gateway = Gateway(number, "north", self._program, self.out, rules.Bounds(), self._history, time.monotonic)
             await gateway.prepare(self._store.port)
