--- a/include/sailpath/paths/HelperSelector.hpp
+++ b/include/sailpath/paths/HelperSelector.hpp
@@ -47,9 +47,14 @@
     ////////////////////////////////////////////////////////////
     /// \brief Choose a helper; null when none is left
     ///
-    /// \param tried Addresses of helpers that are not to be chosen
+    /// \param tried      Addresses of helpers that are not to be chosen
+    /// \param lastChoice Data centres whose helpers are chosen only when no other is left
     ////////////////////////////////////////////////////////////
-    [[nodiscard]] std::optional<std::string> choose(std::span<const std::string> tried, core::Timestamp now) const;
+    [[nodiscard]] std::optional<std::string> choose(std::span<const std::string> tried, core::Timestamp now,
+                                                    std::span<const std::string> lastChoice = {}) const;
+
+    [[nodiscard]] std::string dataCentreOf(const std::string& address) const;     //!< Empty for an unknown helper
+    [[nodiscard]] bool        existsOutside(const std::string& dataCentre) const; //!< A helper of another data centre
 
     void recordOpened(const std::string& address, core::Timestamp now); //!< The helper opened a tunnel
     void recordClosed(const std::string& address);                      //!< A tunnel that it had opened has ended
--- a/src/sailpath/gateway/ServerDial.cpp
+++ b/src/sailpath/gateway/ServerDial.cpp
@@ -110,6 +110,8 @@
     case paths::DialStep::OpenTunnel:
         return openTunnel();
     case paths::DialStep::Fail:
+        if (m_verdict.isUnanimous(m_tried.size()))
+            callDown();
         return finish({nullptr, {}, {}, m_failure, m_serverDown});
     case paths::DialStep::Wait:
         return armTimer();
@@ -190,7 +192,7 @@
 ////////////////////////////////////////////////////////////
 void ServerDial::openTunnel()
 {
-    const auto helper = m_paths.helpers.choose(m_tried, core::now());
+    const auto helper = m_paths.helpers.choose(m_tried, core::now(), m_verdict.dataCentres());
     const auto endpoint = helper ? adapters::settings::parseEndpoint(*helper) : std::nullopt;
     if (!endpoint)
         return perform(m_plan.tunnelFailed(core::now()));
@@ -268,12 +270,28 @@
     const bool down = status == paths::TunnelStatus::Refused || status == paths::TunnelStatus::TimedOut;
     if (!down)
         return tunnelFailed(tunnel, failureOf(status));
+    saidDown(tunnel, status == paths::TunnelStatus::Refused);
+}
+
+////////////////////////////////////////////////////////////
+void ServerDial::saidDown(const TunnelPtr& tunnel, bool refused)
+{
     close(tunnel);
-    m_serverDown = m_serverDown || status == paths::TunnelStatus::Refused;
-    m_paths.monitor.recordUnreachable(m_instance, core::now());
+    const std::string dataCentre = m_paths.helpers.dataCentreOf(tunnel->helper);
+    m_verdict.record(dataCentre, refused);
+    if (!m_verdict.isConclusive(m_paths.helpers.existsOutside(dataCentre)))
+        return perform(m_plan.tunnelFailed(core::now()));
+    callDown();
     perform(m_plan.serverDown(core::now()));
 }
 
+////////////////////////////////////////////////////////////
+void ServerDial::callDown()
+{
+    m_serverDown = m_verdict.refused();
+    m_paths.monitor.recordUnreachable(m_instance, core::now());
+}
+
 ////////////////////////////////////////////////////////////
 void ServerDial::useTunnel(const TunnelPtr& tunnel)
 {
--- a/src/sailpath/gateway/ServerDial.hpp
+++ b/src/sailpath/gateway/ServerDial.hpp
@@ -4,6 +4,7 @@
 #include <sailpath/deployment/Instance.hpp>
 #include <sailpath/gateway/GatewaySettings.hpp>
 #include <sailpath/paths/DialPlan.hpp>
+#include <sailpath/paths/DownVerdict.hpp>
 #include <sailpath/paths/HelperSelector.hpp>
 #include <sailpath/paths/PathMonitor.hpp>
 #include <sailpath/paths/TunnelMessage.hpp>
@@ -43,7 +44,7 @@
     std::string                            helper; //!< Address of the helper; empty for a direct connection
     std::string                            unread; //!< Bytes of the helper that came with its first message
     balance::ConnectFailure failure{balance::ConnectFailure::TimedOut}; //!< Why the direct attempt failed
-    bool                    serverDown{false};                          //!< A helper finds the server at fault
+    bool                    serverDown{false};                          //!< Helpers find that it refuses connections
 };
 
 ////////////////////////////////////////////////////////////
@@ -85,6 +86,8 @@
     void sendRequest(const TunnelPtr& tunnel);
     void readAnswer(const TunnelPtr& tunnel);
     void answered(const TunnelPtr& tunnel, paths::TunnelStatus status);
+    void saidDown(const TunnelPtr& tunnel, bool refused); //!< The helper cannot reach the server but others
+    void callDown();                                      //!< Believe that the server is down
     void tunnelFailed(const TunnelPtr& tunnel, paths::HelperFailure failure);
     void useTunnel(const TunnelPtr& tunnel);
     void close(const TunnelPtr& tunnel);
@@ -101,6 +104,7 @@
     std::vector<TunnelPtr>                 m_tunnels; //!< Attempts that have no result yet
     std::vector<std::string>               m_tried;   //!< Helpers asked
     balance::ConnectFailure                m_failure{balance::ConnectFailure::TimedOut};
+    paths::DownVerdict                     m_verdict; //!< Of helpers on the server
     bool                                   m_serverDown{false};
     bool                                   m_waited{false}; //!< `waitAfterStall` has waited
     DoneCallback                           m_onDone;
--- a/src/sailpath/gateway/TunnelServer.cpp
+++ b/src/sailpath/gateway/TunnelServer.cpp
@@ -75,8 +75,8 @@
 paths::TunnelStatus TunnelServer::connectFailed(const deployment::Instance& instance, bool refused)
 {
     m_paths.monitor.recordFailed(instance, core::now(), core::now());
-    // Only a node that reaches other servers can tell that this one is at fault.
-    if (!m_paths.monitor.heardWithin(heardLately, core::now()))
+    // Only a node that reaches other servers, and has lost none of its paths, can tell that this one is at fault.
+    if (!m_paths.monitor.heardWithin(heardLately, core::now()) || m_paths.monitor.anyLost(core::now()))
         return paths::TunnelStatus::NoPath;
     return refused ? paths::TunnelStatus::Refused : paths::TunnelStatus::TimedOut;
 }
--- /dev/null
+++ b/src/sailpath/paths/DownVerdict.cpp
@@ -0,0 +1,47 @@
+#include <sailpath/paths/DownVerdict.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace sailpath::paths
+{
+namespace
+{
+constexpr std::size_t witnesses = 2;
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+void DownVerdict::record(std::string dataCentre, bool refused)
+{
+    m_dataCentres.push_back(std::move(dataCentre));
+    m_refused = m_refused || refused;
+}
+
+////////////////////////////////////////////////////////////
+bool DownVerdict::isConclusive(bool othersElsewhere) const
+{
+    const bool elsewhere = std::any_of(m_dataCentres.begin(), m_dataCentres.end(),
+                                       [this](const std::string& name) { return name != m_dataCentres.front(); });
+    return m_dataCentres.size() >= witnesses && (elsewhere || !othersElsewhere);
+}
+
+////////////////////////////////////////////////////////////
+bool DownVerdict::isUnanimous(std::size_t asked) const
+{
+    return !m_dataCentres.empty() && m_dataCentres.size() == asked;
+}
+
+////////////////////////////////////////////////////////////
+bool DownVerdict::refused() const
+{
+    return m_refused;
+}
+
+////////////////////////////////////////////////////////////
+const std::vector<std::string>& DownVerdict::dataCentres() const
+{
+    return m_dataCentres;
+}
+
+} // namespace sailpath::paths
--- a/src/sailpath/paths/HelperSelector.cpp
+++ b/src/sailpath/paths/HelperSelector.cpp
@@ -49,11 +49,12 @@
 }
 
 ////////////////////////////////////////////////////////////
-std::optional<std::string> HelperSelector::choose(std::span<const std::string> tried, core::Timestamp now) const
+std::optional<std::string> HelperSelector::choose(std::span<const std::string> tried, core::Timestamp now,
+                                                  std::span<const std::string> lastChoice) const
 {
     const bool         elsewhere = m_ownFailures >= ownFailuresToLookElsewhere;
     const std::string* best = nullptr;
-    using Order = std::tuple<core::Timestamp, bool, bool, unsigned, std::uint64_t>;
+    using Order = std::tuple<bool, core::Timestamp, bool, bool, unsigned, std::uint64_t>;
     Order bestOrder{};
     for (const auto& [address, helper] : m_helpers)
     {
@@ -64,7 +65,9 @@
         const bool            proven = isProven(helper, now);
         const bool            preferred = proven && helper.tunnels < tunnelsToLookFurther;
         const bool            local = helper.dataCentre == m_dataCentre;
-        const Order order{avoidUntil, !preferred, proven || !elsewhere ? !local : local, helper.tunnels, helper.rank};
+        const bool  isLast = std::find(lastChoice.begin(), lastChoice.end(), helper.dataCentre) != lastChoice.end();
+        const Order order{isLast,         avoidUntil, !preferred, proven || !elsewhere ? !local : local,
+                          helper.tunnels, helper.rank};
         if (best == nullptr || order < bestOrder)
         {
             best = &address;
@@ -74,6 +77,20 @@
     return best != nullptr ? std::optional(*best) : std::nullopt;
 }
 
+////////////////////////////////////////////////////////////
+std::string HelperSelector::dataCentreOf(const std::string& address) const
+{
+    const auto found = m_helpers.find(address);
+    return found == m_helpers.end() ? std::string() : found->second.dataCentre;
+}
+
+////////////////////////////////////////////////////////////
+bool HelperSelector::existsOutside(const std::string& dataCentre) const
+{
+    return std::any_of(m_helpers.begin(), m_helpers.end(),
+                       [&](const auto& entry) { return entry.second.dataCentre != dataCentre; });
+}
+
 ////////////////////////////////////////////////////////////
 void HelperSelector::recordOpened(const std::string& address, core::Timestamp now)
 {
--- a/test/gateway/LostPaths.test.cpp
+++ b/test/gateway/LostPaths.test.cpp
@@ -42,13 +42,14 @@
 ////////////////////////////////////////////////////////////
 struct Helper
 {
-    explicit Helper(Fixture& fixture, bool reachesServer = true) :
-    port(freePort())
+    explicit Helper(Fixture& fixture, bool reachesServer = true, std::string zone = "dc") :
+    port(freePort()),
+    dataCentre(std::move(zone))
     {
         gateway::GatewaySettings settings;
         settings.listen = {"127.0.0.1", 0};
         settings.readinessListen = {"127.0.0.1", 0};
-        settings.balance.dataCentre = "dc";
+        settings.balance.dataCentre = dataCentre;
         gateway.emplace(context, settings, fixture.dialect, log);
         hub.emplace(context, adapters::settings::Endpoint{"127.0.0.1", port},
                     adapters::links::LinkEvents{[](auto) {}, [](auto) {}, [](auto, const auto&) {}, [](auto) {},
@@ -72,6 +73,24 @@
     Helper(const Helper&) = delete;
     Helper& operator=(const Helper&) = delete;
 
+    /// \brief Hear a second server, which has the address of the fixture's
+    void hearServerOf(Fixture& fixture)
+    {
+        auto declared = fixture.declared;
+        declared.instances[0].port = refusingPort();
+        declared.instances.push_back({"i-2", "portal", "127.0.0.1", fixture.server.port(), "dc", 3, false, {}});
+        std::promise<std::uint16_t> callersPort;
+        asio::post(context,
+                   [&]
+                   {
+                       gateway->configure(declared);
+                       callersPort.set_value(gateway->port());
+                   });
+        TestCaller caller(callersPort.get_future().get());
+        caller.write(Fixture::request("/read/1", "heard"));
+        BOOST_TEST(statusOf(caller.readAnswer()) == 200);
+    }
+
     void stop() //!< End at once, as a killed process does
     {
         if (!thread.joinable())
@@ -95,11 +114,12 @@
 
     [[nodiscard]] deployment::Peer peer() const
     {
-        return {"127.0.0.1:" + std::to_string(port), "dc"};
+        return {"127.0.0.1:" + std::to_string(port), dataCentre};
     }
 
     TextLog                                 log;
     std::uint16_t                           port;
+    std::string                             dataCentre;
     asio::io_context                        context{1};
     std::optional<gateway::Gateway>         gateway;
     std::optional<adapters::links::LinkHub> hub;
@@ -178,6 +198,38 @@
         BOOST_TEST(statusOf(ask(fixture, Fixture::request("/read/1", "r" + std::to_string(i)))) == 200);
 }
 
+BOOST_AUTO_TEST_CASE(AServerThatANeighbourCannotReachIsAskedForInAnotherDataCentre)
+{
+    // The neighbour reaches another server and has lost its path to this one, as this node has.
+    PatientFixture fixture;
+    Helper         neighbour(fixture, false);
+    Helper         elsewhere(fixture, true, "dc-2");
+    neighbour.hearServerOf(fixture);
+    losePath(fixture, {&neighbour, &elsewhere});
+    for (int i = 0; i < 5; ++i)
+    {
+        const std::string id = "r" + std::to_string(i);
+        BOOST_TEST(statusOf(ask(fixture, Fixture::request("/read/1", id))) == 200);
+        neighbour.hearServerOf(fixture);
+    }
+    BOOST_TEST(neighbour.asked > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AServerThatTwoDataCentresCannotReachIsNotAskedForAgainAtOnce)
+{
+    PatientFixture fixture;
+    Helper         neighbour(fixture, false);
+    Helper         elsewhere(fixture, false, "dc-2");
+    neighbour.hearServerOf(fixture);
+    elsewhere.hearServerOf(fixture);
+    losePath(fixture, {&neighbour, &elsewhere});
+    const auto start = std::chrono::steady_clock::now();
+    for (int i = 0; i < 5; ++i)
+        BOOST_TEST(statusOf(ask(fixture, Fixture::request("/pay/1", "p" + std::to_string(i)))) == 503);
+    BOOST_TEST((std::chrono::steady_clock::now() - start < 2s));
+    BOOST_TEST(neighbour.asked + elsewhere.asked <= 8U);
+}
+
 BOOST_AUTO_TEST_CASE(WithoutAnyPathARequestIsRefusedAsNotRunAtOnce)
 {
     PatientFixture fixture;
