--- a/include/sailpath/paths/DownVerdict.hpp
+++ b/include/sailpath/paths/DownVerdict.hpp
@@ -2,16 +2,15 @@
 
 #include <cstddef>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace sailpath::paths
 {
 ////////////////////////////////////////////////////////////
-/// \brief Whether the words of helpers suffice to call a server down
+/// \brief Whether reports of helpers suffice to consider a server down
 ///
 /// A helper may have lost its path to this server itself, most of all one of the same data centre, which shares its links.
-/// So two helpers of different data centres have to say it, or all that can be asked.
+/// So two helpers of different data centres have to report it, or all that can be asked.
 ///
 /// Does no input or output and reads no clock.
 ////////////////////////////////////////////////////////////
@@ -19,23 +18,27 @@
 {
 public:
     ////////////////////////////////////////////////////////////
-    /// \brief A helper says that the server is down
+    /// \brief A helper reports that it reaches other servers, but not this one
     ///
     /// \param dataCentre Of the helper
     /// \param refused    The server refused the connection; otherwise it did not come up in time
     ////////////////////////////////////////////////////////////
     void record(std::string dataCentre, bool refused);
 
-    /// \brief Whether the words suffice while further helpers can be asked, in another data centre or not
-    [[nodiscard]] bool isConclusive(bool othersElsewhere) const;
+    ////////////////////////////////////////////////////////////
+    /// \brief Whether no further helper has to be asked
+    ///
+    /// \param hasOtherDataCentre Whether helpers are known in another data centre than that of the last report
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] bool isConclusive(bool hasOtherDataCentre) const;
 
-    [[nodiscard]] bool isUnanimous(std::size_t asked) const;           //!< Whether all helpers that were asked say it
-    [[nodiscard]] bool refused() const;                                //!< One of them was refused
-    [[nodiscard]] const std::vector<std::string>& dataCentres() const; //!< One for each helper that says it
+    [[nodiscard]] bool isUnanimous(std::size_t asked) const; //!< Whether all helpers that were asked report it
+    [[nodiscard]] bool refused() const;                      //!< One of them was refused
+    [[nodiscard]] const std::vector<std::string>& dataCentres() const; //!< One for each report
 
 private:
-    std::vector<std::string> m_dataCentres;
-    bool                     m_refused{false};
+    std::vector<std::string> m_dataCentres;    //!< Of the helpers that reported
+    bool                     m_refused{false}; //!< One of them was refused
 };
 
 } // namespace sailpath::paths
--- a/src/sailpath/gateway/ServerDial.cpp
+++ b/src/sailpath/gateway/ServerDial.cpp
@@ -111,7 +111,7 @@
         return openTunnel();
     case paths::DialStep::Fail:
         if (m_verdict.isUnanimous(m_tried.size()))
-            callDown();
+            markDown();
         return finish({nullptr, {}, {}, m_failure, m_serverDown});
     case paths::DialStep::Wait:
         return armTimer();
@@ -270,23 +270,23 @@
     const bool down = status == paths::TunnelStatus::Refused || status == paths::TunnelStatus::TimedOut;
     if (!down)
         return tunnelFailed(tunnel, failureOf(status));
-    saidDown(tunnel, status == paths::TunnelStatus::Refused);
+    reportedDown(tunnel, status == paths::TunnelStatus::Refused);
 }
 
 ////////////////////////////////////////////////////////////
-void ServerDial::saidDown(const TunnelPtr& tunnel, bool refused)
+void ServerDial::reportedDown(const TunnelPtr& tunnel, bool refused)
 {
     close(tunnel);
     const std::string dataCentre = m_paths.helpers.dataCentreOf(tunnel->helper);
     m_verdict.record(dataCentre, refused);
     if (!m_verdict.isConclusive(m_paths.helpers.existsOutside(dataCentre)))
         return perform(m_plan.tunnelFailed(core::now()));
-    callDown();
+    markDown();
     perform(m_plan.serverDown(core::now()));
 }
 
 ////////////////////////////////////////////////////////////
-void ServerDial::callDown()
+void ServerDial::markDown()
 {
     m_serverDown = m_verdict.refused();
     m_paths.monitor.recordUnreachable(m_instance, core::now());
--- a/src/sailpath/gateway/ServerDial.hpp
+++ b/src/sailpath/gateway/ServerDial.hpp
@@ -44,7 +44,7 @@
     std::string                            helper; //!< Address of the helper; empty for a direct connection
     std::string                            unread; //!< Bytes of the helper that came with its first message
     balance::ConnectFailure failure{balance::ConnectFailure::TimedOut}; //!< Why the direct attempt failed
-    bool                    serverDown{false};                          //!< Helpers find that it refuses connections
+    bool                    serverDown{false};                          //!< It refuses the connections of helpers too
 };
 
 ////////////////////////////////////////////////////////////
@@ -86,8 +86,8 @@
     void sendRequest(const TunnelPtr& tunnel);
     void readAnswer(const TunnelPtr& tunnel);
     void answered(const TunnelPtr& tunnel, paths::TunnelStatus status);
-    void saidDown(const TunnelPtr& tunnel, bool refused); //!< The helper cannot reach the server but others
-    void callDown();                                      //!< Believe that the server is down
+    void reportedDown(const TunnelPtr& tunnel, bool refused); //!< The helper reaches other servers, not this one
+    void markDown();                                          //!< Ask no helper for the server for a while
     void tunnelFailed(const TunnelPtr& tunnel, paths::HelperFailure failure);
     void useTunnel(const TunnelPtr& tunnel);
     void close(const TunnelPtr& tunnel);
@@ -104,7 +104,7 @@
     std::vector<TunnelPtr>                 m_tunnels; //!< Attempts that have no result yet
     std::vector<std::string>               m_tried;   //!< Helpers asked
     balance::ConnectFailure                m_failure{balance::ConnectFailure::TimedOut};
-    paths::DownVerdict                     m_verdict; //!< Of helpers on the server
+    paths::DownVerdict                     m_verdict; //!< By reports of helpers
     bool                                   m_serverDown{false};
     bool                                   m_waited{false}; //!< `waitAfterStall` has waited
     DoneCallback                           m_onDone;
--- a/src/sailpath/paths/DownVerdict.cpp
+++ b/src/sailpath/paths/DownVerdict.cpp
@@ -7,7 +7,7 @@
 {
 namespace
 {
-constexpr std::size_t witnesses = 2;
+constexpr std::size_t requiredReports = 2;
 
 } // namespace
 
@@ -19,11 +19,12 @@
 }
 
 ////////////////////////////////////////////////////////////
-bool DownVerdict::isConclusive(bool othersElsewhere) const
+bool DownVerdict::isConclusive(bool hasOtherDataCentre) const
 {
-    const bool elsewhere = std::any_of(m_dataCentres.begin(), m_dataCentres.end(),
-                                       [this](const std::string& name) { return name != m_dataCentres.front(); });
-    return m_dataCentres.size() >= witnesses && (elsewhere || !othersElsewhere);
+    const bool severalDataCentres =
+        std::any_of(m_dataCentres.begin(), m_dataCentres.end(),
+                    [this](const std::string& name) { return name != m_dataCentres.front(); });
+    return m_dataCentres.size() >= requiredReports && (severalDataCentres || !hasOtherDataCentre);
 }
 
 ////////////////////////////////////////////////////////////
