--- a/test/balance/retry/RejectingServers.test.cpp
+++ b/test/balance/retry/RejectingServers.test.cpp
@@ -72,7 +72,7 @@
 
 BOOST_AUTO_TEST_CASE(CallersOfServersThatRejectHalfOfTheRequestsAreServedInTime)
 {
-    // Chance moves the share of one seed by 0.012, so the bound is that of the mean.
+    // The share of a single seed scatters by more than its distance to the bound.
     constexpr unsigned seeds = 20;
     double             usual = 0;
     double             rejecting = 0;
--- a/test/gateway/AnswerMatcher.test.cpp
+++ b/test/gateway/AnswerMatcher.test.cpp
@@ -214,7 +214,7 @@
                 continue;
             const bool healthCheck = m_sentIds.back().empty();
             const auto outcome = gateway::priv::classifyAnswer(head, dialect);
-            // A proof of another exchange is not followed by this one's answer, so the connection is out of step.
+            // When an earlier answer was taken for this one, its own answer is still unread, and the connection ends.
             open = &head == &exchange.answers.back();
             if (healthCheck)
                 return true;
