--- a/review/4/case.py
+++ b/review/4/case.py
@@ -14,7 +14,6 @@
 import json
 import os
 import sys
-import tempfile
 import time
 from pathlib import Path
 
@@ -158,11 +157,4 @@
 
 
 if __name__ == "__main__":
-    with tempfile.TemporaryDirectory() as folder:
-        try:
-            status = asyncio.run(play(Path(folder)))
-        except (OSError, RuntimeError) as error:
-            print(f"could not run: {error}")
-            status = 2
-    sys.stdout.flush()
-    os._exit(status)  # All processes have ended; connections that are still open end with this one
+    fleet.run_case(play)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -15,7 +15,6 @@
 import contextlib
 import os
 import sys
-import tempfile
 import time
 from pathlib import Path
 
@@ -195,11 +194,4 @@
 
 
 if __name__ == "__main__":
-    with tempfile.TemporaryDirectory() as folder:
-        try:
-            status = asyncio.run(play(Path(folder)))
-        except (OSError, RuntimeError) as error:
-            print(f"could not run: {error}")
-            status = 2
-    sys.stdout.flush()
-    os._exit(status)  # All processes have ended; connections that are still open end with this one
+    fleet.run_case(play)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,7 +13,6 @@
 import asyncio
 import os
 import sys
-import tempfile
 import time
 from pathlib import Path
 
@@ -112,13 +111,4 @@
 
 
 if __name__ == "__main__":
-    with tempfile.TemporaryDirectory() as folder:
-        try:
-            status = asyncio.run(play(Path(folder)))
-            if os.environ.get("KEEP"):
-                os.system(f"cp -r {folder} {os.environ['KEEP']}")
-        except (OSError, RuntimeError) as error:
-            print(f"could not run: {error}")
-            status = 2
-    sys.stdout.flush()
-    os._exit(status)  # All processes have ended; connections that are still open end with this one
+    fleet.run_case(play)
--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -1,18 +1,22 @@
 """Starts gateways with the command of deploy/system.toml between stand-ins, for the scripts of review/4 to review/8.
 
 The store, and HTTP messages, are the project's own stand-ins (test/platform/soak/store.py, wire.py). All addresses are
-loopback addresses and all ports are free ones. `Fleet.close` ends every gateway that `Fleet` started.
+loopback addresses and all ports are free ones. `Fleet.close` ends every gateway that `Fleet` started; `run_case` sees to it
+that it is called, also when the script is asked to end.
 """
 
 import asyncio
 import contextlib
 import os
 import re
+import signal
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 import tomllib
+import traceback
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -193,3 +197,24 @@
         while time.monotonic() < until:
             await self.send()
             await asyncio.sleep(every_s)
+
+
+def run_case(play) -> None:
+    """Run a case, `play(folder)`, in a temporary folder and exit with its status; 2 when it could not run to its end."""
+    async def guarded(folder: str) -> int:
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await play(Path(folder))
+
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            status = asyncio.run(guarded(folder))
+        except asyncio.CancelledError:
+            print("was asked to end")
+            status = 2
+        except Exception:  # An error of the script is no broken rule
+            traceback.print_exc()
+            status = 2
+    sys.stdout.flush()
+    os._exit(status)  # All processes have ended; connections that are still open end with this one
