--- a/review/4/server.py
+++ b/review/4/server.py
@@ -7,11 +7,13 @@
 
 import json
 import socket
+import struct
 import sys
 import threading
 import time
 
 SLOTS = 3
+MAX_CONNS = 260
 WORK_S = 0.12
 RATE = 40_000_000  # bytes a second: under a third of a machine's link (1,000 Mbit/s)
 PIECE_S = 0.01
@@ -19,6 +21,8 @@
 
 lock = threading.Lock()
 endless_left = 0
+held: dict[int, int] = {}  # requests at each server, waiting ones too
+opened: dict[int, int] = {}
 ran: list[tuple[str, str]] = []
 endless: list[dict] = []
 
@@ -51,9 +55,14 @@
 def serve(number: int, connection: socket.socket, slots: threading.Semaphore) -> None:
     global endless_left
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    with lock:
+        opened[number] = opened.get(number, 0) + 1
+        full = opened[number] > MAX_CONNS
+    if full:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     unread = b""
     try:
-        while part := connection.recv(MOST_BYTES):
+        while not full and (part := connection.recv(MOST_BYTES)):
             unread += part
             while b"\r\n\r\n" in unread:
                 head, _, rest = unread.partition(b"\r\n\r\n")
@@ -63,7 +72,8 @@
                 if len(rest) < length:
                     break
                 unread = rest[length:]
-                own = {"Sailpath-Server-Load": f"0,0,{SLOTS},100"}
+                now = held.get(number, 0)
+                own = {"Sailpath-Server-Load": f"{min(now, SLOTS)},{max(0, now - SLOTS)},{SLOTS},100"}
                 if lines[0].split(" ")[1] == "/health":
                     connection.sendall(answer("200 OK", {**own, "Sailpath-Instance-Id": f"i-{number}"}, b""))
                     continue
@@ -72,18 +82,24 @@
                 if fields["sailpath-target-instance"] != f"i-{number}":
                     connection.sendall(answer("421 Misdirected Request", own, b""))
                     continue
+                with lock:
+                    held[number] = held.get(number, 0) + 1
                 with slots:
                     with lock:
                         ran.append((f"i-{number}", request))
                         spoil = number == 0 and endless_left > 0
                         endless_left -= spoil
                     time.sleep(WORK_S)
+                with lock:
+                    held[number] -= 1
                 if spoil:
                     send_endlessly(connection, own, request)
                 connection.sendall(answer("200 OK", own, b"done " + request.encode()))
     except OSError:
         pass
     finally:
+        with lock:
+            opened[number] -= 1
         connection.close()
 
 
