--- a/review/5/case.py
+++ b/review/5/case.py
@@ -28,8 +28,10 @@
 GATEWAYS = 2
 SERVERS = 4
 SLOTS = 3
+QUEUE = 6
+MAX_CONNS = 260
 WORK_S = 0.7
-CALLERS = 4            # for each gateway
+CALLERS = 5            # for each gateway
 EVERY_S = 0.02
 DEADLINE_MS = 6000
 DRAIN_S = fleet.BOUNDS["DrainS"]
@@ -52,7 +54,8 @@
         self.port = 0
         self.leaving = False
         self.arrivals: list[dict] = []
-        self._running = 0
+        self._running = 0  # waiting ones too
+        self._open = 0
         self._free = asyncio.Semaphore(SLOTS)
 
     async def start(self) -> None:
@@ -65,6 +68,10 @@
                 "Slots": SLOTS, "State": state, "WarmupLeftS": 0, "Seq": sequence}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self._open >= MAX_CONNS:
+            fleet.reset(writer)
+            return
+        self._open += 1
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
             while True:
                 message = await wire.read_message(reader)
@@ -74,6 +81,9 @@
                     continue
                 request = message.headers[wire.REQUEST_ID]
                 self.arrivals.append({"id": request, "at": time.monotonic(), "leaving": self.leaving})
+                if self._running >= SLOTS + QUEUE:
+                    writer.write(wire.answer_bytes(503, {**load, wire.REQUEST_ID: request, wire.NOT_EXECUTED: "full"}, b""))
+                    continue
                 self._running += 1
                 async with self._free:
                     await asyncio.sleep(WORK_S)
@@ -83,6 +93,7 @@
                                                      wire.SIGNATURE: f"{self.id}.{request}"}, b"catalogue"))
                 if leaving:
                     break
+        self._open -= 1
         writer.close()
 
 
--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -11,6 +11,7 @@
 import re
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -45,6 +46,13 @@
     raise RuntimeError("no free port")
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection by a reset; `abort` alone would end it as a process does that closes it."""
+    with contextlib.suppress(OSError):
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 def fill(text: str, fields: dict) -> str:
     """Fill the gaps of a template as DEPLOY.md tells them: values, sections and inverted sections."""
     def lookup(name):
@@ -166,17 +174,18 @@
         self._reader: asyncio.StreamReader | None = None
         self.calls: list[dict] = []
 
-    async def send(self) -> object:
-        """One request; its status, or why there was none."""
+    async def send(self, left_s: float | None = None) -> object:
+        """One request, with so much time left; its status, or why there was none."""
+        deadline_ms = self._deadline_ms if left_s is None else max(1, int(left_s * 1000))
         call = {"id": f"{self._name}-{len(self.calls) + 1}", "gateway": self._gateway.name, "sent": time.monotonic(), "end": ""}
         self.calls.append(call)
         method, path, body = self._request
         try:
-            async with asyncio.timeout(self._deadline_ms / 1000 + 0.5):
+            async with asyncio.timeout(deadline_ms / 1000 + 0.5):
                 if self._writer is None:
                     self._reader, self._writer = await asyncio.open_connection("127.0.0.1", self._gateway.front)
                 self._writer.write(wire.request_bytes(method, path, {
-                    "Host": "admissa.example", wire.REQUEST_ID: call["id"], wire.DEADLINE_MS: str(self._deadline_ms)}, body))
+                    "Host": "admissa.example", wire.REQUEST_ID: call["id"], wire.DEADLINE_MS: str(deadline_ms)}, body))
                 answer = await wire.read_message(self._reader)
                 call["end"] = answer.status
                 call["why"] = answer.body.decode("latin-1").strip()[:40]
