--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,9 @@
 """A request that ends each server that runs it, at a machine that reaches servers through other machines only.
 
 Four gateways (one a zone), ten servers. From WARM_S on, for CUT_S, the first gateway is partitioned from all servers; clients,
-the store and the other machines still reach it, so it stays in touch. One caller sends the same request again and again to
-this gateway: a client's TRIES (at once after a 502, none after a 503), then the next round after ROUND_S. Other callers
-read statuses at all gateways.
+the store and the other machines still reach it, so it stays in touch. Clients ask this gateway for the same page, one each
+ROUND_S; each tries TRIES times at most within its deadline (at once after a 502, not after a refusal). Other callers read
+statuses at all gateways.
 
 Counted, as the rule BUDGET of the letters says: the times that this request reaches a server later than ContactS after it
 has ended the third one. Exit status: 1 when they are more than MOST_RETRIES, 0 when not, 2 when the case could not run.
@@ -33,6 +33,7 @@
 TRIES = 3              # of a client: its first and two retries
 CALLERS = 3            # for each gateway
 EVERY_S = 0.2
+DEADLINE_MS = 2000
 MOST_RETRIES = 3
 
 
@@ -68,36 +69,40 @@
                 server.cut(first.source)
             tasks.append(asyncio.create_task(heal(servers)))
         await asyncio.sleep(CUT_BEFORE_S)
-        ending = fleet.Caller("ends", first, f"/status{ENDING}servers")
-        for _ in range(ROUNDS):
+        clients = []
+        for number in range(ROUNDS):
             ends_at = time.monotonic() + ROUND_S
+            gives_up_at = time.monotonic() + DEADLINE_MS / 1000
+            client = fleet.Caller(f"ends-{number}", first, f"/status{ENDING}servers", deadline_ms=DEADLINE_MS)
+            clients.append(client)
             for _ in range(TRIES):
-                if await ending.send() in (200, 400, 401, 404, 429, 503):
+                left_s = gives_up_at - time.monotonic()
+                if left_s <= 0 or await client.send(left_s) in (200, 400, 401, 404, 429, 503):
                     break
-                ending.close()
+                client.close()
             await asyncio.sleep(max(0.0, ends_at - time.monotonic()))
         await asyncio.gather(*tasks)
         ended_early = [gateway.name for gateway in stage.gateways if not gateway.running]
-        return judge(begun, first, callers, ending, servers, ended_early)
+        return judge(begun, first, callers, clients, servers, ended_early)
     finally:
         stage.close()
 
 
-def judge(begun, first, callers, ending, servers, ended_early) -> int:
+def judge(begun, first, callers, clients, servers, ended_early) -> int:
     arrivals = sorted((arrival for server in servers for arrival in server.arrivals), key=lambda item: item["at"])
     ends = sorted(at for server in servers for at in server.ends)
     bound = ends[2] + fleet.CONTACT_S if len(ends) > 2 else float("inf")
     late = [item for item in arrivals if item["ends"] and item["at"] > bound]
-    calls = sorted((call for caller in [*callers, ending] for call in caller.calls), key=lambda call: call["sent"])
-    beside = [item for item in arrivals if not item["ends"] and not item["done"]]
+    calls = sorted((call for caller in [*callers, *clients] for call in caller.calls), key=lambda call: call["sent"])
+    beside = [item for item in arrivals if not item["ends"] and item["begun"] and not item["done"]]
     lines = [f"trouble: {int(TROUBLE)}; times in seconds from the start of traffic",
-             f"{len(ending.calls)} tries of the request, {sum(item['ends'] for item in arrivals)} arrivals, {len(ends)} servers ended, "
+             f"{sum(len(client.calls) for client in clients)} tries of the request, {sum(item['ends'] for item in arrivals)} arrivals, {len(ends)} servers ended, "
              f"third end at {ends[2] - begun:.2f}" if len(ends) > 2 else f"{len(ends)} servers ended",
              f"{len(late)} arrivals later than {fleet.CONTACT_S} s after the third end (at most {MOST_RETRIES})",
              f"arrivals by the address of the machine that connected (the first is {first.source}): "
              f"{ {name: sum(item['ends'] and item['from'] == name for item in arrivals) for name in sorted({i['from'] for i in arrivals})} }",
              f"other requests that were at a server as it ended: {len(beside)}; other requests refused as ends-servers: "
-             f"{sum(call.get('why') == 'ends-servers' for call in calls if call not in ending.calls)}; machines that ended: {ended_early}"]
+             f"{sum(call.get('why') == 'ends-servers' for caller in callers for call in caller.calls)}; machines that ended: {ended_early}"]
     lines += [f"server ended at {at - begun:.2f}" for at in ends]
     shown = len(lines)
     lines += [f"{item['at'] - begun:.2f} {item['id']} reached {item['server']} from {item['from']}" for item in arrivals if item["ends"]]
