--- a/review/stage_3.py
+++ b/review/stage_3.py
@@ -86,8 +86,9 @@
     return message
 
 
-def message_bytes(first: str, fields: dict[str, str], body: bytes = b"") -> bytes:
-    lines = [first, f"Content-Length: {len(body)}", *(f"{name}: {value}" for name, value in fields.items())]
+def message_bytes(first: str, fields: dict[str, str], body: bytes = b"", length: int | None = None) -> bytes:
+    """A message with a length; `length` when the body is sent apart from it."""
+    lines = [first, f"Content-Length: {len(body) if length is None else length}", *(f"{name}: {value}" for name, value in fields.items())]
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
@@ -443,10 +444,18 @@
         self._path, self._deadline_ms, self._pause_s, self._body = path, deadline_ms, pause_s, b"b" * body_bytes
         self.calls: list[Call] = []
 
+    def head(self) -> bytes:
+        """Further fields of each request."""
+        return b""
+
+    async def pause(self) -> None:
+        """Wait before the next request."""
+        await asyncio.sleep(self._pause_s * random.uniform(0.5, 1.5))
+
     async def run(self, until: float) -> None:
         reader = writer = None
         while now() < until:
-            await asyncio.sleep(self._pause_s * random.uniform(0.5, 1.5))
+            await self.pause()
             new = writer is None
             if new:
                 host, port = self._machine.front.split(":")
@@ -459,9 +468,10 @@
             self.calls.append(call)
             try:
                 async with asyncio.timeout(self._deadline_ms / 1000 + 1):
-                    writer.write(message_bytes(f"{self._method} {self._path} HTTP/1.1", {
+                    start = message_bytes(f"{self._method} {self._path} HTTP/1.1", {
                         "Host": self._host, "Sailpath-Request-Id": call.id,
-                        "Sailpath-Request-Deadline-Ms": str(self._deadline_ms)}, self._body))
+                        "Sailpath-Request-Deadline-Ms": str(self._deadline_ms)}, length=len(self._body))
+                    writer.write(start[:-2] + self.head() + b"\r\n" + self._body)
                     call.answer = await read_message(reader)
                     call.status = call.answer.status
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
