--- a/review/stage_3.py
+++ b/review/stage_3.py
@@ -505,9 +505,10 @@
     if not (ROOT / "target/bin/sailpath-gateway").exists():
         record.say("target/bin/sailpath-gateway is missing: build as deploy/system.toml says")
         sys.exit(2)
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that the processes are ended then too
     try:
         broken = asyncio.run(case(record, trouble))
-    except Exception as error:  # whatever keeps the case from running
+    except (Exception, KeyboardInterrupt) as error:  # whatever keeps the case from running
         record.say(f"the case could not run: {error!r}")
         sys.exit(2)
     record.say("BROKEN" if broken else "HELD")
