--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 import pathlib, sys
 if sys.version_info < (3, 11):
     sys.exit("Python 3.11 or later is needed")
-names = [pathlib.Path("review/fleet_2.py"), pathlib.Path("review/stage_3.py"), *pathlib.Path("review").glob("[45678]/*.py"),
+names = [pathlib.Path("review/fleet_2.py"), *pathlib.Path("review").glob("[45678]/*.py"),
          *(pathlib.Path("test/platform/soak") / name for name in ("store.py", "wire.py"))]
 for name in names:
     compile(name.read_text(), str(name), "exec")
--- a/review/stage_3.py
+++ b/review/stage_3.py
@@ -33,6 +33,7 @@
 READY_WITHIN_S = 15.0
 BOUNDS = {"DrainS": 2, "GraceS": 6, "BudgetRatio": 0.2, "BudgetExtra": 64, "BudgetWindowS": 10, "ProbePerS": 60}
 ACCEPT_QUEUE = 1024
+MAX_CONNS = 260          # of a server, from all callers together
 
 started_at = time.monotonic()
 
@@ -363,7 +364,7 @@
         self.arrivals: list[tuple[float, str, str]] = []  # when, request id, start line
         self.port = 0
         self._site = site
-        self._running = self._waiting = 0
+        self._running = self._waiting = self._connections = 0
         self._room = asyncio.Semaphore(slots)
         site.servers.append(self)
 
@@ -381,10 +382,14 @@
         return f"{self._running},{self._waiting},{self.slots}"
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._connections += 1
+        if self._connections > MAX_CONNS:
+            writer.transport.abort()
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
             while True:
                 message = await read_message(reader)
                 await self._handle(message, writer)
+        self._connections -= 1
         writer.close()
 
     async def _handle(self, message: Message, writer: asyncio.StreamWriter) -> None:
@@ -397,9 +402,12 @@
         if self._waiting >= self.queue:
             return await self._send(writer, 503, echo | {"Sailpath-Not-Executed": "1"})
         self.arrivals.append((now(), identity, message.first))
+        deadline = now() + int(message.fields.get("sailpath-request-deadline-ms", "3600000")) / 1000
         self._waiting += 1
         async with self._room:
             self._waiting -= 1
+            if now() > deadline:
+                return await self._send(writer, 503, echo | {"Sailpath-Not-Executed": "1"})
             self._running += 1
             self.runs[identity] = self.runs.get(identity, 0) + 1
             self._site.record.write(f"server {self.id} runs {identity}")
@@ -467,7 +475,7 @@
             call = Call(f"{next(self._ids):016x}", self._path, self._machine.name, new)
             self.calls.append(call)
             try:
-                async with asyncio.timeout(self._deadline_ms / 1000 + 1):
+                async with asyncio.timeout(self._deadline_ms / 1000):
                     start = message_bytes(f"{self._method} {self._path} HTTP/1.1", {
                         "Host": self._host, "Sailpath-Request-Id": call.id,
                         "Sailpath-Request-Deadline-Ms": str(self._deadline_ms)}, length=len(self._body))
@@ -488,7 +496,7 @@
 def configuration(version: int, routes: list[dict], services: list[str], **more) -> dict:
     """A configuration as the operator writes it."""
     return {"Version": version, "Routes": routes,
-            "Services": [{"Name": name, "HealthPath": "/health", "MaxConns": 260} for name in services],
+            "Services": [{"Name": name, "HealthPath": "/health", "MaxConns": MAX_CONNS} for name in services],
             "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 1 << 20, "HeaderTimeoutS": 5, "IdleTimeoutS": 30}, **more}
 
 
