Bound the framing of bodies, with one owner of unparsed bytes (LOST)

Cause: the parser takes a line only when it is whole, and what it had not taken had no bound. Ruled out by new figures (answer_bytes_unparsed, the cause of a loss in the request's line): the body, which stayed at 0, and bytes for the caller, as memory grew after its deadline. The class is that of answers-without-end: an amount that another side decides.

Change: core::ReceiveBuffer owns unparsed bytes at all readers; MessageReader fails when a line, a trailer, or the framing of a body as a whole exceeds the limit of the head.

--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -2,6 +2,7 @@
 
 #include <sailpath/balance/CrashLedger.hpp>
 #include <sailpath/balance/HeldRequests.hpp>
+#include <sailpath/balance/LossCause.hpp>
 #include <sailpath/balance/ServerNotice.hpp>
 #include <sailpath/balance/ServicePool.hpp>
 #include <sailpath/balance/Settings.hpp>
@@ -47,20 +48,20 @@
 ////////////////////////////////////////////////////////////
 struct Outcome
 {
-    AttemptEnd                    end{AttemptEnd::Lost};  //!< How the attempt ended
-    unsigned                      status{0};              //!< HTTP status of the answer
-    std::optional<Load>           load;                   //!< Load report in the answer
-    core::Duration                retryAfter{};           //!< Retry-After of the answer; 0 for none
-    bool                          misdirected{false};     //!< With `NotRun`: a different instance answered
-    std::optional<double>         limit;                  //!< Requests per second; `unlimited` for no limit, null when
-                                                          //!< the answer does not say
-    std::optional<core::Duration> warmUp;                 //!< How much longer the server is cold; 0 for warm
-    bool                          connectionEnded{false}; //!< With `Lost`: the server closed the connection
-    ConnectFailure connectFailure{ConnectFailure::None};  //!< With `NotSent`: why the connection was not opened
+    AttemptEnd                    end{AttemptEnd::Lost}; //!< How the attempt ended
+    unsigned                      status{0};             //!< HTTP status of the answer
+    std::optional<Load>           load;                  //!< Load report in the answer
+    core::Duration                retryAfter{};          //!< Retry-After of the answer; 0 for none
+    bool                          misdirected{false};    //!< With `NotRun`: a different instance answered
+    std::optional<double>         limit;                 //!< Requests per second; `unlimited` for no limit, null when
+                                                         //!< the answer does not say
+    std::optional<core::Duration> warmUp;                //!< How much longer the server is cold; 0 for warm
+    LossCause                     loss{LossCause::None}; //!< With `Lost`: why
+    ConnectFailure connectFailure{ConnectFailure::None}; //!< With `NotSent`: why the connection was not opened
 
     std::string helper; //!< Address of the node that the connection to the server went through; empty without one
 
-    std::optional<deployment::RequestIdentity> identity; //!< Set with `connectionEnded`, and while
+    std::optional<deployment::RequestIdentity> identity; //!< Set when `endedByServer`, and while
                                                          //!< `Balancer::needsRequestIdentity` holds
 };
 
--- a/include/sailpath/core.hpp
+++ b/include/sailpath/core.hpp
@@ -4,5 +4,6 @@
 #include <sailpath/core/Findings.hpp>
 #include <sailpath/core/Hash.hpp>
 #include <sailpath/core/Random.hpp>
+#include <sailpath/core/ReceiveBuffer.hpp>
 #include <sailpath/core/StringMap.hpp>
 #include <sailpath/core/Time.hpp>
--- a/include/sailpath/http/MessageReader.hpp
+++ b/include/sailpath/http/MessageReader.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sailpath/core/ReceiveBuffer.hpp>
 #include <sailpath/http/Head.hpp>
 
 #include <cstdint>
@@ -25,16 +26,23 @@
 ////////////////////////////////////////////////////////////
 enum class ReadState
 {
-    Head,         //!< The head is not whole yet
-    Body,         //!< The head is whole, the body is not
-    Done,         //!< The message is whole
-    Malformed,    //!< It is no message of the protocol
-    HeadTooLarge, //!< The head passes the limit
-    BodyTooLarge  //!< The body passes the limit
+    Head,           //!< The head is not whole yet
+    Body,           //!< The head is whole, the body is not
+    Done,           //!< The message is whole
+    Malformed,      //!< It is no message of the protocol
+    HeadTooLarge,   //!< The head passes the limit
+    BodyTooLarge,   //!< The body passes the limit
+    FramingTooLarge //!< The chunk sizes, chunk extensions and trailer of the body pass the limit
 };
 
 ////////////////////////////////////////////////////////////
 /// \brief Reads one HTTP/1.1 message from the bytes of a connection
+///
+/// Everything that the sender of a message decides is bounded: the head, the
+/// body, and the framing of a chunked body. The framing may take as many bytes
+/// as the head, and in addition some for each byte of the body, so that small
+/// chunks are read whatever their number. What `read` leaves of an unfinished
+/// message is bounded by twice the limit of the head.
 ////////////////////////////////////////////////////////////
 class MessageReader
 {
@@ -43,7 +51,7 @@
     /// \brief Start a message
     ///
     /// \param kind      What to expect
-    /// \param headLimit Largest head, bytes
+    /// \param headLimit Largest head, bytes; also bounds the framing of the body
     /// \param bodyLimit Largest body, bytes
     ////////////////////////////////////////////////////////////
     MessageReader(MessageKind kind, std::uint32_t headLimit, std::uint64_t bodyLimit);
@@ -61,6 +69,11 @@
     ////////////////////////////////////////////////////////////
     std::size_t read(std::string_view bytes);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Read on, and remove what is taken from the front of a buffer
+    ////////////////////////////////////////////////////////////
+    void read(core::ReceiveBuffer& buffer);
+
     ////////////////////////////////////////////////////////////
     /// \brief Note that the connection ended in good order
     ////////////////////////////////////////////////////////////
--- a/src/sailpath/adapters/calls/HttpCaller.cpp
+++ b/src/sailpath/adapters/calls/HttpCaller.cpp
@@ -1,6 +1,7 @@
 #include <sailpath/adapters/calls/HttpCaller.hpp>
 
 #include <sailpath/core/Clock.hpp>
+#include <sailpath/core/ReceiveBuffer.hpp>
 #include <sailpath/http/MessageReader.hpp>
 
 #include <asio/io_context.hpp>
@@ -96,8 +97,8 @@
 
     void handleBytes(std::size_t bytes, std::uint64_t callNumber)
     {
-        unread.append(buffer.data(), bytes);
-        unread.erase(0, reader->read(unread));
+        unread.append({buffer.data(), bytes});
+        reader->read(unread);
         const http::ReadState state = reader->state();
         const bool            unfinished = state == http::ReadState::Head || state == http::ReadState::Body;
         if (unfinished && core::now() - startedAt < idleTimeout + maxTransferTime)
@@ -140,7 +141,7 @@
     asio::steady_timer                   timer;      //!< Expires after idleTimeout without a received byte
     std::unique_ptr<http::MessageReader> reader;     //!< Parser of the response
     std::string                          request;    //!< Serialized request
-    std::string                          unread;     //!< Received bytes that the parser has not consumed yet
+    core::ReceiveBuffer                  unread;     //!< Received bytes that the parser has not consumed yet
     std::array<char, 16384>              buffer{};   //!< Receive buffer
     ResponseCallback                     onResponse; //!< Callback of the call in progress; empty between calls
     std::uint64_t   calls{0};         //!< Calls started since construction; also numbers the call in progress
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -200,7 +200,7 @@
     learnOutcome(request, attempt, outcome, now);
     if (outcome.identity)
         request.identity = outcome.identity;
-    if (outcome.connectionEnded && request.identity)
+    if (endedByServer(outcome.loss) && outcome.helper.empty() && request.identity)
         checkAfterLoss(request, attempt, now);
 
     const bool failedAnswer = outcome.status >= statusServerFailed;
--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -140,6 +140,9 @@
             return m_events.configured() ? refuse(431, "the head is too large") : refuse(503, "not-configured");
         case http::ReadState::BodyTooLarge:
             return m_events.configured() ? refuse(413, "the body is too large") : refuse(503, "not-configured");
+        case http::ReadState::FramingTooLarge:
+            return m_events.configured() ? refuse(400, "chunk extensions or the trailer are too large")
+                                         : refuse(503, "not-configured");
         case http::ReadState::Malformed:
             return refuse(400, "no request of the protocol");
         case http::ReadState::Done:
--- a/src/sailpath/gateway/Exchange.cpp
+++ b/src/sailpath/gateway/Exchange.cpp
@@ -129,6 +129,8 @@
                   std::to_string(outcome.status) + "@" +
                   std::to_string(static_cast<int>(core::toMilliseconds(now - firstByteAt))) + "ms" +
                   std::string(nameOf(outcome.connectFailure));
+    if (outcome.loss != balance::LossCause::None)
+        attemptLog.append("/").append(balance::toString(outcome.loss));
     if (!outcome.helper.empty())
         attemptLog += "/through=" + outcome.helper;
     if (outcome.end == balance::AttemptEnd::NotRun && outcome.load)
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -457,6 +457,7 @@
     add("answers_cut_total", "counter", counters.answersCut);
     add("body_bytes_held", "gauge", bodies->used());
     add("answer_bytes_held", "gauge", answerBodies->used());
+    add("answer_bytes_unparsed", "gauge", servers.unparsedBytes());
     add("configuration_version", "gauge", version);
     text += admissionMetrics();
     text += workMetrics();
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -437,7 +437,7 @@
     const auto found = exchanges.find(ticket);
     if (found != exchanges.end())
     {
-        if (outcome.connectionEnded || balancer.needsRequestIdentity())
+        if (balance::endedByServer(outcome.loss) || balancer.needsRequestIdentity())
             outcome.identity = found->second.identity();
         found->second.activeAttempts.erase(attempt);
         found->second.recordAttemptEnd(attempt, outcome, core::now());
--- a/src/sailpath/gateway/RequestReader.cpp
+++ b/src/sailpath/gateway/RequestReader.cpp
@@ -38,7 +38,7 @@
 {
     // Empty lines before a request are skipped.
     if (!m_message)
-        consume(std::min(m_unread.find_first_not_of("\r\n"), m_unread.size()));
+        consume(std::min(m_unread.bytes().find_first_not_of("\r\n"), m_unread.size()));
     if (!m_message && m_unread.empty())
         return http::ReadState::Head;
     if (!m_message)
@@ -47,14 +47,14 @@
             std::make_unique<http::MessageReader>(http::MessageKind::Request, limits.headBytes, limits.bodyBytes);
         m_firstByteAt = m_chunks.front().receivedAt;
     }
-    consume(m_message->read(m_unread));
+    consume(m_message->read(m_unread.bytes()));
     return m_message->state();
 }
 
 ////////////////////////////////////////////////////////////
 void RequestReader::consume(std::size_t bytes)
 {
-    m_unread.erase(0, bytes);
+    m_unread.consume(bytes);
     while (bytes > 0)
     {
         Chunk&            oldest = m_chunks.front();
@@ -87,7 +87,7 @@
 ////////////////////////////////////////////////////////////
 bool RequestReader::empty() const
 {
-    return !m_message && m_unread.find_first_not_of("\r\n") == std::string::npos;
+    return !m_message && m_unread.bytes().find_first_not_of("\r\n") == std::string_view::npos;
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/RequestReader.hpp
+++ b/src/sailpath/gateway/RequestReader.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sailpath/core/ReceiveBuffer.hpp>
 #include <sailpath/core/Time.hpp>
 #include <sailpath/deployment/Deployment.hpp>
 #include <sailpath/http/MessageReader.hpp>
@@ -58,7 +59,7 @@
 
     void consume(std::size_t bytes);
 
-    std::string                          m_unread;         //!< Bytes received but not parsed
+    core::ReceiveBuffer                  m_unread;         //!< Bytes received but not parsed
     std::deque<Chunk>                    m_chunks;         //!< Arrival times of the unread bytes, oldest first
     std::unique_ptr<http::MessageReader> m_message;        //!< Parser of the current request; null between requests
     core::Timestamp                      m_firstByteAt{};  //!< Arrival of the current request's first byte
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -97,7 +97,7 @@
     if (m_socket)
     {
         m_helper = std::move(result.helper);
-        m_wrapped = std::move(result.unread);
+        m_wrapped.append(result.unread);
         m_openedAt = core::now();
         unwrap(0);
         // Nothing was asked yet, so whatever came ends the connection.
@@ -109,7 +109,7 @@
     const bool refused = result.failure == balance::ConnectFailure::Refused;
     if (refused && (result.serverDown || m_paths.helpers.empty()))
         reportCheck(balance::CheckResult::Refuses);
-    handleEnd(false);
+    handleEnd(balance::LossCause::None);
 }
 
 ////////////////////////////////////////////////////////////
@@ -202,12 +202,12 @@
                                       return self->handleReadError(error);
                                   self->m_heardAt = core::now();
                                   if (self->m_helper.empty())
-                                      self->m_unread.append(self->m_buffer.data(), bytes);
+                                      self->m_unread.append({self->m_buffer.data(), bytes});
                                   else
                                       self->unwrap(bytes);
                                   self->handleBytes();
                                   if (self->m_state != State::Closed && self->m_tunnelEnded)
-                                      return self->handleEnd(true);
+                                      return self->handleEnd(balance::LossCause::ClosedByServer);
                                   if (self->m_state != State::Closed)
                                       self->read();
                               });
@@ -216,16 +216,16 @@
 ////////////////////////////////////////////////////////////
 void ServerConnection::unwrap(std::size_t bytes)
 {
-    m_wrapped.append(m_buffer.data(), bytes);
+    m_wrapped.append({m_buffer.data(), bytes});
     while (!m_wrapped.empty())
     {
-        const adapters::links::DecodedTunnel decoded = adapters::links::decodeTunnel(m_wrapped);
+        const adapters::links::DecodedTunnel decoded = adapters::links::decodeTunnel(m_wrapped.bytes());
         const bool repeated = decoded.message && std::holds_alternative<paths::TunnelOpened>(*decoded.message);
         if (decoded.malformed || repeated)
-            return handleEnd(false);
+            return handleEnd(balance::LossCause::PathBroken);
         if (!decoded.message)
             return;
-        m_wrapped.erase(0, decoded.taken);
+        m_wrapped.consume(decoded.taken);
         if (const auto* data = std::get_if<paths::TunnelData>(&*decoded.message))
             m_unread.append(data->bytes);
         else
@@ -239,9 +239,12 @@
     if (m_helper.empty() && m_heardAt == core::Timestamp{} && m_state != State::Idle)
         m_events.endedUnheard(*this);
     // A helper that ends closes its connections as a server does, so only its message tells that the server ended one.
-    const bool cleanEnd = m_helper.empty() && error == asio::error::eof;
+    if (!m_helper.empty())
+        return handleEnd(balance::LossCause::PathBroken);
+    if (error == asio::error::eof)
+        return handleEnd(balance::LossCause::ClosedByServer);
     const bool reset = error == asio::error::connection_reset || error == asio::error::broken_pipe;
-    handleEnd(cleanEnd, m_helper.empty() && (cleanEnd || reset));
+    handleEnd(reset ? balance::LossCause::ResetByServer : balance::LossCause::PathBroken);
 }
 
 ////////////////////////////////////////////////////////////
@@ -254,16 +257,17 @@
         return close();
     while (m_state == State::Busy && !m_unread.empty())
     {
-        m_unread.erase(0, m_reader->read(m_unread));
+        m_reader->read(m_unread);
         const http::ReadState state = m_reader->state();
         if (state == http::ReadState::Body || state == http::ReadState::Done)
             reportNotice();
         if (state == http::ReadState::Body && !reserveBody())
-            return handleEnd(false);
+            return handleEnd(balance::LossCause::NoMemory);
         if (state == http::ReadState::Head || state == http::ReadState::Body)
             return;
         if (state != http::ReadState::Done)
-            return handleEnd(false);
+            return handleEnd(state == http::ReadState::Malformed ? balance::LossCause::Malformed
+                                                                 : balance::LossCause::TooLarge);
         handleAnswer();
     }
 }
@@ -308,7 +312,7 @@
 void ServerConnection::skipAnswer()
 {
     if (m_reader->head().untilEnd || ++m_skippedAnswers > maxSkippedAnswers)
-        return handleEnd(false);
+        return handleEnd(balance::LossCause::Malformed);
     startReader();
 }
 
@@ -319,14 +323,16 @@
     balance::Outcome outcome;
     outcome.status = m_reader->head().status;
     outcome.end = balance::AttemptEnd::Lost;
+    outcome.loss = balance::LossCause::Malformed;
     outcome.helper = m_helper;
     finish(outcome, {m_reader->head(), {}}, false);
 }
 
 ////////////////////////////////////////////////////////////
-void ServerConnection::handleEnd(bool cleanEnd, bool byServer)
+void ServerConnection::handleEnd(balance::LossCause cause)
 {
     const State previous = m_state;
+    const bool  cleanEnd = cause == balance::LossCause::ClosedByServer;
     if (previous == State::Busy && cleanEnd && m_reader->state() == http::ReadState::Body)
     {
         m_reader->ended();
@@ -334,6 +340,8 @@
             return handleAnswer();
     }
     m_state = State::Closed;
+    m_unread.clear();
+    m_wrapped.clear();
     asio::error_code ignored;
     m_timer.cancel();
     if (const auto dial = std::exchange(m_dial, nullptr))
@@ -344,7 +352,8 @@
     if (previous == State::Connecting || previous == State::Busy)
     {
         balance::Outcome outcome;
-        outcome.connectionEnded = previous == State::Busy && byServer;
+        if (previous == State::Busy)
+            outcome.loss = cause;
         outcome.end = previous == State::Connecting ? balance::AttemptEnd::NotSent : balance::AttemptEnd::Lost;
         if (previous == State::Connecting)
             outcome.connectFailure = m_connectFailure;
@@ -389,7 +398,7 @@
 void ServerConnection::close()
 {
     if (m_state != State::Closed)
-        handleEnd(false);
+        handleEnd(balance::LossCause::PathBroken);
 }
 
 ////////////////////////////////////////////////////////////
@@ -480,4 +489,10 @@
     return m_heardAt;
 }
 
+////////////////////////////////////////////////////////////
+std::size_t ServerConnection::unparsedBytes() const
+{
+    return m_unread.size() + m_wrapped.size();
+}
+
 } // namespace sailpath::gateway::priv
--- a/src/sailpath/gateway/ServerConnection.hpp
+++ b/src/sailpath/gateway/ServerConnection.hpp
@@ -103,7 +103,8 @@
     [[nodiscard]] std::uint64_t               sends() const;                    //!< Number of the last request, from 1
     [[nodiscard]] core::Timestamp             sentAt() const;                   //!< When the last request was sent
     [[nodiscard]] core::Timestamp             openedAt() const;                 //!< When it came up
-    [[nodiscard]] core::Timestamp             heardAt() const; //!< Last bytes of the server; 0 before the first
+    [[nodiscard]] core::Timestamp             heardAt() const;       //!< Last bytes of the server; 0 before the first
+    [[nodiscard]] std::size_t                 unparsedBytes() const; //!< Received and not parsed
 
 private:
     enum class State
@@ -123,7 +124,7 @@
     void               write();
     void               read();
     void               handleBytes();
-    void               handleEnd(bool cleanEnd, bool byServer = false);
+    void               handleEnd(balance::LossCause cause);
     void               reportCheck(balance::CheckResult result);
     void               handleAnswer();
     void               finish(const balance::Outcome& outcome, ServerAnswer answer, bool keep);
@@ -145,13 +146,13 @@
     ServerConnectionEvents&                     m_events;     //!< Told what happens
     std::shared_ptr<ServerDial>                 m_dial;       //!< While it is being opened
     std::string                                 m_helper;     //!< Node that it goes through; empty when direct
-    std::string                                 m_wrapped;    //!< Bytes of the helper, not unwrapped yet
+    core::ReceiveBuffer                         m_wrapped;    //!< Bytes of the helper, not unwrapped yet
     DoneCallback                                m_onDone;     //!< Called with the outcome of the request
     CheckCallback                               m_onChecked;  //!< Called with the result of a check
     OutgoingRequest                             m_request;    //!< Request in progress
     std::unique_ptr<http::MessageReader>        m_reader;     //!< Parser of the answer
     AnswerMatcher                               m_matcher;    //!< Assigns answers to requests
-    std::string                                 m_unread;     //!< Bytes received but not parsed
+    core::ReceiveBuffer                         m_unread;     //!< Bytes received but not parsed
     std::array<char, 8192>                      m_buffer{};   //!< Receive buffer
     core::Timestamp                             m_since{};    //!< When the connection became idle, or began to connect
     core::Timestamp                             m_openedAt{}; //!< When the connection came up
--- a/src/sailpath/gateway/ServerConnections.cpp
+++ b/src/sailpath/gateway/ServerConnections.cpp
@@ -3,6 +3,7 @@
 #include <sailpath/core/Clock.hpp>
 
 #include <algorithm>
+#include <numeric>
 
 namespace sailpath::gateway::priv
 {
@@ -408,4 +409,14 @@
     return count;
 }
 
+////////////////////////////////////////////////////////////
+std::size_t ServerConnections::unparsedBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto& [id, list] : m_byInstance)
+        bytes += std::accumulate(list.begin(), list.end(), std::size_t{0},
+                                 [](std::size_t sum, const auto& item) { return sum + item->unparsedBytes(); });
+    return bytes;
+}
+
 } // namespace sailpath::gateway::priv
--- a/src/sailpath/gateway/ServerConnections.hpp
+++ b/src/sailpath/gateway/ServerConnections.hpp
@@ -69,9 +69,10 @@
     ////////////////////////////////////////////////////////////
     void recheckPaths();
 
-    [[nodiscard]] Paths&        paths();         //!< State of paths
-    [[nodiscard]] std::uint64_t opened() const;  //!< Connections opened since the process started
-    [[nodiscard]] std::size_t   tunnels() const; //!< Open connections that go through helpers
+    [[nodiscard]] Paths&        paths();               //!< State of paths
+    [[nodiscard]] std::uint64_t opened() const;        //!< Connections opened since the process started
+    [[nodiscard]] std::size_t   tunnels() const;       //!< Open connections that go through helpers
+    [[nodiscard]] std::size_t   unparsedBytes() const; //!< Received on all connections and not parsed
 
     void changed(ServerConnection& connection) override;
     void heard(ServerConnection& connection) override;
--- a/src/sailpath/gateway/ServerDial.cpp
+++ b/src/sailpath/gateway/ServerDial.cpp
@@ -250,14 +250,14 @@
                 return;
             if (error)
                 return self->tunnelFailed(tunnel, paths::HelperFailure::Silent);
-            tunnel->unread.append(tunnel->buffer.data(), bytes);
-            const auto decoded = adapters::links::decodeTunnel(tunnel->unread);
+            tunnel->unread.append({tunnel->buffer.data(), bytes});
+            const auto decoded = adapters::links::decodeTunnel(tunnel->unread.bytes());
             if (!decoded.malformed && !decoded.message)
                 return self->readAnswer(tunnel);
             const auto* opened = decoded.malformed ? nullptr : std::get_if<paths::TunnelOpened>(&*decoded.message);
             if (opened == nullptr)
                 return self->tunnelFailed(tunnel, paths::HelperFailure::Silent);
-            tunnel->unread.erase(0, decoded.taken);
+            tunnel->unread.consume(decoded.taken);
             self->answered(tunnel, opened->status);
         });
 }
@@ -304,7 +304,7 @@
     m_paths.onReached(m_instance);
     tunnel->ended = true;
     tunnel->timer.cancel();
-    finish({tunnel->socket, tunnel->helper, std::move(tunnel->unread)});
+    finish({tunnel->socket, tunnel->helper, tunnel->unread.take()});
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/ServerDial.hpp
+++ b/src/sailpath/gateway/ServerDial.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <sailpath/balance/Step.hpp>
+#include <sailpath/core/ReceiveBuffer.hpp>
 #include <sailpath/deployment/Instance.hpp>
 #include <sailpath/gateway/GatewaySettings.hpp>
 #include <sailpath/paths/DialPlan.hpp>
@@ -70,7 +71,7 @@
         asio::steady_timer                     timer;        //!< Timeout of the helper
         std::string                            helper;       //!< Its address
         std::string                            request;      //!< Bytes of the request for a tunnel
-        std::string                            unread;       //!< Bytes received
+        core::ReceiveBuffer                    unread;       //!< Bytes received
         std::array<char, 4096>                 buffer{};     //!< Receive buffer
         bool                                   ended{false}; //!< The result is known
     };
--- a/src/sailpath/gateway/TunnelTraffic.cpp
+++ b/src/sailpath/gateway/TunnelTraffic.cpp
@@ -9,6 +9,7 @@
 constexpr std::uint32_t maxHeadBytes = 64U * 1024;
 constexpr std::uint64_t anyBodyBytes = std::numeric_limits<std::uint64_t>::max(); // Bodies are not kept
 constexpr unsigned      firstFinalStatus = 200;
+constexpr std::size_t   maxDue = 64; // Requests without an answer; other nodes send one at a time
 
 } // namespace
 
@@ -22,6 +23,8 @@
     {
         m_due.push_back(m_toServer.reader->head().method == "HEAD");
         m_toServer.reader.reset();
+        if (m_due.size() > maxDue)
+            return giveUp();
     }
 }
 
@@ -49,13 +52,29 @@
         return false;
     if (!stream.reader)
         stream.reader = std::make_unique<http::MessageReader>(kind, maxHeadBytes, anyBodyBytes);
-    stream.unread.erase(0, stream.reader->read(stream.unread));
+    stream.reader->read(stream.unread);
     (void)stream.reader->takeBody();
     const http::ReadState state = stream.reader->state();
-    m_isUnreadable = state != http::ReadState::Head && state != http::ReadState::Body && state != http::ReadState::Done;
+    if (state != http::ReadState::Head && state != http::ReadState::Body && state != http::ReadState::Done)
+        giveUp();
     return state == http::ReadState::Done;
 }
 
+////////////////////////////////////////////////////////////
+void TunnelTraffic::giveUp()
+{
+    m_isUnreadable = true;
+    m_toServer = {};
+    m_fromServer = {};
+    m_due = {};
+}
+
+////////////////////////////////////////////////////////////
+std::size_t TunnelTraffic::heldBytes() const
+{
+    return m_toServer.unread.size() + m_fromServer.unread.size();
+}
+
 ////////////////////////////////////////////////////////////
 bool TunnelTraffic::isAnswerDue() const
 {
--- a/src/sailpath/gateway/TunnelTraffic.hpp
+++ b/src/sailpath/gateway/TunnelTraffic.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
+#include <sailpath/core/ReceiveBuffer.hpp>
 #include <sailpath/http/MessageReader.hpp>
 
 #include <cstddef>
 #include <deque>
 #include <memory>
-#include <string>
 #include <string_view>
 
 namespace sailpath::gateway::priv
@@ -13,8 +13,8 @@
 ////////////////////////////////////////////////////////////
 /// \brief Follows the requests and answers that pass through a tunnel, to tell whether an answer is due
 ///
-/// Keeps no bodies. After bytes that are not of the protocol it follows
-/// nothing any more.
+/// Keeps no bodies. After bytes that are not of the protocol, or that exceed a
+/// limit, it follows nothing any more.
 ////////////////////////////////////////////////////////////
 class TunnelTraffic
 {
@@ -22,14 +22,15 @@
     void passToServer(std::string_view bytes);   //!< Bytes of the other node
     void passFromServer(std::string_view bytes); //!< Bytes of the server
 
-    [[nodiscard]] bool isAnswerDue() const; //!< A byte of a request has passed, and not yet its whole answer
+    [[nodiscard]] bool        isAnswerDue() const; //!< A byte of a request has passed, and not yet its whole answer
+    [[nodiscard]] std::size_t heldBytes() const;   //!< Bytes of unfinished lines that are kept
 
 private:
     /// \brief One direction
     struct Stream
     {
         std::unique_ptr<http::MessageReader> reader; //!< Message in progress; null between two
-        std::string                          unread; //!< Start of a head that is not whole
+        core::ReceiveBuffer                  unread; //!< Start of a line or head that is not whole
     };
 
     ////////////////////////////////////////////////////////////
@@ -38,6 +39,7 @@
     /// \return True when it is whole
     ////////////////////////////////////////////////////////////
     [[nodiscard]] bool readMessage(Stream& stream, http::MessageKind kind);
+    void               giveUp(); //!< Follow nothing from now on
 
     Stream           m_toServer;   //!< Requests
     Stream           m_fromServer; //!< Answers
--- a/src/sailpath/http/MessageReader.cpp
+++ b/src/sailpath/http/MessageReader.cpp
@@ -15,6 +15,8 @@
 using ErrorCode = boost::beast::error_code;
 
 constexpr std::size_t   fieldMarks = 4; // Bytes of a field beside name and value: colon, space, end of line
+// Framing that is allowed for each byte of a body. A chunk of one byte takes five: its size and two ends of lines.
+constexpr std::uint64_t framingPerBodyByte = 16;
 constexpr std::uint64_t maxAllocatedAtOnce = std::uint64_t{64} << 20U; // Bytes of a body; pages are used as it arrives
 
 ////////////////////////////////////////////////////////////
@@ -33,6 +35,9 @@
     std::size_t headLimit{0};    //!< For the fields of the head, in bytes
     std::size_t fieldBytes{0};   //!< Of the head so far, ends of lines included
     bool        headDone{false}; //!< Fields that follow are a trailer
+
+    std::uint64_t bodyBytes{0};    //!< Of the body so far, also those that were taken
+    std::uint64_t framingBytes{0}; //!< Taken after the head, without the body
 };
 
 ////////////////////////////////////////////////////////////
@@ -90,8 +95,7 @@
 
     std::size_t on_body_impl(Text body, ErrorCode&) override // NOLINT
     {
-        m_collected.body.append(body.data(), body.size());
-        return body.size();
+        return append(body);
     }
 
     void on_chunk_header_impl(std::uint64_t, Text, ErrorCode&) override // NOLINT
@@ -100,14 +104,20 @@
 
     std::size_t on_chunk_body_impl(std::uint64_t, Text body, ErrorCode&) override // NOLINT
     {
-        m_collected.body.append(body.data(), body.size());
-        return body.size();
+        return append(body);
     }
 
     void on_finish_impl(ErrorCode&) override // NOLINT
     {
     }
 
+    std::size_t append(Text body)
+    {
+        m_collected.body.append(body.data(), body.size());
+        m_collected.bodyBytes += body.size();
+        return body.size();
+    }
+
     Collected& m_collected;
 };
 
@@ -135,6 +145,30 @@
         else
             state = ReadState::Malformed;
     }
+
+    /// \brief Feed the parser once
+    std::size_t put(std::string_view bytes, ErrorCode& error)
+    {
+        const bool          inBody = collected.headDone;
+        const std::uint64_t bodyBefore = collected.bodyBytes;
+        const std::size_t   used =
+            visit([&](auto& parser) { return parser.put(boost::asio::buffer(bytes.data(), bytes.size()), error); });
+        if (inBody)
+            collected.framingBytes += used - (collected.bodyBytes - bodyBefore);
+        return used;
+    }
+
+    /// \brief Fail when the framing of the body exceeds its limit
+    ///
+    /// The parser takes a line, and a trailer, only when it is whole.
+    void checkFraming(std::size_t untaken)
+    {
+        if (state != ReadState::Body)
+            return;
+        const std::uint64_t most = collected.headLimit + framingPerBodyByte * collected.bodyBytes;
+        if (untaken > collected.headLimit || collected.framingBytes > most)
+            state = ReadState::FramingTooLarge;
+    }
 };
 
 ////////////////////////////////////////////////////////////
@@ -167,9 +201,7 @@
     while (taken < bytes.size() && (m_impl->state == ReadState::Head || m_impl->state == ReadState::Body))
     {
         ErrorCode         error;
-        const std::size_t used = m_impl->visit(
-            [&](auto& parser)
-            { return parser.put(boost::asio::buffer(bytes.data() + taken, bytes.size() - taken), error); });
+        const std::size_t used = m_impl->put(bytes.substr(taken), error);
         taken += used;
         if (m_impl->state == ReadState::Head && m_impl->collected.headDone)
             m_impl->state = ReadState::Body;
@@ -181,11 +213,18 @@
         if (m_impl->visit([](auto& parser) { return parser.is_done(); }))
             m_impl->state = ReadState::Done;
         else if (used == 0 || error == beast::error::need_more)
-            return taken;
+            break;
     }
+    m_impl->checkFraming(bytes.size() - taken);
     return taken;
 }
 
+////////////////////////////////////////////////////////////
+void MessageReader::read(core::ReceiveBuffer& buffer)
+{
+    buffer.consume(read(buffer.bytes()));
+}
+
 ////////////////////////////////////////////////////////////
 void MessageReader::ended()
 {
--- a/test/balance/Keys.test.cpp
+++ b/test/balance/Keys.test.cpp
@@ -135,7 +135,7 @@
     BOOST_TEST((decisionFor("k3").kind == StepKind::Forward));
 
     // Servers that bear few requests: the urgent workspace gets more of them than the other one on the same route.
-    balance::Outcome limited{balance::AttemptEnd::Answered, 200, {}, {}, false, 2.0, {}, false, {}};
+    balance::Outcome limited{balance::AttemptEnd::Answered, 200, {}, {}, false, 2.0, {}, {}, {}};
     std::size_t      sentUrgent = 0;
     std::size_t      sentOther = 0;
     for (int i = 0; i < 4000; ++i, now += 5ms)
--- a/test/balance/crashes/Quarantined.test.cpp
+++ b/test/balance/crashes/Quarantined.test.cpp
@@ -46,7 +46,7 @@
         now += 50ms;
         balance::Outcome lost;
         lost.end = AttemptEnd::Lost;
-        lost.connectionEnded = true;
+        lost.loss = balance::LossCause::ResetByServer;
         lost.identity = identity;
         balancer.attemptEnded(sent.ticket, sent.attempt, lost, now);
         auto all = steps();
--- a/test/gateway/TunnelTraffic.test.cpp
+++ b/test/gateway/TunnelTraffic.test.cpp
@@ -85,4 +85,39 @@
     BOOST_TEST(!traffic.isAnswerDue());
 }
 
+// Guards against memory of a helper that grows with lines that a server or another node does not end.
+BOOST_AUTO_TEST_CASE(LinesWithoutEndAreNotKept)
+{
+    constexpr std::size_t most = 160UL * 1024;
+    const std::string     piece(8192, '0');
+    for (const std::string_view beginning :
+         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ", "HTTP/1.1 "})
+    {
+        TunnelTraffic traffic;
+        traffic.passToServer(request);
+        traffic.passFromServer(beginning);
+        for (int i = 0; i < 1000; ++i)
+        {
+            traffic.passFromServer(piece);
+            BOOST_REQUIRE(traffic.heldBytes() < most);
+        }
+    }
+    TunnelTraffic traffic;
+    traffic.passToServer("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5;");
+    for (int i = 0; i < 1000; ++i)
+    {
+        traffic.passToServer(piece);
+        BOOST_REQUIRE(traffic.heldBytes() < most);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(RequestsThatAreSentWithoutAwaitingAnswersAreNotCountedWithoutEnd)
+{
+    TunnelTraffic traffic;
+    for (int i = 0; i < 1000; ++i)
+        traffic.passToServer(request);
+    BOOST_TEST(!traffic.isAnswerDue());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/http/MessageReader.test.cpp
+++ b/test/http/MessageReader.test.cpp
@@ -10,6 +10,7 @@
 
 namespace
 {
+using namespace sailpath;
 using namespace sailpath::http;
 
 constexpr std::uint32_t headLimit = 1024;
@@ -321,4 +322,69 @@
     }
 }
 
+// Guards against memory that grows with a line of a chunked body, or a trailer, that does not end.
+BOOST_AUTO_TEST_CASE(FramingWithoutEndIsRefusedAndNotKept)
+{
+    const std::string              chunked = "Transfer-Encoding: chunked\r\n";
+    const std::vector<std::string> beginnings{
+        "",      "5;",         "5;a=\"", "5\r\nhello\r\n",      "5\r\nhello\r\n3;x=",
+        "0\r\n", "0\r\nX-T: ", "0;",     "0\r\nX-T: 1\r\nX-U: "};
+    for (const std::string& beginning : beginnings)
+    {
+        for (const std::size_t piece : {1UL, 100UL, 8192UL})
+        {
+            for (const MessageKind kind : {MessageKind::Request, MessageKind::Answer})
+            {
+                const std::string head =
+                    kind == MessageKind::Request ? requestOf(chunked) : "HTTP/1.1 200 OK\r\n" + chunked + "\r\n";
+                MessageReader       reader(kind, headLimit, bodyLimit);
+                core::ReceiveBuffer buffer;
+                buffer.append(head + beginning);
+                reader.read(buffer);
+                std::size_t most = 0;
+                for (int i = 0; i < 40'000 && reader.state() == ReadState::Body; ++i)
+                {
+                    buffer.append(std::string(piece, '0'));
+                    reader.read(buffer);
+                    most = std::max(most, buffer.size());
+                }
+                BOOST_TEST((reader.state() == ReadState::FramingTooLarge), beginning << " in pieces of " << piece);
+                BOOST_TEST(most <= 2UL * headLimit + piece);
+            }
+        }
+    }
+}
+
+// Guards against a limit on the framing of a body that counts each line alone.
+BOOST_AUTO_TEST_CASE(ManyLinesOfFramingAreCountedTogether)
+{
+    MessageReader       reader(MessageKind::Answer, headLimit, std::uint64_t{1} << 20U);
+    core::ReceiveBuffer buffer;
+    buffer.append("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    int chunks = 0;
+    for (; chunks < 1000 && reader.state() != ReadState::FramingTooLarge; ++chunks)
+    {
+        buffer.append("1;" + std::string(headLimit / 2, 'x') + "\r\nx\r\n");
+        reader.read(buffer);
+    }
+    BOOST_TEST(chunks <= 4);
+}
+
+BOOST_AUTO_TEST_CASE(SmallChunksWithinTheLimitOfTheBodyAreRead)
+{
+    constexpr int       count = 100'000;
+    MessageReader       reader(MessageKind::Answer, headLimit, count);
+    core::ReceiveBuffer buffer;
+    buffer.append("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int i = 0; i < count; ++i)
+    {
+        buffer.append("1;a=b\r\nx\r\n");
+        reader.read(buffer);
+    }
+    buffer.append("0\r\nX-Sum: " + std::string(headLimit / 2, 'x') + "\r\n\r\n");
+    reader.read(buffer);
+    BOOST_TEST((reader.state() == ReadState::Done));
+    BOOST_TEST(reader.bodySize() == count);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/platform/HttpCaller.test.cpp
@@ -0,0 +1,43 @@
+#include <sailpath/adapters/calls/HttpCaller.hpp>
+
+#include <support/ScriptedServer.hpp>
+
+#include <asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <string>
+
+namespace
+{
+using namespace sailpath;
+using namespace std::chrono_literals;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpCallerTest)
+
+// Guards against memory that grows with an answer of the store whose framing does not end.
+BOOST_AUTO_TEST_CASE(AnAnswerWhoseFramingDoesNotEndFailsBeforeAnyTimeout)
+{
+    for (const std::string_view beginning : {"5;", "5\r\nhello\r\n0\r\nX-Sum: "})
+    {
+        support::ScriptedServer store(
+            [beginning](const std::string&)
+            {
+                return support::Script{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                                       std::string(beginning) + std::string(1'000'000, '0')};
+            });
+        asio::io_context                           context;
+        adapters::calls::HttpCaller                caller(context, {"127.0.0.1", store.port()});
+        std::optional<adapters::calls::CallAnswer> answer;
+        caller.get("/", 30s, [&](adapters::calls::CallAnswer given) { answer = std::move(given); });
+        const auto begun = std::chrono::steady_clock::now();
+        while (!answer && std::chrono::steady_clock::now() - begun < 10s)
+            context.run_one_for(50ms);
+        BOOST_REQUIRE(answer.has_value());
+        BOOST_TEST(answer->status == 0U);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/soak/endless_server.py
+++ b/test/platform/soak/endless_server.py
@@ -19,6 +19,10 @@
     "chunks": b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n",
     "line": b"HTTP/1.1 200 OK\r\n%sX-Long: ",
     "lines": b"HTTP/1.1 200 OK\r\n%s",
+    "extension": b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n1;",
+    "extensions": b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n",
+    "digits": b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n",
+    "trailer": b"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n0\r\n",
     "continue": b"",
 }
 
@@ -26,6 +30,8 @@
 def piece_of(kind: str, size: int) -> bytes:
     """What is sent again and again."""
     return {"chunks": b"%x\r\n%s\r\n" % (size, b"x" * size), "lines": b"X-Line: y\r\n" * (size // 11 + 1),
+            "extensions": b"1;%s\r\nx\r\n" % (b"x" * min(size, 60_000)), "digits": b"0" * size,
+            "trailer": b"X-Line: y\r\n" * (size // 11 + 1),
             "continue": b"HTTP/1.1 100 Continue\r\n\r\n" * (size // 25 + 1)}.get(kind, b"x" * size)
 
 
--- a/test/platform/soak/endless_test.py
+++ b/test/platform/soak/endless_test.py
@@ -22,6 +22,7 @@
 LONGEST_S = QUICK_TIMEOUT_S + 0.5
 LONGEST_CHECK_S = 1.5
 MOST_CHECKS = 32        # of one server at once
+LEAVES_AFTER_S = 0.05   # an impatient caller
 OTHER_DESCRIPTORS = 100 # listeners, callers, requests
 SAMPLE_S = 0.05
 MOST_OF_A_CORE = 0.8
@@ -46,8 +47,9 @@
             process.kill()
         await process.wait()
 
-    async def play(self, kind: str, rate: int, count: int, longest_s: float, served: float) -> None:
-        """Let so many of the servers send without end and measure the gateway meanwhile."""
+    async def play(self, kind: str, rate: int, count: int, longest_s: float, served: float,
+                   path: str = "/quick/1000", impatient: int = 0) -> None:
+        """Let so many of the servers send without end and measure the gateway meanwhile; so many callers leave early."""
         async with Stage(BUILD, self.id(), 1) as stage:
             gateway = stage.gateways[0]
             servers = []
@@ -59,8 +61,10 @@
                 servers.append(process)
                 await stage.announce_quick(f"q-{number}", int(await process.stdout.readline()))
             until = time.monotonic() + WARM_S + ENDLESS_S
-            callers = [QuickCaller(number, gateway.ports.callers, "/quick/1000", 0.1) for number in range(CALLERS)]
-            asking = [asyncio.create_task(caller.run(until)) for caller in callers]
+            callers = [QuickCaller(number, gateway.ports.callers, path, 0.1) for number in range(CALLERS - impatient)]
+            leaving = [QuickCaller(number, gateway.ports.callers, path, 0.1, LEAVES_AFTER_S)
+                       for number in range(CALLERS - impatient, CALLERS)]
+            asking = [asyncio.create_task(caller.run(until)) for caller in callers + leaving]
             await asyncio.sleep(WARM_S)
             begun, used = time.monotonic(), processor_s(gateway.pid)
             for process in servers[:count]:
@@ -123,6 +127,17 @@
             with self.subTest(kind):
                 await self.play(kind, FAST, 3, LONGEST_S, SERVED_SHARE)
 
+    async def test_the_framing_of_a_body_without_end(self):
+        # Guards against memory that grows with a chunk size line, chunk extension or trailer that does not end.
+        for kind, count, served in (("extension", 3, SERVED_SHARE), ("extensions", 3, SERVED_SHARE),
+                                    ("trailer", SERVERS, 0.0), ("health-digits", SERVERS, SERVED_SHARE)):
+            with self.subTest(kind):
+                await self.play(kind, FAST, count, LONGEST_S, served)
+
+    async def test_the_framing_of_answers_to_payments_without_end(self):
+        # Guards against sends that are not repeatable and go on receiving after their time, or after their caller left.
+        await self.play("extension", FAST, 3, LONGEST_S, SERVED_SHARE, "/pay/1000", CALLERS // 2)
+
     async def test_large_answers_arrive_whole(self):
         async with Stage(BUILD, self.id(), 1) as stage:
             gateway = stage.gateways[0]
--- a/test/platform/soak/quick.py
+++ b/test/platform/soak/quick.py
@@ -20,11 +20,13 @@
 class QuickCaller:
     """Sends a small request at intervals on one connection."""
 
-    def __init__(self, number: int, port: int, path: str = "/bulk/16/0/length/0", every_s: float = 0.25):
+    def __init__(self, number: int, port: int, path: str = "/bulk/16/0/length/0", every_s: float = 0.25,
+                 gives_up_s: float = GIVES_UP_S):
         self._number = number
         self._port = port
         self._path = path
         self._every_s = every_s
+        self._gives_up_s = gives_up_s
         self.calls: list[tuple[float, float | None, int]] = []  # sent, answered, status
 
     async def run(self, until: float) -> None:
@@ -35,7 +37,7 @@
             count += 1
             sent, answered, status = time.monotonic(), None, 0
             try:
-                async with asyncio.timeout(GIVES_UP_S):
+                async with asyncio.timeout(self._gives_up_s):
                     if writer is None:
                         reader, writer = await asyncio.open_connection("127.0.0.1", self._port)
                     writer.write(wire.request_bytes("GET", self._path, {
--- a/test/support/ServiceModel.hpp
+++ b/test/support/ServiceModel.hpp
@@ -947,7 +947,7 @@
                      balance::Outcome outcome;
                      outcome.end = end;
                      outcome.status = status;
-                     outcome.connectionEnded = serverEnded;
+                     outcome.loss = serverEnded ? balance::LossCause::ResetByServer : balance::LossCause::None;
                      if (m_settings.passesIdentity && (serverEnded || node.balancer->needsRequestIdentity()))
                          outcome.identity = work->identity;
                      if (answered)
