Status pages: answer requests that came together before reading on

Cause: each read was followed by one answer, however many requests it had brought; the rest was kept, more with each read, without a bound.

Test that failed before: StatusServerTest, 16 of 500 requests answered; now all, and nothing is read while any is left.

--- a/src/sailpath/gateway/StatusServer.cpp
+++ b/src/sailpath/gateway/StatusServer.cpp
@@ -1,5 +1,6 @@
 #include "StatusServer.hpp"
 
+#include <sailpath/core/ReceiveBuffer.hpp>
 #include <sailpath/http/MessageReader.hpp>
 
 #include <asio/write.hpp>
@@ -55,8 +56,13 @@
 
     void received(std::size_t bytes)
     {
-        m_unread.append(m_buffer.data(), bytes);
-        m_unread.erase(0, m_reader->read(m_unread));
+        m_unread.append({m_buffer.data(), bytes});
+        handleBytes();
+    }
+
+    void handleBytes()
+    {
+        m_reader->read(m_unread);
         const http::ReadState state = m_reader->state();
         if (state == http::ReadState::Head || state == http::ReadState::Body)
             return read();
@@ -69,8 +75,9 @@
         asio::async_write(m_socket, asio::buffer(m_response),
                           [self](const asio::error_code& error, std::size_t)
                           {
+                              // Requests that came together are answered before more is read.
                               if (!error && self->m_keepAlive)
-                                  self->read();
+                                  self->m_unread.empty() ? self->read() : self->handleBytes();
                           });
     }
 
@@ -78,7 +85,7 @@
     const StatusServer::Pages&           m_pages;            //!< Pages by path; owned by the server
     std::unique_ptr<http::MessageReader> m_reader;           //!< Parser of the current request
     std::array<char, 1024>               m_buffer{};         //!< Receive buffer
-    std::string                          m_unread;           //!< Received bytes that are not parsed yet
+    core::ReceiveBuffer                  m_unread;           //!< Received bytes that are not parsed yet
     std::string                          m_response;         //!< Response being written
     bool                                 m_keepAlive{false}; //!< Keep the connection open after the response
 };
