--- a/src/sailpath/adapters/links/LinkHub.cpp
+++ b/src/sailpath/adapters/links/LinkHub.cpp
@@ -1,5 +1,7 @@
 #include <sailpath/adapters/links/LinkHub.hpp>
 
+#include <sailpath/core/ReceiveBuffer.hpp>
+
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
@@ -19,7 +21,10 @@
     2UL << 20U; // Bytes that wait for one peer; it is dropped then, and reads the store itself
 constexpr std::size_t mostUnsentAll = 24UL
                                       << 20U; // Bytes that wait for all peers; whoever would add to them is dropped
-constexpr int silenceMs = 1500;               // Unacknowledged bytes until a link is given up
+// Bytes of unfinished messages of all peers. One message may be as long as `decode` allows; whoever would add more while
+// others hold some is dropped.
+constexpr std::size_t mostUnreadAll = 64UL << 20U;
+constexpr int         silenceMs = 1500; // Unacknowledged bytes until a link is given up
 
 } // namespace
 
@@ -34,7 +39,7 @@
         }
 
         asio::ip::tcp::socket  socket;         //!< Connection
-        std::string            unread;         //!< Bytes not taken yet
+        core::ReceiveBuffer    unread;         //!< Bytes not taken yet
         std::string            writing;        //!< Bytes on their way
         std::string            waiting;        //!< Bytes behind them
         std::array<char, 8192> buffer{};       //!< Bytes as they come
@@ -98,19 +103,21 @@
 
     bool take(LinkId id, const LinkPtr& link, std::size_t bytes)
     {
-        link->unread.append(link->buffer.data(), bytes);
+        link->unread.append({link->buffer.data(), bytes});
+        unread += bytes;
         while (!link->dropped)
         {
-            const Decoded decoded = decode(link->unread);
+            const Decoded decoded = decode(link->unread.bytes());
             if (decoded.malformed)
                 return false;
             if (!decoded.message)
             {
                 if (!link->unread.empty() && events.alive)
                     events.alive(id);
-                return true;
+                return unread <= mostUnreadAll || unread == link->unread.size();
             }
-            link->unread.erase(0, decoded.taken);
+            link->unread.consume(decoded.taken);
+            unread -= decoded.taken;
             if (const auto* open = std::get_if<paths::TunnelOpen>(&*decoded.message))
                 return handOver(id, link, *open);
             link->greeted = true;
@@ -132,7 +139,8 @@
             return false;
         link->dropped = true;
         links.erase(id);
-        events.tunnelAsked({net::SocketHandle(descriptor), peer.address().to_string(), open, std::move(link->unread)});
+        unread -= link->unread.size();
+        events.tunnelAsked({net::SocketHandle(descriptor), peer.address().to_string(), open, link->unread.take()});
         return true;
     }
 
@@ -170,6 +178,8 @@
         found->second->dropped = true;
         unsent -= found->second->waiting.size();
         found->second->waiting.clear();
+        unread -= found->second->unread.size();
+        found->second->unread.clear();
         asio::error_code ignored;
         found->second->socket.close(ignored);
         links.erase(found);
@@ -196,6 +206,7 @@
     LinkEvents                events;                             //!< Told what happens
     std::map<LinkId, LinkPtr> links;                              //!< Open or opening
     std::size_t               unsent{0};                          //!< Bytes that wait or are on their way
+    std::size_t               unread{0};                          //!< Bytes of unfinished messages
     LinkId                    nextAccepted{2};                    //!< Even numbers are those of links that peers opened
     std::shared_ptr<const std::vector<replication::Item>> packed; //!< Whole copy that was packed last
     std::string                                           packedBytes; //!< Its bytes
--- a/src/sailpath/adapters/links/TunnelCodec.cpp
+++ b/src/sailpath/adapters/links/TunnelCodec.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 constexpr std::size_t   prefixBytes = 4;
-constexpr std::uint32_t maxMessageBytes = 1U << 20U;
+constexpr std::uint32_t maxMessageBytes = 64U << 10U; // Helpers send what one read of 8 KB brought
 
 ////////////////////////////////////////////////////////////
 void put(wire::TunnelMessage::Builder to, const paths::TunnelMessage& from)
--- a/test/adapters/LinkHub.test.cpp
+++ b/test/adapters/LinkHub.test.cpp
@@ -7,7 +7,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <memory>
 #include <optional>
+#include <vector>
 
 namespace
 {
@@ -121,4 +123,37 @@
     BOOST_TEST(sent < 40); // What the system's buffers take, and 2 MB
 }
 
+// Guards against memory that grows with the number of peers whose messages do not end.
+BOOST_AUTO_TEST_CASE(UnfinishedMessagesOfAllPeersAreBoundedTogether)
+{
+    asio::io_context    context;
+    const std::uint16_t port = freePort();
+    Side                hub(context, port);
+    // A length of 60 MB, which one message may have.
+    const std::string   announced("\x00\x00\xc0\x03", 4);
+    const std::string   part(40UL << 20U, 'x');
+
+    std::vector<std::unique_ptr<asio::ip::tcp::socket>> peers;
+    std::size_t                                         written = 0;
+    for (int i = 0; i < 3; ++i)
+    {
+        auto peer = std::make_unique<asio::ip::tcp::socket>(context);
+        peer->connect({asio::ip::make_address("127.0.0.1"), port});
+        peer->non_blocking(true);
+        const std::string all = announced + part;
+        std::string_view  left = all;
+        asio::error_code  error;
+        while (!left.empty() && (!error || error == asio::error::would_block))
+        {
+            const std::size_t count = peer->write_some(asio::buffer(left), error);
+            left.remove_prefix(count);
+            written += count;
+            context.poll();
+        }
+        peers.push_back(std::move(peer));
+    }
+    BOOST_TEST(runUntil(context, [&] { return hub.closed.has_value(); }));
+    BOOST_TEST(written < (100UL << 20U));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/adapters/Tunnels.test.cpp
+++ b/test/adapters/Tunnels.test.cpp
@@ -68,4 +68,12 @@
     BOOST_TEST(decodeTunnel(std::string(4, '\0')).malformed);
 }
 
+// Guards against memory that grows with the length that another node announces.
+BOOST_AUTO_TEST_CASE(AMessageThatIsLongerThanAnyOfAHelperIsMalformed)
+{
+    const std::string bytes = encodeTunnel(paths::TunnelData{std::string(65'536, 'x')});
+    BOOST_TEST(decodeTunnel(std::string_view(bytes).substr(0, 4)).malformed);
+    BOOST_TEST(!decodeTunnel(encodeTunnel(paths::TunnelData{std::string(32'768, 'x')})).malformed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
