Keep what a server says of itself by its life, not by its entry (DRAIN)

Cause: a pool kept a removed server only if it had notices by then, so a word that came after the removal found nobody. Ruled out by LeavingServersTest: a loss when the entry returns, and health answers. The same for limits and warm-up, which each lapse of an entry lost.

Change: balance::ServerLives holds a record for each life (id and start), with a bound and an end; views of listed servers share it. server-leaving and server-backs-off say whether an entry listed the server.

--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -157,6 +157,7 @@
                       NoticeSource source, core::Timestamp now);
 
     [[nodiscard]] std::vector<NoticeChange>  takeNoticeChanges(); //!< What was new in notices since the last call
+    [[nodiscard]] const ServerLives&         lives() const; //!< What servers have said of themselves, listed or not
     [[nodiscard]] std::vector<NoticeInForce> notices(core::Timestamp now) const; //!< Notices in force
 
     ////////////////////////////////////////////////////////////
@@ -350,7 +351,7 @@
     [[nodiscard]] bool                  applyAll(const deployment::DeclaredState& declared, core::Timestamp now);
     /// \brief Apply the changed and removed instances only; return whether a service is new
     [[nodiscard]] bool                  applyChanges(const deployment::DeclaredState& declared, core::Timestamp now);
-    const std::shared_ptr<ServicePool>& poolOf(const std::string& service, bool& added);
+    const std::shared_ptr<ServicePool>& poolOf(const std::string& service); //!< Created on first use
     void                                seedWorkEstimates();
     [[nodiscard]] core::Timestamp       holdUntil(const Arrival& arrival, core::Timestamp now) const;
     void                                hold(Ticket ticket, const Arrival& arrival, core::Timestamp now);
@@ -451,6 +452,7 @@
     std::map<std::string, quotas::ReturnEstimator, std::less<>> m_returns; //!< By route
     std::optional<core::Timestamp> m_refusedAt;                            //!< Last refusal of a caller that may return
     bool                           m_refused{false}; //!< Whether a caller was refused since the last request
+    std::shared_ptr<ServerLives>   m_lives{std::make_shared<ServerLives>()};   //!< What servers have said of themselves
     std::unordered_map<std::string, std::shared_ptr<ServicePool>> m_pools;     //!< By service
     std::unordered_map<std::string, std::vector<double>>     m_splitCredits;   //!< Credit of each split part, by route
     std::uint32_t                                            m_searchCount{0}; //!< Searches started so far
--- a/include/sailpath/balance/ServerNotice.hpp
+++ b/include/sailpath/balance/ServerNotice.hpp
@@ -45,6 +45,7 @@
     std::shared_ptr<const deployment::Instance> instance;                     //!< The instance that the notice is about
     ServerNotice                                notice;                       //!< Only the part that is new
     NoticeSource                                source{NoticeSource::Answer}; //!< Kind of answer that carried it
+    bool                                        listed{true};                 //!< An entry listed the instance then
 };
 
 ////////////////////////////////////////////////////////////
--- a/include/sailpath/balance/ServerView.hpp
+++ b/include/sailpath/balance/ServerView.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <sailpath/balance/Baseline.hpp>
+#include <sailpath/balance/LifeRecord.hpp>
 #include <sailpath/balance/LimitState.hpp>
 #include <sailpath/balance/Load.hpp>
 #include <sailpath/balance/NoticeState.hpp>
@@ -24,9 +25,12 @@
 {
 public:
     ////////////////////////////////////////////////////////////
-    /// \brief Create the view of an instance of which only the announcement is known
+    /// \brief Create the view of an instance of which only the announcement is known, and what it has said before
+    ///
+    /// \param life Shared by all views of the same life
     ////////////////////////////////////////////////////////////
-    ServerView(deployment::Instance instance, const Settings& settings, core::Timestamp now);
+    ServerView(deployment::Instance instance, const Settings& settings, std::shared_ptr<LifeRecord> life,
+               core::Timestamp now);
 
     void markJoined(); //!< Mark the instance as added to a service that already had servers
     /// \brief Take over a newer announcement of the same life of the instance
@@ -62,9 +66,6 @@
     /// \brief Pass to `SharedLimit::sentElsewhere` if a limit is known
     void sentElsewhere(double requests, double doublings, core::Timestamp now);
 
-    /// \brief Apply a notice of the instance; see `NoticeState::record`
-    ServerNotice applyNotice(const ServerNotice& notice, double spread, core::Timestamp now);
-
     void recordAccepted(core::Timestamp sentAt); //!< The instance answered a request that was sent at that time
     void recordSent(core::Timestamp now);        //!< A request was sent
     void recordEnd(core::Timestamp now);         //!< A request ended
@@ -137,8 +138,7 @@
     [[nodiscard]] double recentRequests(core::Timestamp now) const;
 
     [[nodiscard]] const SharedLimit* limit(core::Timestamp now) const; //!< Null if no limit is in force
-    [[nodiscard]] const NoticeState& notices() const; //!< Notices that the instance sent: leaving, back-off
-    void restoreNotices(const NoticeState& notices);  //!< Copy the notices of an earlier view of the same life
+    [[nodiscard]] const NoticeState& notices() const;            //!< Notices that the instance sent: leaving, back-off
     [[nodiscard]] double reportAgeMs(core::Timestamp now) const; //!< Age of the last load report; negative without one
     [[nodiscard]] std::optional<double> reportedOtherRequests() const; //!< Other nodes' requests as of the last report
 
@@ -160,26 +160,23 @@
         core::Timestamp at{};            //!< Time of arrival
     };
 
-    const Settings&                             m_settings; //!< Constants
-    std::shared_ptr<const deployment::Instance> m_instance; //!< Last announcement
-    core::Timestamp m_coldUntil{};            //!< End of the warm-up, during which it is slow and takes few requests
-    bool            m_coldUnconfirmed{false}; //!< Whether it is taken for cold without its own statement
-    bool            m_retired{false};         //!< Whether it was removed from its service
-    bool            m_evacuated{false};       //!< Whether its data centre is evacuated
-    double          m_coldTokens{1};          //!< Token bucket of size 1 for requests sent while cold
-    core::Timestamp m_coldTokensAt{};         //!< Time of the last change of `m_coldTokens`
+    const Settings&                             m_settings;         //!< Constants
+    std::shared_ptr<const deployment::Instance> m_instance;         //!< Last announcement
+    std::shared_ptr<LifeRecord>                 m_life;             //!< What the instance has said of itself
+    bool                                        m_retired{false};   //!< Whether it was removed from its service
+    bool                                        m_evacuated{false}; //!< Whether its data centre is evacuated
+    double          m_coldTokens{1};      //!< Token bucket of size 1 for requests sent while cold
+    core::Timestamp m_coldTokensAt{};     //!< Time of the last change of `m_coldTokens`
     double          m_recentRequests{0};  //!< Decaying count of requests sent by this node, as of `m_recentRequestsAt`
     core::Timestamp m_recentRequestsAt{}; //!< Time of the last request sent
-    std::optional<SharedLimit> m_limit;   //!< Set while a limit is known
-    NoticeState                m_notices; //!< Notices that the instance sent: leaving, back-off
-    unsigned                   m_inFlight{0};        //!< Requests of this node in progress there
-    unsigned                   m_idleConnections{0}; //!< Idle connections
-    unsigned                   m_openConnections{0}; //!< All connections
-    std::optional<Report>      m_report;             //!< Last load report
-    double                     m_latencyRatio{1};    //!< Observed over expected latency, as of `m_latencyRatioAt`
-    core::Timestamp            m_latencyRatioAt{};   //!< Time of the last observation
-    double                     m_failures{0};        //!< Share of recent attempts that failed, as of `m_failuresAt`
-    core::Timestamp            m_failuresAt{};       //!< Time of the last failure
+    unsigned        m_inFlight{0};        //!< Requests of this node in progress there
+    unsigned        m_idleConnections{0}; //!< Idle connections
+    unsigned        m_openConnections{0}; //!< All connections
+    std::optional<Report> m_report;       //!< Last load report
+    double                m_latencyRatio{1};  //!< Observed over expected latency, as of `m_latencyRatioAt`
+    core::Timestamp       m_latencyRatioAt{}; //!< Time of the last observation
+    double                m_failures{0};      //!< Share of recent attempts that failed, as of `m_failuresAt`
+    core::Timestamp       m_failuresAt{};     //!< Time of the last failure
     std::vector<std::pair<std::uint32_t, core::Timestamp>>
                     m_failureObservers;       //!< Nodes that saw it fail, each with the time of its last observation
     core::Timestamp m_suspectUntil{};         //!< Avoided until this time
--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -4,6 +4,7 @@
 #include <sailpath/balance/Pressure.hpp>
 #include <sailpath/balance/ProbeBudget.hpp>
 #include <sailpath/balance/RetryWindow.hpp>
+#include <sailpath/balance/ServerLives.hpp>
 #include <sailpath/balance/ServerSubset.hpp>
 #include <sailpath/balance/ServerView.hpp>
 #include <sailpath/balance/WarmUpLimit.hpp>
@@ -16,7 +17,6 @@
 #include <sailpath/deployment/ServerFailure.hpp>
 #include <sailpath/snapshot/LearnedState.hpp>
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -93,9 +93,11 @@
     /// \brief Create a pool without instances
     ///
     /// \param settings  Constants; must outlive the pool
+    /// \param lives     What servers have said of themselves, listed or not
     /// \param startedAt Start of this process
     ////////////////////////////////////////////////////////////
-    ServicePool(std::string name, const Settings& settings, core::Timestamp startedAt);
+    ServicePool(std::string name, const Settings& settings, std::shared_ptr<ServerLives> lives,
+                core::Timestamp startedAt);
 
     void setRule(const deployment::ServiceRule& rule, unsigned nodes); //!< Apply the declared rule of the service
     /// \brief Set the connections that one instance takes from all nodes
@@ -166,16 +168,6 @@
     std::shared_ptr<const deployment::Instance> recordRemoteFailure(const deployment::ServerFailure& failure,
                                                                     core::Timestamp                  now);
 
-    ////////////////////////////////////////////////////////////
-    /// \brief Apply a notice of an instance; notices of an earlier life of the instance are ignored
-    ///
-    /// \param spread See `NoticeState::record`
-    ///
-    /// \return The part of the notice that is new
-    ////////////////////////////////////////////////////////////
-    ServerNotice applyNotice(const deployment::Instance& instance, const ServerNotice& notice, double spread,
-                             core::Timestamp now);
-
     void addLearned(snapshot::LearnedState& to,
                     core::Timestamp         now) const;          //!< Append what this node has learned of the service
     void startFrom(const snapshot::LearnedState& state); //!< Start from a snapshot; answers replace its values
@@ -271,8 +263,6 @@
     [[nodiscard]] bool        noticesAllow(const ServerView& server, bool allowLeaving, core::Timestamp now) const;
     [[nodiscard]] Choice      chooseAmong(const SelectionCriteria& criteria, bool allowLeaving, core::Timestamp now,
                                           core::Random& random) const;
-    /// \brief Keep the notices of a removed server in case its entry returns
-    void                      retainNotices(const std::shared_ptr<ServerView>& server);
     void                      add(deployment::Instance instance, bool isJoining, core::Timestamp now,
                                   const std::set<std::string>& evacuated);
     [[nodiscard]] static bool reportedWithin(const ServerView& server, core::Duration age, core::Timestamp now);
@@ -284,10 +274,9 @@
     const Settings&                                                m_settings; //!< Constants
     std::unordered_map<std::string, std::shared_ptr<ServerView>>   m_byId;     //!< All instances by id
     std::unordered_map<std::uint32_t, std::shared_ptr<ServerView>> m_byHash;   //!< All instances by `lifeHash`
-    std::deque<std::shared_ptr<ServerView>>
-                    m_removedServers;          //!< Removed servers whose notices apply again if their entries return
-    double          m_failureObservations{0};  //!< Decaying count of failures that nodes saw
-    core::Timestamp m_failureObservationsAt{}; //!< Time of the last change of `m_failureObservations`
+    std::shared_ptr<ServerLives> m_lives;                   //!< What servers have said of themselves, listed or not
+    double                       m_failureObservations{0};  //!< Decaying count of failures that nodes saw
+    core::Timestamp              m_failureObservationsAt{}; //!< Time of the last change of `m_failureObservations`
     std::vector<std::shared_ptr<ServerView>> m_servers;     //!< Instances that may get requests
     ServerSubset                             m_subset;      //!< Those of `m_servers` that this node considers first
     retry::FleetBudget                       m_fleetBudget; //!< Use of the retry budget by all nodes
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -82,6 +82,7 @@
 void Balancer::configure(const deployment::DeclaredState& declared, core::Timestamp now)
 {
     m_nodes = std::max(1U, declared.nodes);
+    m_lives->forgetOld(now);
     m_crashes.applyStored(declared.quarantines, now);
     bool changed = declared.deployment && declared.deployment != m_deployment;
     if (changed)
@@ -123,17 +124,17 @@
     }
     for (auto& [name, pool] : m_pools)
         byService.try_emplace(name);
-    bool added = false;
+    const std::size_t before = m_pools.size();
     for (auto& [name, instances] : byService)
-        poolOf(name, added)->setInstances(std::move(instances), now, declared.evacuated);
-    return added;
+        poolOf(name)->setInstances(std::move(instances), now, declared.evacuated);
+    return m_pools.size() > before;
 }
 
 ////////////////////////////////////////////////////////////
 bool Balancer::applyChanges(const deployment::DeclaredState& declared, core::Timestamp now)
 {
-    bool       added = false;
-    const auto remove = [&](const deployment::Instance& instance)
+    const std::size_t before = m_pools.size();
+    const auto        remove = [&](const deployment::Instance& instance)
     {
         if (const auto pool = m_pools.find(instance.service); pool != m_pools.end())
             pool->second->remove(instance.id);
@@ -147,20 +148,17 @@
         if (instance.draining)
             remove(instance);
         else
-            poolOf(instance.service, added)->upsert(instance, now, declared.evacuated);
+            poolOf(instance.service)->upsert(instance, now, declared.evacuated);
     }
-    return added;
+    return m_pools.size() > before;
 }
 
 ////////////////////////////////////////////////////////////
-const std::shared_ptr<ServicePool>& Balancer::poolOf(const std::string& service, bool& added)
+const std::shared_ptr<ServicePool>& Balancer::poolOf(const std::string& service)
 {
     auto& pool = m_pools[service];
     if (!pool)
-    {
-        pool = std::make_shared<ServicePool>(service, m_settings, m_startedAt);
-        added = true;
-    }
+        pool = std::make_shared<ServicePool>(service, m_settings, m_lives, m_startedAt);
     return pool;
 }
 
--- a/src/sailpath/balance/BalancerAdmission.cpp
+++ b/src/sailpath/balance/BalancerAdmission.cpp
@@ -229,10 +229,7 @@
             at -= route.parts[best].weight;
     }
     credit[best] -= 1;
-    auto& pool = m_pools[route.parts[best].service];
-    if (!pool)
-        pool = std::make_shared<ServicePool>(route.parts[best].service, m_settings, m_startedAt);
-    return pool;
+    return poolOf(route.parts[best].service);
 }
 
 } // namespace sailpath::balance
--- a/src/sailpath/balance/BalancerNotices.cpp
+++ b/src/sailpath/balance/BalancerNotices.cpp
@@ -31,12 +31,14 @@
 void Balancer::recordNotice(const std::shared_ptr<const deployment::Instance>& instance, const ServerNotice& notice,
                             NoticeSource source, core::Timestamp now)
 {
-    const auto pool = m_pools.find(instance->service);
-    if (pool == m_pools.end())
+    // The notice holds for the life of the server, whether an entry lists it now, did, or will again.
+    const ServerNotice news = m_lives->of(*instance, now)->notices.record(notice, m_random.unit(), now);
+    if (news.empty() || m_noticeChanges.size() >= maxPendingNews)
         return;
-    const ServerNotice news = pool->second->applyNotice(*instance, notice, m_random.unit(), now);
-    if (!news.empty() && m_noticeChanges.size() < maxPendingNews)
-        m_noticeChanges.push_back({instance, news, source});
+    const auto pool = m_pools.find(instance->service);
+    const auto server = pool != m_pools.end() ? pool->second->find(instance->id) : nullptr;
+    const bool listed = server && deployment::sameInstance(*server->instance(), *instance);
+    m_noticeChanges.push_back({instance, news, source, listed});
 }
 
 ////////////////////////////////////////////////////////////
@@ -45,6 +47,12 @@
     return std::exchange(m_noticeChanges, {});
 }
 
+////////////////////////////////////////////////////////////
+const ServerLives& Balancer::lives() const
+{
+    return *m_lives;
+}
+
 ////////////////////////////////////////////////////////////
 std::vector<NoticeInForce> Balancer::notices(core::Timestamp now) const
 {
--- a/src/sailpath/balance/ServerView.cpp
+++ b/src/sailpath/balance/ServerView.cpp
@@ -39,12 +39,14 @@
 } // namespace
 
 ////////////////////////////////////////////////////////////
-ServerView::ServerView(deployment::Instance instance, const Settings& settings, core::Timestamp now) :
+ServerView::ServerView(deployment::Instance instance, const Settings& settings, std::shared_ptr<LifeRecord> life,
+                       core::Timestamp now) :
 m_settings(settings),
 m_instance(std::make_shared<const deployment::Instance>(std::move(instance))),
-m_coldUntil(now + m_instance->warmUp),
+m_life(std::move(life)),
 m_coldTokensAt(now)
 {
+    m_life->coldUntil = std::max<core::Timestamp>(m_life->coldUntil, now + m_instance->warmUp);
 }
 
 ////////////////////////////////////////////////////////////
@@ -57,7 +59,7 @@
 void ServerView::update(deployment::Instance instance, core::Timestamp now)
 {
     if (instance.warmUp != m_instance->warmUp)
-        m_coldUntil = std::max<core::Timestamp>(m_coldUntil, now + instance.warmUp);
+        m_life->coldUntil = std::max<core::Timestamp>(m_life->coldUntil, now + instance.warmUp);
     m_instance = std::make_shared<const deployment::Instance>(std::move(instance));
 }
 
@@ -83,42 +85,42 @@
 void ServerView::reinstate(core::Duration warmUp, core::Timestamp now)
 {
     m_evacuated = false;
-    m_coldUntil = std::max<core::Timestamp>(m_coldUntil, now + warmUp);
-    m_coldUnconfirmed = true;
+    m_life->coldUntil = std::max<core::Timestamp>(m_life->coldUntil, now + warmUp);
+    m_life->coldUnconfirmed = true;
 }
 
 ////////////////////////////////////////////////////////////
 bool ServerView::updateWarmUp(core::Duration left, core::Timestamp now)
 {
     const bool wasCold = cold(now);
-    m_coldUntil = now + left;
-    m_coldUnconfirmed = false;
+    m_life->coldUntil = now + left;
+    m_life->coldUnconfirmed = false;
     return wasCold != cold(now);
 }
 
 ////////////////////////////////////////////////////////////
 bool ServerView::updateLimit(double perSecond, core::Timestamp at, double doublings, core::Timestamp now)
 {
-    if (m_limit && m_limit->hasEnded(now))
-        m_limit.reset();
-    if (!m_limit && perSecond == unlimited)
+    if (m_life->limit && m_life->limit->hasEnded(now))
+        m_life->limit.reset();
+    if (!m_life->limit && perSecond == unlimited)
         return false;
-    if (!m_limit)
+    if (!m_life->limit)
     {
-        m_limit.emplace(doublings, now);
+        m_life->limit.emplace(doublings, now);
         // The server also counts the requests that it got just before; without them it would get more than it can take.
-        const bool changed = m_limit->recordLimit(perSecond, at, now);
-        m_limit->recordSent(recentRequests(now), now);
+        const bool changed = m_life->limit->recordLimit(perSecond, at, now);
+        m_life->limit->recordSent(recentRequests(now), now);
         return changed;
     }
-    return m_limit->recordLimit(perSecond, at, now);
+    return m_life->limit->recordLimit(perSecond, at, now);
 }
 
 ////////////////////////////////////////////////////////////
 void ServerView::sentElsewhere(double requests, double doublings, core::Timestamp now)
 {
-    if (m_limit)
-        m_limit->recordSentElsewhere(requests, doublings, now);
+    if (m_life->limit)
+        m_life->limit->recordSentElsewhere(requests, doublings, now);
 }
 
 ////////////////////////////////////////////////////////////
@@ -130,31 +132,19 @@
 ////////////////////////////////////////////////////////////
 const SharedLimit* ServerView::limit(core::Timestamp now) const
 {
-    return m_limit && !m_limit->hasEnded(now) ? &*m_limit : nullptr;
-}
-
-////////////////////////////////////////////////////////////
-ServerNotice ServerView::applyNotice(const ServerNotice& notice, double spread, core::Timestamp now)
-{
-    return m_notices.record(notice, spread, now);
+    return m_life->limit && !m_life->limit->hasEnded(now) ? &*m_life->limit : nullptr;
 }
 
 ////////////////////////////////////////////////////////////
 void ServerView::recordAccepted(core::Timestamp sentAt)
 {
-    m_notices.recordAccepted(sentAt);
-}
-
-////////////////////////////////////////////////////////////
-void ServerView::restoreNotices(const NoticeState& notices)
-{
-    m_notices = notices;
+    m_life->notices.recordAccepted(sentAt);
 }
 
 ////////////////////////////////////////////////////////////
 const NoticeState& ServerView::notices() const
 {
-    return m_notices;
+    return m_life->notices;
 }
 
 ////////////////////////////////////////////////////////////
@@ -163,9 +153,9 @@
     ++m_inFlight;
     m_recentRequests = recentRequests(now) + 1;
     m_recentRequestsAt = now;
-    m_notices.recordSent(now);
-    if (m_limit)
-        m_limit->recordSent(1, now);
+    m_life->notices.recordSent(now);
+    if (m_life->limit)
+        m_life->limit->recordSent(1, now);
 }
 
 ////////////////////////////////////////////////////////////
@@ -382,13 +372,13 @@
 ////////////////////////////////////////////////////////////
 bool ServerView::cold(core::Timestamp now) const
 {
-    return now < m_coldUntil;
+    return now < m_life->coldUntil;
 }
 
 ////////////////////////////////////////////////////////////
 bool ServerView::coldUnconfirmed(core::Timestamp now) const
 {
-    return m_coldUnconfirmed && cold(now);
+    return m_life->coldUnconfirmed && cold(now);
 }
 
 ////////////////////////////////////////////////////////////
@@ -408,7 +398,7 @@
 bool ServerView::isNewcomer() const
 {
     // A report from the warm-up says little about the warm instance; nodes that relied on it would not choose it again.
-    return m_joined && (!m_report || m_report->at < m_coldUntil);
+    return m_joined && (!m_report || m_report->at < m_life->coldUntil);
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -7,22 +7,23 @@
 {
 namespace
 {
-constexpr double      goodShareGain = 0.05; // Weight of one probe in the share of good servers
+constexpr double   goodShareGain = 0.05; // Weight of one probe in the share of good servers
 // Share of the servers that may be suspect at once; the others could hardly take more load.
-constexpr double      maxSuspectShare = 1.0 / 3;
-constexpr double      observationDecayMs = 4000; // Decay time of the observed failures
-constexpr double      probeShare = 0.8;          // Used share of the probe budget
-constexpr unsigned    minConnections = 2;
-constexpr std::size_t maxRemovedServers = 256; // A forgotten notice is learned again from one answer
+constexpr double   maxSuspectShare = 1.0 / 3;
+constexpr double   observationDecayMs = 4000; // Decay time of the observed failures
+constexpr double   probeShare = 0.8;          // Used share of the probe budget
+constexpr unsigned minConnections = 2;
 // Time after its last request for which a route counts as active.
-constexpr auto        routeActiveFor = std::chrono::seconds{5};
+constexpr auto     routeActiveFor = std::chrono::seconds{5};
 
 } // namespace
 
 ////////////////////////////////////////////////////////////
-ServicePool::ServicePool(std::string name, const Settings& settings, core::Timestamp startedAt) :
+ServicePool::ServicePool(std::string name, const Settings& settings, std::shared_ptr<ServerLives> lives,
+                         core::Timestamp startedAt) :
 m_name(std::move(name)),
 m_settings(settings),
+m_lives(std::move(lives)),
 m_subset(settings.self, settings.dataCentre, settings.subsetSize),
 m_fleetBudget(settings.retryWindow),
 m_retries(settings.retryWindow, settings.retryRatio, startedAt),
@@ -112,15 +113,10 @@
     if (known != m_byId.end())
         remove(std::string(instance.id));
     const std::string id = instance.id;
-    const auto        server = std::make_shared<ServerView>(std::move(instance), m_settings, now);
-    const auto        removed = std::find_if(m_removedServers.begin(), m_removedServers.end(),
-                                             [&](const auto& known) { return known->instance()->id == id; });
-    if (removed != m_removedServers.end())
-    {
-        if (deployment::sameInstance(*(*removed)->instance(), *server->instance()))
-            server->restoreNotices((*removed)->notices());
-        m_removedServers.erase(removed);
-    }
+    auto              life = m_lives->of(instance, now);
+    const auto        server = std::make_shared<ServerView>(std::move(instance), m_settings, std::move(life), now);
+    if (server->limit(now) != nullptr)
+        markLimited();
     if (isJoining)
         server->markJoined();
     m_byId.emplace(id, server);
@@ -144,7 +140,6 @@
     if (known == m_byId.end())
         return;
     known->second->retire();
-    retainNotices(known->second);
     const auto hash = m_byHash.find(deployment::instanceHash(*known->second->instance()));
     if (hash != m_byHash.end() && hash->second == known->second)
         m_byHash.erase(hash);
@@ -158,16 +153,6 @@
     m_byId.erase(known);
 }
 
-////////////////////////////////////////////////////////////
-void ServicePool::retainNotices(const std::shared_ptr<ServerView>& server)
-{
-    if (server->notices().empty())
-        return;
-    m_removedServers.push_back(server);
-    if (m_removedServers.size() > maxRemovedServers)
-        m_removedServers.pop_front();
-}
-
 ////////////////////////////////////////////////////////////
 std::uint64_t ServicePool::examinedCount() const
 {
@@ -230,19 +215,6 @@
     }
 }
 
-////////////////////////////////////////////////////////////
-ServerNotice ServicePool::applyNotice(const deployment::Instance& instance, const ServerNotice& notice, double spread,
-                                      core::Timestamp now)
-{
-    const auto sameLife = [&](const std::shared_ptr<ServerView>& server)
-    { return deployment::sameInstance(*server->instance(), instance); };
-    if (const auto server = find(instance.id))
-        return sameLife(server) ? server->applyNotice(notice, spread, now) : ServerNotice{};
-    // The entry may be missing only temporarily; answers still in transit carry notices for it.
-    const auto removed = std::find_if(m_removedServers.begin(), m_removedServers.end(), sameLife);
-    return removed != m_removedServers.end() ? (*removed)->applyNotice(notice, spread, now) : ServerNotice{};
-}
-
 ////////////////////////////////////////////////////////////
 void ServicePool::addNotices(std::vector<NoticeInForce>& all, core::Timestamp now) const
 {
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -285,12 +285,16 @@
     const std::string_view      source = balance::toString(change.source);
     if (change.notice.leaving)
         events.write(ports::Level::Info, "server-leaving",
-                     {{"instance", instance.id}, {"service", instance.service}, {"source", source}});
+                     {{"instance", instance.id},
+                      {"service", instance.service},
+                      {"source", source},
+                      {"listed", change.listed ? 1 : 0}});
     if (change.notice.backOff.count() > 0)
         events.write(ports::Level::Info, "server-backs-off",
                      {{"instance", instance.id},
                       {"service", instance.service},
                       {"source", source},
+                      {"listed", change.listed ? 1 : 0},
                       {"forMs", core::toMilliseconds(change.notice.backOff)}});
 }
 
--- a/test/balance/ManyServers.test.cpp
+++ b/test/balance/ManyServers.test.cpp
@@ -33,7 +33,7 @@
 {
     Node(unsigned number, unsigned servers) :
     settings(settingsOf(number)),
-    pool("portal", settings, start)
+    pool("portal", settings, std::make_shared<balance::ServerLives>(), start)
     {
         std::vector<deployment::Instance> all;
         for (unsigned i = 0; i < servers; ++i)
--- a/test/balance/ServicePool.test.cpp
+++ b/test/balance/ServicePool.test.cpp
@@ -63,7 +63,7 @@
     }
 
     balance::Settings settings;
-    ServicePool       pool{"portal", settings, start};
+    ServicePool       pool{"portal", settings, std::make_shared<balance::ServerLives>(), start};
     core::Random      random{1};
 };
 
