Services that are new during an evacuation: use their servers after its end

Cause: a pool that was made by a change during an evacuation did not note the evacuated data centres, so the end of the evacuation was no change for it and its servers stayed out for good (requests were refused as all-evacuated).

Change: the pool has the evacuated data centres in one place and takes them with each instance. EvacuationTest failed before: the request was refused.

--- a/include/sailpath/balance/ServicePool.hpp
+++ b/include/sailpath/balance/ServicePool.hpp
@@ -263,8 +263,7 @@
     [[nodiscard]] bool        noticesAllow(const ServerView& server, bool allowLeaving, core::Timestamp now) const;
     [[nodiscard]] Choice      chooseAmong(const SelectionCriteria& criteria, bool allowLeaving, core::Timestamp now,
                                           core::Random& random) const;
-    void                      add(deployment::Instance instance, bool isJoining, core::Timestamp now,
-                                  const std::set<std::string>& evacuated);
+    void                      add(deployment::Instance instance, bool isJoining, core::Timestamp now);
     [[nodiscard]] static bool reportedWithin(const ServerView& server, core::Duration age, core::Timestamp now);
     [[nodiscard]] bool        isLocal(const ServerView& server) const;
     [[nodiscard]] double      cost(const ServerView& server, const SelectionCriteria& criteria, double workMs,
--- a/src/sailpath/balance/ServicePool.cpp
+++ b/src/sailpath/balance/ServicePool.cpp
@@ -89,18 +89,18 @@
     for (const std::string& id : removedIds)
         remove(id);
     for (deployment::Instance& instance : instances)
-        add(std::move(instance), !wasEmpty, now, evacuated);
+        add(std::move(instance), !wasEmpty, now);
 }
 
 ////////////////////////////////////////////////////////////
 void ServicePool::upsert(deployment::Instance instance, core::Timestamp now, const std::set<std::string>& evacuated)
 {
-    add(std::move(instance), !m_servers.empty(), now, evacuated);
+    setEvacuated(evacuated, now);
+    add(std::move(instance), !m_servers.empty(), now);
 }
 
 ////////////////////////////////////////////////////////////
-void ServicePool::add(deployment::Instance instance, bool isJoining, core::Timestamp now,
-                      const std::set<std::string>& evacuated)
+void ServicePool::add(deployment::Instance instance, bool isJoining, core::Timestamp now)
 {
     const auto known = m_byId.find(instance.id);
     // A restarted server is a new instance; the state of its previous life does not apply.
@@ -121,7 +121,7 @@
         server->markJoined();
     m_byId.emplace(id, server);
     m_byHash[deployment::instanceHash(*server->instance())] = server;
-    if (evacuated.contains(server->instance()->dataCentre))
+    if (m_evacuatedDataCentres.contains(server->instance()->dataCentre))
     {
         server->evacuate();
         ++m_evacuated;
--- a/test/balance/Evacuation.test.cpp
+++ b/test/balance/Evacuation.test.cpp
@@ -247,4 +247,26 @@
     BOOST_TEST(sentTo("dc-1", 20, 0ms) > 5U);
 }
 
+// Guards against servers that stay out for good because their service was heard of first during the evacuation.
+BOOST_AUTO_TEST_CASE(ServersOfAServiceThatIsNewDuringAnEvacuationAreUsedAfterIt)
+{
+    deployment::DeclaredState change;
+    change.deployment = declared.deployment;
+    change.whole = false;
+    change.instances = declared.instances;
+    change.evacuated = {"dc-1", "dc-2"};
+    Balancer fresh(settingsOf(), now);
+    fresh.configure(change, now);
+    now += 1s;
+    change.instances.clear();
+    change.evacuated.clear();
+    fresh.configure(change, now);
+    now += 20s;
+    fresh.admit(++ticket, {"a.example", "/read/1", now, 4s}, now);
+    std::vector<Step> taken;
+    fresh.takeSteps(taken);
+    BOOST_REQUIRE(!taken.empty());
+    BOOST_TEST((taken[0].kind == StepKind::Probe || taken[0].kind == StepKind::Forward));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
