--- a/test/gateway/LostPaths.test.cpp
+++ b/test/gateway/LostPaths.test.cpp
@@ -8,7 +8,6 @@
 #include <asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
-
 namespace
 {
 using namespace sailpath;
