Count ends of servers after the time of the request that they ran (BUDGET)

Cause: the send goes on, as it may not run twice, and its end is read, but the request was forgotten at its deadline, so nothing was checked. Ruled out: a connection that nobody reads; the ledger, which rightly leaves out sends that were under way at an end.

No innocent: the server has to refuse, as before (test/balance/crashes passes unchanged).

--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -2,6 +2,7 @@
 
 #include <sailpath/balance/CrashLedger.hpp>
 #include <sailpath/balance/HeldRequests.hpp>
+#include <sailpath/balance/LateSends.hpp>
 #include <sailpath/balance/LossCause.hpp>
 #include <sailpath/balance/ServerNotice.hpp>
 #include <sailpath/balance/ServicePool.hpp>
@@ -141,9 +142,17 @@
 
     ////////////////////////////////////////////////////////////
     /// \brief Decide what follows the end of an attempt
+    ///
+    /// Call this also when the request has ended before: the end of an attempt
+    /// that was left running is evidence.
     ////////////////////////////////////////////////////////////
     void attemptEnded(Ticket ticket, unsigned attempt, const Outcome& outcome, core::Timestamp now);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Tell the identity of a request one attempt of which is left running after the request's end
+    ////////////////////////////////////////////////////////////
+    void identifyLateSend(Ticket ticket, unsigned attempt, const deployment::RequestIdentity& identity);
+
     ////////////////////////////////////////////////////////////
     /// \brief Process the result of a probe
     ///
@@ -405,7 +414,8 @@
     void learnOutcome(Request& request, Attempt& attempt, const Outcome& outcome, core::Timestamp now);
     void learnLatency(Request& request, const Attempt& attempt, double latencyMs, core::Timestamp now);
     /// \brief Remember a request whose connection closed and check whether its server crashed
-    void checkAfterLoss(const Request& request, const Attempt& attempt, core::Timestamp now);
+    void checkAfterLoss(const std::shared_ptr<const deployment::Instance>& instance, const LostRequest& lostRequest);
+    void lateSendEnded(Ticket ticket, unsigned attempt, const Outcome& outcome, core::Timestamp now);
     void recordServed(const deployment::RequestIdentity& identity, core::Timestamp now);
     /// \brief Refuse a request that is quarantined or has a trial in flight; return whether it is refused
     [[nodiscard]] bool refuseIfQuarantined(Ticket ticket, const Request& request, core::Timestamp now);
@@ -480,6 +490,7 @@
     std::vector<deployment::LimitReport>                     m_limitNews; //!< For `takeLimitNews`, one per instance
     std::vector<Step>                                        m_steps;     //!< For `takeSteps`
     CrashLedger                                              m_crashes;   //!< Requests during which servers crashed
+    LateSends                                                m_lateSends; //!< Left running after their requests' ends
     std::map<std::string, std::vector<LostRequest>> m_pendingChecks; //!< Lost requests awaiting a check, by instance
     deployment::CrashReport                         m_crashNews;     //!< For `takeCrashNews`
 };
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -187,7 +187,9 @@
 void Balancer::attemptEnded(Ticket ticket, unsigned number, const Outcome& outcome, core::Timestamp now)
 {
     const auto found = m_requests.find(ticket);
-    if (found == m_requests.end() || number == 0 || number > found->second.attempts.size())
+    if (found == m_requests.end())
+        return lateSendEnded(ticket, number, outcome, now);
+    if (number == 0 || number > found->second.attempts.size())
         return;
     Request& request = found->second;
     Attempt& attempt = request.attempts[number - 1];
@@ -199,7 +201,7 @@
     if (outcome.identity)
         request.identity = outcome.identity;
     if (endedByServer(outcome.loss) && request.identity)
-        checkAfterLoss(request, attempt, now);
+        checkAfterLoss(attempt.server->instance(), {*request.identity, attempt.sentAt, now});
 
     const bool failedAnswer = outcome.status >= statusServerFailed;
     if (outcome.end == AttemptEnd::Answered && !failedAnswer && request.identity)
@@ -422,6 +424,8 @@
         step.ticket = ticket;
         step.attempt = static_cast<unsigned>(i + 1);
         step.repeatable = request.route.repeatable;
+        if (!step.repeatable)
+            m_lateSends.add(ticket, step.attempt, {attempt.server->instance(), attempt.sentAt, now, request.identity});
         m_steps.push_back(step);
     }
 }
--- a/src/sailpath/balance/BalancerCrashes.cpp
+++ b/src/sailpath/balance/BalancerCrashes.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t maxPendingNews = 256;  // Reached only when `takeCrashNews` is not called
 constexpr std::size_t singleSendFrom = 2;    // Crashes from which a request is sent once at a time and without retries
 constexpr std::size_t noHedgeFrom = 1;       // Crashes from which a request is not hedged
+constexpr unsigned    statusServerFailed = 500;
 
 } // namespace
 
@@ -32,14 +33,14 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Balancer::checkAfterLoss(const Request& request, const Attempt& attempt, core::Timestamp now)
+void Balancer::checkAfterLoss(const std::shared_ptr<const deployment::Instance>& instance,
+                              const LostRequest&                                 lostRequest)
 {
-    const auto& instance = attempt.server->instance();
     if (m_pendingChecks.size() >= maxPendingChecks && !m_pendingChecks.contains(instance->id))
         return;
     std::vector<LostRequest>& lost = m_pendingChecks[instance->id];
     if (lost.size() < maxPendingChecks)
-        lost.push_back({*request.identity, attempt.sentAt, now});
+        lost.push_back(lostRequest);
     if (lost.size() > 1)
         return; // A check of the instance is already in progress.
     Step step;
@@ -48,6 +49,27 @@
     m_steps.push_back(std::move(step));
 }
 
+////////////////////////////////////////////////////////////
+void Balancer::identifyLateSend(Ticket ticket, unsigned attempt, const deployment::RequestIdentity& identity)
+{
+    m_lateSends.identify(ticket, attempt, identity);
+}
+
+////////////////////////////////////////////////////////////
+void Balancer::lateSendEnded(Ticket ticket, unsigned attempt, const Outcome& outcome, core::Timestamp now)
+{
+    const auto late = m_lateSends.take(ticket, attempt, now);
+    if (!late)
+        return;
+    if (endedByServer(outcome.loss))
+        return checkAfterLoss(late->instance, {*late->identity, late->sentAt, now});
+    if (outcome.end != AttemptEnd::Answered && outcome.end != AttemptEnd::NotRun)
+        return;
+    m_crashes.recordContact(deployment::instanceHash(*late->instance), now);
+    if (outcome.end == AttemptEnd::Answered && outcome.status < statusServerFailed)
+        recordServed(*late->identity, now);
+}
+
 ////////////////////////////////////////////////////////////
 void Balancer::checkEnded(const deployment::Instance& instance, CheckResult result, core::Timestamp now)
 {
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -351,6 +351,8 @@
         // A non-repeatable attempt is left running: its server stops by itself at the deadline.
         if (connection && step.repeatable)
             connection->abandon();
+        else if (connection)
+            balancer.identifyLateSend(step.ticket, step.attempt, found->second.identity());
         return;
     }
     case balance::StepKind::Answer:
--- a/test/gateway/crashes/RequestsThatEndServers.test.cpp
+++ b/test/gateway/crashes/RequestsThatEndServers.test.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <thread>
 
 namespace
 {
@@ -28,9 +29,10 @@
 ////////////////////////////////////////////////////////////
 /// \brief A gateway in front of 16 servers that requests can crash
 ////////////////////////////////////////////////////////////
-struct EndingFixture : support::PatientFixture
+struct EndingFixture : support::Fixture
 {
-    EndingFixture()
+    explicit EndingFixture(core::Duration timeout = core::Duration(10s)) :
+    Fixture(echo, true, timeout)
     {
         declared.instances.clear();
         for (std::size_t i = 0; i < 16; ++i)
@@ -80,4 +82,40 @@
     BOOST_TEST(setup.statusOfRequest("/pay/fine", "f", "POST") == 200);
 }
 
+// Guards against ends that are not seen as the request had timed out, and its caller may have left.
+BOOST_AUTO_TEST_CASE(ServersThatEndAfterTheTimeOfANonRepeatableRequestCount)
+{
+    for (const bool callerLeaves : {false, true})
+    {
+        EndingFixture setup(300ms);
+        const auto    unanswered = [&]
+        {
+            return std::find_if(setup.servers.begin(), setup.servers.end(),
+                                [](const auto& one) { return one->unanswered() > 0 && !one->crashed(); });
+        };
+        int sent = 0;
+        for (int i = 0; i < tries; ++i)
+        {
+            TestCaller caller(setup.gateway->port());
+            caller.write(support::Fixture::request("/pay/waits", "p" + std::to_string(i), {}, "POST"));
+            if (callerLeaves)
+            {
+                std::this_thread::sleep_for(100ms);
+                caller.close();
+                std::this_thread::sleep_for(400ms);
+            }
+            else
+                BOOST_TEST(statusOf(caller.readAnswer()) >= 500);
+            std::this_thread::sleep_for(100ms);
+            if (const auto server = unanswered(); server != setup.servers.end())
+            {
+                ++sent;
+                (*server)->crash();
+            }
+            std::this_thread::sleep_for(200ms);
+        }
+        BOOST_TEST(sent == static_cast<int>(maxEnded));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
