Tests: heads of answers that are cut short

A report of other operators: clients got a 200 with an empty or short body after a server stopped in the middle of its answer's head.

--- a/test/platform/HttpCaller.test.cpp
+++ b/test/platform/HttpCaller.test.cpp
@@ -40,4 +40,27 @@
     }
 }
 
+// Guards against a copy of the store that lacks what followed a cut.
+BOOST_AUTO_TEST_CASE(AnAnswerThatIsCutAtAnyByteIsNone)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
+    for (std::size_t length = 0; length <= whole.size(); ++length)
+    {
+        support::ScriptedServer store(
+            [&](const std::string&) {
+                return support::Script{whole.substr(0, length), 0ms, true};
+            });
+        asio::io_context            context;
+        adapters::calls::HttpCaller caller(context, {"127.0.0.1", store.port()});
+
+        std::optional<adapters::calls::CallAnswer> answer;
+        caller.get("/", 30s, [&](adapters::calls::CallAnswer given) { answer = std::move(given); });
+        const auto begun = std::chrono::steady_clock::now();
+        while (!answer && std::chrono::steady_clock::now() - begun < 10s)
+            context.run_one_for(50ms);
+        BOOST_REQUIRE(answer.has_value());
+        BOOST_TEST(answer->status == (length == whole.size() ? 200U : 0U));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform/soak/stage.py
+++ b/test/platform/soak/stage.py
@@ -107,6 +107,14 @@
             "Service": "quick", "Address": f"127.0.0.1:{port}", "Zone": self._zone, "Version": "v1", "Slots": 100,
             "State": "ready", "WarmupLeftS": 0, "Seq": 1, "born": 1})
 
+    async def write(self, key: str, text: str) -> None:
+        """Write an entry as another client of the store may, whatever it holds."""
+        await self._store.put_bytes(key, text)
+
+    async def remove(self, key: str) -> None:
+        """Remove an entry."""
+        await self._store.remove(key)
+
     def cut_off(self, gateway: Gateway) -> None:
         """Take the path to servers from a gateway."""
         self._cut_off.add(gateway.source)
