Read documents of other writers without copies or exceptions

A report of other operators: one odd entry ended the machines that read it.

The stand-alone programs did not: a copy of a deeply nested changeIds took the stack (documents::decodeDocument), and a field of another type threw in HttpVmList, which nobody catches, and in Tokens. Fields are read in place, with their type checked; one odd element of a list costs only itself.

OddDocumentsTest and HttpVmListTest failed before: their processes ended.

--- a/src/sailpath/adapters/platform/HttpVmList.cpp
+++ b/src/sailpath/adapters/platform/HttpVmList.cpp
@@ -5,6 +5,19 @@
 
 namespace sailpath::adapters::platform
 {
+namespace
+{
+////////////////////////////////////////////////////////////
+/// \brief Text of a field; null when it is missing or of another type
+////////////////////////////////////////////////////////////
+std::optional<std::string> textOf(const nlohmann::json& object, const char* name)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_string() ? std::optional(found->get<std::string>()) : std::nullopt;
+}
+
+} // namespace
+
 ////////////////////////////////////////////////////////////
 HttpVmList::HttpVmList(settings::Endpoint endpoint, core::Duration timeout) :
 m_endpoint(std::move(endpoint)),
@@ -28,12 +41,13 @@
     std::vector<membership::Member> members;
     for (const auto& item : list)
     {
-        if (!item.is_object() || item.value("state", std::string("live")) != "live")
+        // One odd element is passed over, and the others hold.
+        if (!item.is_object() || (item.contains("state") && textOf(item, "state") != "live"))
             continue;
         membership::Member member;
-        member.name = item.value("name", std::string());
-        member.address = item.value("peerAddress", std::string());
-        member.dataCentre = item.value("dataCentre", std::string());
+        member.name = textOf(item, "name").value_or("");
+        member.address = textOf(item, "peerAddress").value_or("");
+        member.dataCentre = textOf(item, "dataCentre").value_or("");
         if (!member.name.empty() && settings::parseEndpoint(member.address))
             members.push_back(std::move(member));
     }
--- a/src/sailpath/api/Tokens.cpp
+++ b/src/sailpath/api/Tokens.cpp
@@ -76,12 +76,13 @@
     if (unavailable || answer.items.empty())
         return std::nullopt;
     const auto stored = nlohmann::json::parse(answer.items.front().value, nullptr, false);
-    if (!stored.is_object())
+    const auto isText = [&stored](const char* name) { return stored.contains(name) && stored[name].is_string(); };
+    if (!stored.is_object() || !isText("scope") || !isText("workspace"))
         return std::nullopt;
-    const auto scope = parseScope(stored.value("scope", std::string()));
+    const auto scope = parseScope(stored["scope"].get_ref<const std::string&>());
     if (!scope)
         return std::nullopt;
-    return Caller{stored.value("workspace", std::string()), *scope};
+    return Caller{stored["workspace"].get<std::string>(), *scope};
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/documents/StoreKeys.cpp
+++ b/src/sailpath/documents/StoreKeys.cpp
@@ -26,10 +26,15 @@
         return std::nullopt;
     StoredDocument document;
     document.text = parsed["text"].get<std::string>();
-    for (const auto& changeId : parsed.value("changeIds", nlohmann::json::array()))
+    // Not copied: a copy of a deeply nested value takes the stack.
+    const auto changeIds = parsed.find("changeIds");
+    if (changeIds != parsed.end() && changeIds->is_array())
     {
-        if (changeId.is_string())
-            document.changeIds.push_back(changeId.get<std::string>());
+        for (const nlohmann::json& changeId : *changeIds)
+        {
+            if (changeId.is_string())
+                document.changeIds.push_back(changeId.get<std::string>());
+        }
     }
     const auto deleted = parsed.find("deleted");
     document.deleted = deleted != parsed.end() && deleted->is_boolean() && deleted->get<bool>();
