--- a/test/api/OddDocuments.test.cpp
+++ b/test/api/OddDocuments.test.cpp
@@ -72,8 +72,9 @@
 {
     for (const std::string& odd : oddValues())
     {
-        for (const std::string& text : {odd, R"({"workspace":"w","scope":)" + odd + "}", R"({"scope":"admin"})",
-                                        R"({"workspace":)" + odd + R"(,"scope":"read"})"})
+        const std::vector<std::string> texts{odd, R"({"workspace":"w","scope":)" + odd + "}", R"({"scope":"admin"})",
+                                             R"({"workspace":)" + odd + R"(,"scope":"read"})"};
+        for (const std::string& text : texts)
         {
             support::FakeStore store;
             api::Tokens        tokens(store, "admin");
