--- a/test/balance/notices/Lives.test.cpp
+++ b/test/balance/notices/Lives.test.cpp
@@ -2,7 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include <map>
+#include <array>
 
 namespace
 {
@@ -96,9 +96,9 @@
         unsigned got = 0;
         for (int group = 0; group < 5; ++group)
         {
-            std::vector<Step> sent;
-            for (int i = 0; i < 4; ++i)
-                sent.push_back(admit());
+            std::array<Step, 4> sent;
+            for (Step& step : sent)
+                step = admit();
             for (const Step& step : sent)
             {
                 got += step.kind == StepKind::Forward && step.instance->id == "s0" ? 1 : 0;
