--- a/src/sailpath/gateway/ServedTunnel.cpp
+++ b/src/sailpath/gateway/ServedTunnel.cpp
@@ -51,7 +51,8 @@
 m_timer(context),
 m_settings(settings),
 m_events(std::move(events)),
-m_toServer(std::move(unread))
+m_toServer(std::move(unread)),
+m_streamEnd(context, settings.unacknowledgedTimeout)
 {
     setOption(m_peer, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(m_peer, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleS);
@@ -162,10 +163,12 @@
 ////////////////////////////////////////////////////////////
 void ServedTunnel::writeServer()
 {
+    m_writingServer = true;
     asio::async_write(m_server, asio::buffer(m_toServer),
-                      [self = shared_from_this()](const asio::error_code&, std::size_t)
+                      [self = shared_from_this()](const asio::error_code& error, std::size_t)
                       {
-                          // A write error is also reported to the pending read, after any answer that was received.
+                          self->m_writingServer = false;
+                          self->m_streamEnd.recordWrite(!error);
                           if (!self->m_ended)
                               self->readPeer();
                       });
@@ -180,13 +183,25 @@
                                  if (self->m_ended)
                                      return;
                                  if (error)
-                                     return self->send(paths::TunnelEnded{endOf(error)}, true);
+                                     return self->serverEnded(endOf(error));
                                  self->recordHeard();
                                  self->m_traffic.passFromServer({self->m_fromServer.data(), bytes});
                                  self->send(paths::TunnelData{{self->m_fromServer.data(), bytes}}, false);
                              });
 }
 
+////////////////////////////////////////////////////////////
+void ServedTunnel::serverEnded(paths::TunnelEnd how)
+{
+    if (how != paths::TunnelEnd::Closed)
+        return send(paths::TunnelEnded{how}, true);
+    // The other node may have written all of its request, so it does not see that the server did not take it.
+    m_streamEnd.decide(
+        m_server, [this] { return m_writingServer || m_traffic.isRequestUnfinished(); },
+        [self = shared_from_this()](bool isComplete)
+        { self->send(paths::TunnelEnded{isComplete ? paths::TunnelEnd::Closed : paths::TunnelEnd::Reset}, true); });
+}
+
 ////////////////////////////////////////////////////////////
 void ServedTunnel::recordHeard()
 {
@@ -219,6 +234,7 @@
         return;
     asio::error_code ignored;
     m_timer.cancel();
+    m_streamEnd.cancel();
     m_server.close(ignored);
     m_peer.close(ignored);
     m_events.ended(shared_from_this());
--- a/src/sailpath/gateway/ServedTunnel.hpp
+++ b/src/sailpath/gateway/ServedTunnel.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ServerStreamEnd.hpp"
 #include "TunnelTraffic.hpp"
 
 #include <sailpath/deployment/Instance.hpp>
@@ -55,6 +56,7 @@
     void readPeer();
     void writeServer();
     void readServer();
+    void serverEnded(paths::TunnelEnd how); //!< Tell the other node how the server's stream ended
     void recordHeard();
     void end();
 
@@ -64,15 +66,17 @@
     const GatewaySettings& m_settings;
     Events                 m_events;
     deployment::Instance   m_instance;
-    std::string            m_toServer;            //!< Bytes that are being written
-    std::string            m_toPeer;              //!< Message that is being written
-    std::array<char, 8192> m_fromPeer{};          //!< Receive buffer
-    std::array<char, 8192> m_fromServer{};        //!< Receive buffer
-    core::Timestamp        m_openedAt{};          //!< When the server accepted
-    core::Timestamp        m_heardAt{};           //!< Last bytes of the server
-    bool                   m_awaitsServer{false}; //!< The last bytes that passed were for the server
-    bool                   m_sending{false};      //!< A message to the other node is being written
-    TunnelTraffic          m_traffic;             //!< Requests and answers that have passed
+    std::string            m_toServer;             //!< Bytes that are being written
+    std::string            m_toPeer;               //!< Message that is being written
+    std::array<char, 8192> m_fromPeer{};           //!< Receive buffer
+    std::array<char, 8192> m_fromServer{};         //!< Receive buffer
+    core::Timestamp        m_openedAt{};           //!< When the server accepted
+    core::Timestamp        m_heardAt{};            //!< Last bytes of the server
+    bool                   m_awaitsServer{false};  //!< The last bytes that passed were for the server
+    bool                   m_sending{false};       //!< A message to the other node is being written
+    bool                   m_writingServer{false}; //!< Bytes for the server are being written
+    ServerStreamEnd        m_streamEnd;            //!< Failed writes, and what an end of file means
+    TunnelTraffic          m_traffic;              //!< Requests and answers that have passed
     bool                   m_connected{false};
     bool                   m_ended{false};
 };
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -53,7 +53,8 @@
 m_paths(paths),
 m_ways(ways),
 m_events(events),
-m_matcher(dialect)
+m_matcher(dialect),
+m_streamEnd(context, settings.unacknowledgedTimeout)
 {
 }
 
@@ -175,8 +176,8 @@
     asio::async_write(*m_socket, bytes,
                       [self, head, body](const asio::error_code& error, std::size_t)
                       {
-                          // A write error is also reported to the pending read, after any answer that was received.
                           self->m_requestWritten = !error;
+                          self->m_streamEnd.recordWrite(!error);
                       });
 }
 
@@ -222,7 +223,7 @@
                                       self->unwrap(bytes);
                                   self->handleBytes();
                                   if (self->m_state != State::Closed && self->m_tunnelEnd)
-                                      return self->handleEnd(causeOf(*self->m_tunnelEnd));
+                                      return self->handleTunnelEnd(*self->m_tunnelEnd);
                                   if (self->m_state != State::Closed)
                                       self->read();
                               });
@@ -257,11 +258,36 @@
     if (!m_helper.empty())
         return handleEnd(balance::LossCause::PathBroken);
     if (error == asio::error::eof)
-        return handleEnd(balance::LossCause::ClosedByServer);
+        return handleEndOfFile();
     const bool reset = error == asio::error::connection_reset || error == asio::error::broken_pipe;
     handleEnd(reset ? balance::LossCause::ResetByServer : balance::LossCause::PathBroken);
 }
 
+////////////////////////////////////////////////////////////
+void ServerConnection::handleEndOfFile()
+{
+    const auto report = [self = shared_from_this()](bool isComplete)
+    { self->handleEnd(isComplete ? balance::LossCause::ClosedByServer : balance::LossCause::ResetByServer); };
+    if (!endCompletesAnswer())
+        return report(!m_streamEnd.hasFailed());
+    m_streamEnd.decide(
+        *m_socket, [this] { return !m_requestWritten; }, report);
+}
+
+////////////////////////////////////////////////////////////
+void ServerConnection::handleTunnelEnd(paths::TunnelEnd end)
+{
+    // The helper passes nothing on any more, so a request that is not written yet does not reach the server whole.
+    const bool isCut = end == paths::TunnelEnd::Closed && endCompletesAnswer() && !m_requestWritten;
+    handleEnd(isCut ? balance::LossCause::ResetByServer : causeOf(end));
+}
+
+////////////////////////////////////////////////////////////
+bool ServerConnection::endCompletesAnswer() const
+{
+    return m_state == State::Busy && m_reader->state() == http::ReadState::Body && m_reader->head().untilEnd;
+}
+
 ////////////////////////////////////////////////////////////
 void ServerConnection::handleBytes()
 {
@@ -359,6 +385,7 @@
     m_wrapped.clear();
     asio::error_code ignored;
     m_timer.cancel();
+    m_streamEnd.cancel();
     if (const auto dial = std::exchange(m_dial, nullptr))
         dial->cancel();
     if (m_socket)
--- a/src/sailpath/gateway/ServerConnection.hpp
+++ b/src/sailpath/gateway/ServerConnection.hpp
@@ -4,6 +4,7 @@
 #include "BodyReservation.hpp"
 #include "RequestBody.hpp"
 #include "ServerDial.hpp"
+#include "ServerStreamEnd.hpp"
 
 #include <sailpath/balance/Balancer.hpp>
 #include <sailpath/deployment/Instance.hpp>
@@ -122,6 +123,10 @@
     void               handleConnected();
     void               unwrap(std::size_t bytes); //!< Take the server's bytes out of a helper's messages
     void               handleReadError(const asio::error_code& error);
+    void               handleEndOfFile();
+    void               handleTunnelEnd(paths::TunnelEnd end);
+    /// \brief Whether a body that lasts until the end of the server's stream is being received
+    [[nodiscard]] bool endCompletesAnswer() const;
     void               write();
     void               read();
     void               handleBytes();
@@ -153,6 +158,7 @@
     OutgoingRequest                             m_request;    //!< Request in progress
     std::unique_ptr<http::MessageReader>        m_reader;     //!< Parser of the answer
     AnswerMatcher                               m_matcher;    //!< Assigns answers to requests
+    ServerStreamEnd                             m_streamEnd;  //!< Failed writes, and what an end of file means
     core::ReceiveBuffer                         m_unread;     //!< Bytes received but not parsed
     std::array<char, 8192>                      m_buffer{};   //!< Receive buffer
     core::Timestamp                             m_since{};    //!< When the connection became idle, or began to connect
--- a/src/sailpath/gateway/TunnelTraffic.cpp
+++ b/src/sailpath/gateway/TunnelTraffic.cpp
@@ -75,6 +75,12 @@
     return m_toServer.unread.size() + m_fromServer.unread.size();
 }
 
+////////////////////////////////////////////////////////////
+bool TunnelTraffic::isRequestUnfinished() const
+{
+    return !m_isUnreadable && m_toServer.reader;
+}
+
 ////////////////////////////////////////////////////////////
 bool TunnelTraffic::isAnswerDue() const
 {
--- a/src/sailpath/gateway/TunnelTraffic.hpp
+++ b/src/sailpath/gateway/TunnelTraffic.hpp
@@ -23,7 +23,8 @@
     void passFromServer(std::string_view bytes); //!< Bytes of the server
 
     [[nodiscard]] bool        isAnswerDue() const; //!< A byte of a request has passed, and not yet its whole answer
-    [[nodiscard]] std::size_t heldBytes() const;   //!< Bytes of unfinished lines that are kept
+    [[nodiscard]] bool        isRequestUnfinished() const; //!< A byte of a request has passed, and not yet all of it
+    [[nodiscard]] std::size_t heldBytes() const;           //!< Bytes of unfinished lines that are kept
 
 private:
     /// \brief One direction
--- a/test/support/GatewayFixture.hpp
+++ b/test/support/GatewayFixture.hpp
@@ -74,7 +74,8 @@
 struct Fixture
 {
     explicit Fixture(ScriptedServer::Answer answer = echo, bool configured = true,
-                     core::Duration routeTimeout = core::Duration(700ms), std::size_t callerLimit = 3000) :
+                     core::Duration routeTimeout = core::Duration(700ms), std::size_t callerLimit = 3000,
+                     std::uint64_t bufferedBytes = 140'000) :
     server(std::move(answer)),
     timeout(routeTimeout)
     {
@@ -83,7 +84,7 @@
         settings.readinessListen = {"127.0.0.1", 0};
         settings.balance.dataCentre = "dc";
         settings.balance.retryExtra = 100;
-        settings.maxBufferedBytes = 140'000;
+        settings.maxBufferedBytes = bufferedBytes;
         settings.maxCallers = callerLimit;
         gateway.emplace(context, settings, dialect, log);
         if (configured)
