--- a/include/sailpath/adapters/net/TcpSocket.hpp
+++ b/include/sailpath/adapters/net/TcpSocket.hpp
@@ -69,6 +69,13 @@
     ////////////////////////////////////////////////////////////
     [[nodiscard]] IoResult write(std::span<const char> data, core::Duration timeout) const;
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Whether the end of file that was read is the end of what the peer had to send; see `StreamEnd`
+    ///
+    /// \param timeout Longest wait for the peer to acknowledge what was written to it
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] bool endedInOrder(core::Duration timeout) const;
+
     ////////////////////////////////////////////////////////////
     /// \brief Whether the connection is open and holds no unread bytes
     ////////////////////////////////////////////////////////////
--- a/src/sailpath/adapters/http/BackendStream.cpp
+++ b/src/sailpath/adapters/http/BackendStream.cpp
@@ -76,8 +76,10 @@
     {
         const net::IoResult result = m_socket.read(m_buffer, currentTimeout());
         m_timedOut = m_timedOut || result.status == net::IoStatus::Timeout;
+        if (result.status == net::IoStatus::Closed)
+            return m_socket.endedInOrder(currentTimeout()) ? 0 : -1;
         if (result.status != net::IoStatus::Done)
-            return result.status == net::IoStatus::Closed ? 0 : -1;
+            return -1;
         m_received = true;
         m_next = 0;
         m_end = result.bytes;
--- a/src/sailpath/adapters/net/TcpSocket.cpp
+++ b/src/sailpath/adapters/net/TcpSocket.cpp
@@ -1,5 +1,7 @@
 #include <sailpath/adapters/net/TcpSocket.hpp>
 
+#include <sailpath/adapters/net/StreamEnd.hpp>
+
 #include <arpa/inet.h>
 #include <cerrno>
 #include <netinet/in.h>
@@ -9,12 +11,16 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <chrono>
+#include <thread>
 #include <utility>
 
 namespace sailpath::adapters::net
 {
 namespace
 {
+constexpr auto streamEndInterval = std::chrono::milliseconds{5}; // Nothing reports that bytes are acknowledged
+
 ////////////////////////////////////////////////////////////
 /// \brief Wait until a descriptor is ready; false on timeout or when polling fails
 ////////////////////////////////////////////////////////////
@@ -146,6 +152,19 @@
     }
 }
 
+////////////////////////////////////////////////////////////
+bool TcpSocket::endedInOrder(core::Duration timeout) const
+{
+    const auto until = std::chrono::steady_clock::now() + timeout;
+    StreamEnd  end = examineStreamEnd(m_descriptor);
+    while (end == StreamEnd::Pending && std::chrono::steady_clock::now() < until)
+    {
+        std::this_thread::sleep_for(streamEndInterval);
+        end = examineStreamEnd(m_descriptor);
+    }
+    return end == StreamEnd::Complete;
+}
+
 ////////////////////////////////////////////////////////////
 bool TcpSocket::isIdle() const
 {
--- a/test/platform/HttpCaller.test.cpp
+++ b/test/platform/HttpCaller.test.cpp
@@ -62,4 +62,17 @@
     }
 }
 
+// Guards against a copy of the store that lacks what a reset took away: nothing tells it from the end of the answer.
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutALengthIsNone)
+{
+    for (const bool reset : {false, true})
+    {
+        support::ScriptedServer store(
+            [reset](const std::string&) {
+                return support::Script{"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{}", 0ms, !reset, reset};
+            });
+        BOOST_TEST(callStore(store) == 0U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
