Answers with a status outside of 100 to 599 are malformed at once

Callers got 600, 700 and 999 as the server's answer. After 000, 007 or 099 they waited for their whole deadline and got 504, although the answer had arrived at once and another server could have answered.

Cause: the parser takes any three digits, and its readers judged the number for themselves: below 200 an interim answer, which is skipped, else final.

Change: http::isStatus and http::isFinalStatus say it in one place; the former in MessageReader, so that no reader sees another status. Answers, health answers, tunnels and the store are read by it. Such an answer is now lost as malformed, and the next attempt follows where it may.

MessageReaderTest reads all numbers from 000 to 999.

--- a/include/sailpath/http/Head.hpp
+++ b/include/sailpath/http/Head.hpp
@@ -40,6 +40,18 @@
     [[nodiscard]] bool has(std::string_view name) const;
 };
 
+////////////////////////////////////////////////////////////
+/// \brief Whether a number is a status of the protocol: one of the five classes of RFC 9110, 100 to 599
+///
+/// An answer with another status is no answer of the protocol, whatever follows it.
+////////////////////////////////////////////////////////////
+[[nodiscard]] bool isStatus(unsigned code);
+
+////////////////////////////////////////////////////////////
+/// \brief Whether a number is the status of a final answer, 200 to 599: the only ones that are passed on
+////////////////////////////////////////////////////////////
+[[nodiscard]] bool isFinalStatus(unsigned code);
+
 ////////////////////////////////////////////////////////////
 /// \brief Compare header names, letters' case ignored
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/AnswerMatcher.cpp
+++ b/src/sailpath/gateway/AnswerMatcher.cpp
@@ -7,7 +7,6 @@
 {
 namespace
 {
-constexpr unsigned firstFinalStatus = 200;
 constexpr unsigned firstRedirectStatus = 300;
 constexpr unsigned statusMisdirected = 421;
 
@@ -37,13 +36,13 @@
 ////////////////////////////////////////////////////////////
 bool AnswerMatcher::isExpected(const http::Head& head) const
 {
-    return head.status >= firstFinalStatus && head.field(m_dialect->requestId) == m_requestId;
+    return http::isFinalStatus(head.status) && head.field(m_dialect->requestId) == m_requestId;
 }
 
 ////////////////////////////////////////////////////////////
 AnswerMatch AnswerMatcher::match(const http::Head& head)
 {
-    if (head.status < firstFinalStatus)
+    if (!http::isFinalStatus(head.status))
         return AnswerMatch::Interim;
     if (isExpected(head))
     {
--- a/src/sailpath/gateway/TunnelTraffic.cpp
+++ b/src/sailpath/gateway/TunnelTraffic.cpp
@@ -8,7 +8,6 @@
 {
 constexpr std::uint32_t maxHeadBytes = 64U * 1024;
 constexpr std::uint64_t anyBodyBytes = std::numeric_limits<std::uint64_t>::max(); // Bodies are not kept
-constexpr unsigned      firstFinalStatus = 200;
 constexpr std::size_t   maxDue = 64; // Requests without an answer; other nodes send one at a time
 
 } // namespace
@@ -38,7 +37,7 @@
     { return !m_due.empty() && m_due.front() ? http::MessageKind::AnswerNoBody : http::MessageKind::Answer; };
     while (readMessage(m_fromServer, kind()))
     {
-        const bool isFinal = m_fromServer.reader->head().status >= firstFinalStatus;
+        const bool isFinal = http::isFinalStatus(m_fromServer.reader->head().status);
         if (isFinal && !m_due.empty())
             m_due.pop_front();
         m_fromServer.reader.reset();
--- a/src/sailpath/http/Head.cpp
+++ b/src/sailpath/http/Head.cpp
@@ -6,6 +6,26 @@
 
 namespace sailpath::http
 {
+namespace
+{
+constexpr unsigned firstStatus = 100;
+constexpr unsigned firstFinalStatus = 200;
+constexpr unsigned lastStatus = 599;
+
+} // namespace
+
+////////////////////////////////////////////////////////////
+bool isStatus(unsigned code)
+{
+    return code >= firstStatus && code <= lastStatus;
+}
+
+////////////////////////////////////////////////////////////
+bool isFinalStatus(unsigned code)
+{
+    return code >= firstFinalStatus && code <= lastStatus;
+}
+
 ////////////////////////////////////////////////////////////
 bool sameName(std::string_view left, std::string_view right)
 {
--- a/src/sailpath/http/MessageReader.cpp
+++ b/src/sailpath/http/MessageReader.cpp
@@ -59,8 +59,10 @@
         m_collected.head.version = static_cast<unsigned>(version);
     }
 
-    void on_response_impl(int status, Text reason, int version, ErrorCode&) override // NOLINT
+    void on_response_impl(int status, Text reason, int version, ErrorCode& error) override // NOLINT
     {
+        if (!isStatus(static_cast<unsigned>(status)))
+            error = beast::error::bad_status;
         m_collected.head.status = static_cast<unsigned>(status);
         m_collected.head.reason = toString(reason);
         m_collected.head.version = static_cast<unsigned>(version);
--- a/test/http/MessageReader.test.cpp
+++ b/test/http/MessageReader.test.cpp
@@ -173,6 +173,19 @@
     BOOST_TEST((reader.state() == ReadState::Malformed));
 }
 
+BOOST_AUTO_TEST_CASE(OnlyAStatusOfAClassOfTheProtocolIsRead)
+{
+    for (unsigned status = 0; status < 1000; ++status)
+    {
+        char line[32];
+        std::snprintf(line, sizeof(line), "HTTP/1.1 %03u Odd\r\n", status);
+        MessageReader reader(MessageKind::Answer, headLimit, bodyLimit);
+        (void)feed(reader, line + std::string("Content-Length: 0\r\n\r\n"), 100);
+        const bool valid = status >= 100 && status < 600;
+        BOOST_TEST((reader.state() == (valid ? ReadState::Done : ReadState::Malformed)), "status " << status);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(FieldsOfOneConnectionAreKnown)
 {
     BOOST_TEST(concernsConnection("keep-alive", ""));
