Entry of the product on its own: only a final status of the protocol is an answer

A caller of `sailpath-entry` got 000, 600 or 999 as the server's answer, and an interim 101 or 103 as the final one.

Cause: the library takes any three digits and skips 100 only.

Change: ExchangeRun asks http::isFinalStatus before a head is delivered; anything else ends the exchange as NoAnswer, so the outcome is unknown.

--- a/src/sailpath/adapters/http/BackendClient.cpp
+++ b/src/sailpath/adapters/http/BackendClient.cpp
@@ -3,6 +3,8 @@
 #include "BackendStream.hpp"
 #include "LibraryExchange.hpp"
 
+#include <sailpath/http/Head.hpp>
+
 #include <algorithm>
 #include <charconv>
 
@@ -98,6 +100,8 @@
         const bool            whole = library.run(m_stream, request, response, error);
         if (whole && !m_headDelivered)
             (void)deliverHead(response);
+        if (m_malformed)
+            return ExchangeEnd::NoAnswer;
         if (m_sinkRefused)
             return ExchangeEnd::SinkRefused;
         if (m_endedAfterHead || whole)
@@ -152,8 +156,12 @@
     ////////////////////////////////////////////////////////////
     bool deliverHead(const httplib::Response& response)
     {
-        m_headDelivered = true;
         m_stream.headComplete();
+        // The library understands no interim answer but 100 and takes another for the final one.
+        m_malformed = response.status < 0 || !sailpath::http::isFinalStatus(static_cast<unsigned>(response.status));
+        if (m_malformed)
+            return false;
+        m_headDelivered = true;
         const AnswerHead head = makeHead(m_stream.head(), response, m_request.method);
         m_framing = head.framing;
         m_sinkRefused = !m_sink.head(head);
@@ -185,6 +193,7 @@
     const AnswerSink&    m_sink;                       //!< Receives the answer
     BodyFraming          m_framing{BodyFraming::None}; //!< Framing of the answer
     bool                 m_headDelivered{false};       //!< Whether the head was passed to the sink
+    bool                 m_malformed{false};           //!< Whether the head is none of a final answer
     bool                 m_sinkRefused{false};         //!< Whether the sink ended the transfer
     bool                 m_sourceFailed{false};        //!< Whether reading the body of the request failed
     bool m_endedAfterHead{false}; //!< Whether the exchange was ended after the head because the answer has no body
--- a/test/adapters/BackendClient.test.cpp
+++ b/test/adapters/BackendClient.test.cpp
@@ -97,4 +97,20 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(AStatusThatIsNoFinalOneOfTheProtocolIsNoAnswer)
+{
+    for (const std::string status : {"000", "007", "099", "101", "103", "199", "600", "999"})
+    {
+        const EarlyServer server(
+            [&](const std::string&) {
+                return EarlyScript{"HTTP/1.1 " + status + " Odd\r\nContent-Length: 5\r\n\r\nwhole",
+                                   EarlyEnd::ReadThenClose};
+            });
+        const Received received = exchangeWith(server, 0);
+        BOOST_TEST((received.end == ExchangeEnd::NoAnswer), status);
+        BOOST_TEST(received.status == 0, status);
+        BOOST_TEST(received.body.empty(), status);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
