Entry of the product on its own: a head with a malformed line is no answer

A caller of `sailpath-entry` got answers in whose head the name of a field held a blank, a control byte or a byte over 127. All lines after it were missing, the length among them, so the body could be framed otherwise than by the server.

Cause: the library skips lines that it does not understand; makeHead dropped that line and all after it without a word.

Change: makeHead returns no head when splitHeaders finds a fault, and the exchange ends as NoAnswer.

--- a/src/sailpath/adapters/http/BackendClient.cpp
+++ b/src/sailpath/adapters/http/BackendClient.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 namespace sailpath::adapters::http
 {
@@ -34,15 +35,20 @@
 
 ////////////////////////////////////////////////////////////
 /// \brief Build the head of the answer from the received bytes, because the library decodes header values
+///
+/// \return Null when a line is no header of the protocol, or the status is not that of a final answer; the library accepts
+///         both, and skips lines that it does not understand
 ////////////////////////////////////////////////////////////
-AnswerHead makeHead(std::string_view recorded, const httplib::Response& response, std::string_view method)
+std::optional<AnswerHead> makeHead(std::string_view recorded, const httplib::Response& response,
+                                   std::string_view method)
 {
     const std::string_view raw = finalHead(recorded);
     std::vector<Header>    all;
     const auto             lineEnd = raw.find("\r\n");
-    // The library has accepted the head already. Parsing stops at the first line that splitHeaders rejects, and the
-    // remaining lines are dropped.
-    (void)splitHeaders(raw.substr(std::min(raw.size(), lineEnd + 2)), all);
+    const std::string_view fault = splitHeaders(raw.substr(std::min(raw.size(), lineEnd + 2)), all);
+    const bool isFinal = response.status >= 0 && sailpath::http::isFinalStatus(static_cast<unsigned>(response.status));
+    if (!fault.empty() || !isFinal)
+        return std::nullopt;
 
     AnswerHead head;
     head.status = response.status;
@@ -157,14 +163,13 @@
     bool deliverHead(const httplib::Response& response)
     {
         m_stream.headComplete();
-        // The library understands no interim answer but 100 and takes another for the final one.
-        m_malformed = response.status < 0 || !sailpath::http::isFinalStatus(static_cast<unsigned>(response.status));
+        const std::optional<AnswerHead> head = makeHead(m_stream.head(), response, m_request.method);
+        m_malformed = !head;
         if (m_malformed)
             return false;
         m_headDelivered = true;
-        const AnswerHead head = makeHead(m_stream.head(), response, m_request.method);
-        m_framing = head.framing;
-        m_sinkRefused = !m_sink.head(head);
+        m_framing = head->framing;
+        m_sinkRefused = !m_sink.head(*head);
         // The exchange ends after the head of a 304 answer, because the library would wait for a body that never comes.
         m_endedAfterHead = response.status == 304;
         return !m_sinkRefused && !m_endedAfterHead;
--- a/test/adapters/BackendClient.test.cpp
+++ b/test/adapters/BackendClient.test.cpp
@@ -113,4 +113,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(AHeadWithANameOfAFieldThatIsNoTokenIsNoAnswer)
+{
+    for (const std::string mark : {" ", "\t", "\x01", "\x1f", "\x7f", "\x80", "(", "\r"})
+    {
+        for (const std::string& lines :
+             {"X" + mark + "Odd: 1\r\nContent-Length: 5\r\n", "X-Odd" + mark + ": 1\r\nContent-Length: 5\r\n",
+              mark + "X-Odd: 1\r\nContent-Length: 5\r\n", "Content-Length" + mark + ": 5\r\n",
+              "Content-Length: 5\r\nX-Odd" + mark + ": 1\r\n"})
+        {
+            const EarlyServer server(
+                [&](const std::string&) {
+                    return EarlyScript{"HTTP/1.1 200 OK\r\n" + lines + "\r\nwhole", EarlyEnd::ReadThenClose};
+                });
+            const Received received = exchangeWith(server, 0);
+            BOOST_TEST((received.end == ExchangeEnd::NoAnswer), lines);
+            BOOST_TEST(received.status == 0, lines);
+            BOOST_TEST(received.body.empty(), lines);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
