An answer with a line that begins with a blank is malformed

A caller got a server's answer with such a line added to the value of the field before it: a signature `m` became `m X-Odd: 1`.

Cause: the library unfolds lines, as it may for a request; what it makes of them is not what the server signed.

Change: MessageReader looks for such lines in what the parser takes of the head of an answer. RFC 9112, 5.2, lets a gateway replace such an answer by 502. Requests are read as before.

All other names that are no tokens were 502 before too. MessageReaderTest cuts such heads, and a body with the same bytes, in pieces of all sizes. test-http: no errors.

--- a/src/sailpath/http/MessageReader.cpp
+++ b/src/sailpath/http/MessageReader.cpp
@@ -25,6 +25,19 @@
     return {text.data(), text.size()};
 }
 
+////////////////////////////////////////////////////////////
+/// \brief Whether a line of a head begins with a blank; the library adds such a line to the value of the field before it
+///
+/// \param taken Lines that the library has taken together, which may include bytes that follow the head
+////////////////////////////////////////////////////////////
+bool hasFoldedLine(std::string_view taken)
+{
+    if (taken.starts_with("\r\n"))
+        return false; // The head ends here
+    const std::string_view lines = taken.substr(0, taken.find("\r\n\r\n"));
+    return lines.find("\n ") != std::string_view::npos || lines.find("\n\t") != std::string_view::npos;
+}
+
 ////////////////////////////////////////////////////////////
 /// \brief What the library's parser tells is kept here
 ////////////////////////////////////////////////////////////
@@ -131,6 +144,7 @@
     Collected                                                 collected;
     std::variant<std::monostate, Parser<true>, Parser<false>> parser;
     ReadState                                                 state{ReadState::Head};
+    bool                                                      isAnswer{false};
 
     template <typename Work>
     auto visit(Work work)
@@ -157,6 +171,8 @@
             visit([&](auto& parser) { return parser.put(boost::asio::buffer(bytes.data(), bytes.size()), error); });
         if (inBody)
             collected.framingBytes += used - (collected.bodyBytes - bodyBefore);
+        else if (isAnswer && hasFoldedLine(bytes.substr(0, used)))
+            error = beast::error::bad_field;
         return used;
     }
 
@@ -181,6 +197,7 @@
         m_impl->parser.emplace<1>(m_impl->collected);
     else
         m_impl->parser.emplace<2>(m_impl->collected);
+    m_impl->isAnswer = kind != MessageKind::Request;
     m_impl->collected.headLimit = headLimit;
     m_impl->visit(
         [&](auto& parser)
--- a/test/gateway/MalformedAnswers.test.cpp
+++ b/test/gateway/MalformedAnswers.test.cpp
@@ -47,6 +47,7 @@
     {
         add("X" + mark + "Odd: 1\r\nContent-Length: 5\r\n");
         add("X-Odd" + mark + ": 1\r\nContent-Length: 5\r\n");
+        add(mark + "X-Odd: 1\r\nContent-Length: 5\r\n");
         add("Content" + mark + "Length: 5\r\n");
         add("Content-Length" + mark + ": 5\r\n");
         add("Transfer-Encoding" + mark + ": chunked\r\n");
--- a/test/http/MessageReader.test.cpp
+++ b/test/http/MessageReader.test.cpp
@@ -307,6 +307,32 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(AnAnswerWithALineThatBeginsWithABlankIsMalformedHoweverItIsCut)
+{
+    for (const std::string blank : {" ", "\t"})
+    {
+        for (const std::string& lines :
+             {blank + "X-A: 1\r\n", "X-A: 1\r\n" + blank + "X-B: 2\r\n", "X-A: 1\r\n" + blank + "\r\n"})
+        {
+            const std::string answer = "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 5\r\n\r\nwhole";
+            for (std::size_t piece = 1; piece <= answer.size(); ++piece)
+            {
+                MessageReader reader(MessageKind::Answer, headLimit, bodyLimit);
+                (void)feed(reader, answer, piece);
+                BOOST_TEST((reader.state() == ReadState::Malformed), lines << " in pieces of " << piece);
+            }
+        }
+    }
+    // The same bytes in a body are no lines of the head.
+    const std::string good = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n a\r\n\tb\r";
+    for (std::size_t piece = 1; piece <= good.size(); ++piece)
+    {
+        MessageReader reader(MessageKind::Answer, headLimit, bodyLimit);
+        (void)feed(reader, good, piece);
+        BOOST_TEST((reader.state() == ReadState::Done), "in pieces of " << piece);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(WhatFollowsTheLastChunkIsNoFieldOfTheHead)
 {
     MessageReader reader(MessageKind::Request, headLimit, bodyLimit);
