--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sailpath/balance/AnswerTimes.hpp>
 #include <sailpath/balance/CrashLedger.hpp>
 #include <sailpath/balance/HeldRequests.hpp>
 #include <sailpath/balance/LateSends.hpp>
@@ -140,6 +141,23 @@
     ////////////////////////////////////////////////////////////
     void admit(Ticket ticket, const Arrival& arrival, core::Timestamp now);
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Begin a planned stop: refuse what can't be answered in time from now on
+    ///
+    /// \param endsAt When the process ends, whatever is unanswered then
+    ////////////////////////////////////////////////////////////
+    void beginStop(core::Timestamp endsAt);
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Whether a request of a route that is sent to a server now is expected to be answered before the process ends
+    ///
+    /// \param deadline Time at which the request is answered in any case
+    ///
+    /// \return True unless a planned stop has begun
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] bool mayAnswerBeforeStop(const deployment::HostRoute& route, core::Timestamp deadline,
+                                           core::Timestamp now) const;
+
     ////////////////////////////////////////////////////////////
     /// \brief Decide what follows the end of an attempt
     ///
@@ -330,6 +348,7 @@
         std::shared_ptr<ServicePool> pool;               //!< Service that the request is sent to
         std::string                  workspace;          //!< Workspace of the caller's key; empty without one
         core::Timestamp              firstByteAt{};      //!< When the first byte of the request arrived
+        core::Timestamp              admittedAt{};       //!< When the complete request was decided about
         core::Timestamp              firstTriedAt{};     //!< Estimated time of the caller's first try
         core::Timestamp              deadline{};         //!< Deadline of the final answer
         core::Timestamp              callerDeadline{};   //!< When the caller stops waiting
@@ -383,6 +402,11 @@
     /// \brief Estimate whether the caller of a request was refused before
     [[nodiscard]] quotas::ReturnSign estimateReturn(const Arrival& arrival, const deployment::HostRoute& route,
                                                     core::Timestamp now);
+    /// \brief Refuse a request that can't be answered before the process ends; return whether it is refused
+    [[nodiscard]] bool               refusedForStop(Ticket ticket, const Request& request, core::Timestamp now);
+    [[nodiscard]] static Refusal     stopRefusal();
+    void                             recordAnswerTime(const Request& request, core::Timestamp now);
+    void                             forgetAnswerTimes(); //!< Of routes that are not in force
     /// \brief Choose the service of a route's split for the next request
     [[nodiscard]] std::shared_ptr<ServicePool> choosePool(const deployment::HostRoute& route);
     /// \brief Refuse a request that gets no room in its service; return whether it is refused
@@ -471,6 +495,8 @@
     deployment::KeyTable                          m_keys;        //!< Workspace keys in force
     WorkspaceQuotas                               m_quotas;      //!< Quotas in force
     std::map<std::string, quotas::ReturnEstimator, std::less<>> m_returns; //!< By route
+    core::Timestamp                m_stopsAt{core::Timestamp::max()};      //!< End of the process in a planned stop
+    AnswerTimes                    m_answerTimes;                          //!< Longest times to recent answers
     std::optional<core::Timestamp> m_refusedAt;                            //!< Last refusal of a caller that may return
     bool                           m_refused{false}; //!< Whether a caller was refused since the last request
     std::shared_ptr<ServerLives>   m_lives{std::make_shared<ServerLives>()};   //!< What servers have said of themselves
--- a/include/sailpath/balance/Step.hpp
+++ b/include/sailpath/balance/Step.hpp
@@ -40,6 +40,7 @@
     MayEndServers, //!< Servers crashed while running the same request, and a single trial of it is in flight
     CameBackLate,  //!< A retrying caller's request can no longer be in time, and room goes to requests that can
     NotRun,        //!< Each server that was tried did not run the request
+    Stopping,      //!< The process ends before the request can be answered
     Unknown,       //!< The request was sent and no complete answer arrived
     TimedOut       //!< The deadline for the final answer has passed
 };
--- a/include/sailpath/gateway/Gateway.hpp
+++ b/include/sailpath/gateway/Gateway.hpp
@@ -102,8 +102,20 @@
 
     void setAdditionalMetrics(std::function<std::string()> generator); //!< Set text appended to /metrics
 
-    void startDraining(); //!< Begin a planned stop: report not ready and close connections with their next answer
-    void closeIdle();     //!< Continue a planned stop: stop listening and close idle caller connections
+    ////////////////////////////////////////////////////////////
+    /// \brief Begin a planned stop: report not ready and close connections with their next answer
+    ///
+    /// \param endsAt When the process ends; requests that can't be answered before are refused
+    ////////////////////////////////////////////////////////////
+    void startDraining(core::Timestamp endsAt = core::Timestamp::max());
+    void closeIdle(); //!< Continue a planned stop: stop listening and close idle caller connections
+
+    ////////////////////////////////////////////////////////////
+    /// \brief Return the earliest time at which what is handled now may have happened
+    ///
+    /// The current time, or the beginning of a stall of the event loop that has just ended.
+    ////////////////////////////////////////////////////////////
+    [[nodiscard]] core::Timestamp earliestArrival();
 
     [[nodiscard]] snapshot::LearnedState learned() const; //!< What this node has learned of services and callers
     [[nodiscard]] std::size_t unfinishedRequests() const; //!< Requests without an answer, those of other nodes included
--- a/include/sailpath/gateway/StopSchedule.hpp
+++ b/include/sailpath/gateway/StopSchedule.hpp
@@ -44,7 +44,8 @@
     ////////////////////////////////////////////////////////////
     explicit StopSchedule(core::Duration grace);
 
-    [[nodiscard]] core::Duration noticeTime() const; //!< Time from the start until connections are first closed
+    [[nodiscard]] core::Timestamp endsAt(core::Timestamp beganAt) const; //!< Latest end of the process
+    [[nodiscard]] core::Duration  noticeTime() const; //!< Time from the start until connections are first closed
 
     ////////////////////////////////////////////////////////////
     /// \brief Decide whether the process ends
--- a/src/programs/GatewayProgram.cpp
+++ b/src/programs/GatewayProgram.cpp
@@ -212,7 +212,8 @@
         m_begun = true;
         m_since = core::now();
         write("leaving", ports::Level::Info, "asked");
-        m_gateway.startDraining();
+        // A signal that came while the process was paused is handled after the pause, but its grace has begun.
+        m_gateway.startDraining(m_schedule.endsAt(m_gateway.earliestArrival()));
         wait(m_schedule.noticeTime());
     }
 
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -61,6 +61,8 @@
         return "came-back-late";
     case RefusalReason::NotRun:
         return "not-run";
+    case RefusalReason::Stopping:
+        return "stopping";
     case RefusalReason::Unknown:
         return "outcome-unknown";
     case RefusalReason::TimedOut:
@@ -90,6 +92,7 @@
         m_deployment = declared.deployment;
         m_routes = deployment::RouteTable(m_deployment);
         m_keys = deployment::KeyTable(m_deployment);
+        forgetAnswerTimes();
     }
     if (m_deployment)
         m_quotas.configure(m_deployment->workspaces, m_nodes, m_random, now);
@@ -209,6 +212,7 @@
     if (outcome.end == AttemptEnd::Answered && !(failedAnswer && request.route.repeatable))
     {
         abandonRunning(ticket, request, now);
+        recordAnswerTime(request, now);
         Step step;
         step.kind = StepKind::Answer;
         step.ticket = ticket;
--- a/src/sailpath/balance/BalancerAdmission.cpp
+++ b/src/sailpath/balance/BalancerAdmission.cpp
@@ -44,6 +44,12 @@
     if (!route)
         return refuse(ticket, {RefusalReason::OldRoutes, false, m_settings.defaultRetryAfter});
 
+    const core::Timestamp callerDeadline = arrival.timeLeft ? arrival.firstByteAt + *arrival.timeLeft : never;
+    const core::Timestamp deadline =
+        std::min(arrival.firstByteAt + route->timeout - m_settings.answerTripReserve, callerDeadline);
+    // Before the quota is charged, as the caller asks another node next.
+    if (!mayAnswerBeforeStop(*route, deadline, now))
+        return refuse(ticket, stopRefusal());
     const quotas::ReturnSign sign = estimateReturn(arrival, *route, now);
     if (refusedByKey(ticket, arrival, *route, sign, now))
         return;
@@ -58,9 +64,9 @@
     }
     request.pool = choosePool(*route);
     request.firstByteAt = arrival.firstByteAt;
-    request.callerDeadline = arrival.timeLeft ? arrival.firstByteAt + *arrival.timeLeft : never;
-    request.deadline =
-        std::min(arrival.firstByteAt + route->timeout - m_settings.answerTripReserve, request.callerDeadline);
+    request.admittedAt = now;
+    request.callerDeadline = callerDeadline;
+    request.deadline = deadline;
     request.identity = arrival.identity;
     request.firstOnConnection = arrival.firstOnConnection;
     // A request that crashes servers is retried again and again, and each crash loses the server's other requests.
--- a/src/sailpath/balance/BalancerRetries.cpp
+++ b/src/sailpath/balance/BalancerRetries.cpp
@@ -25,6 +25,8 @@
         return false;
     if (now + core::fromMilliseconds(request.pool->work().ms(request.route.name) / 2) > request.deadline)
         return false;
+    if (!mayAnswerBeforeStop(request.route, request.deadline, now))
+        return false;
     return request.sends == 0 || (!leavesBudget(request, now) && mayRetry(*request.pool, now));
 }
 
@@ -54,6 +56,8 @@
     }
     else if (request.mayHaveRun)
         refuse(ticket, {RefusalReason::Unknown, true, {}});
+    else if (!mayAnswerBeforeStop(request.route, request.deadline, now))
+        refuse(ticket, stopRefusal());
     else
     {
         Refusal refusal{RefusalReason::NotRun, false, {}};
--- a/src/sailpath/balance/BalancerSearch.cpp
+++ b/src/sailpath/balance/BalancerSearch.cpp
@@ -136,6 +136,8 @@
 ////////////////////////////////////////////////////////////
 void Balancer::endRound(Ticket ticket, Request& request, core::Timestamp now)
 {
+    if (request.attempts.empty() && refusedForStop(ticket, request, now))
+        return;
     const Choice choice = request.pool->choose(wishOf(request), now, m_random);
     const double typical = request.pool->work().ms(request.route.name);
     const bool   hasTime =
@@ -218,6 +220,8 @@
             return scheduleWake(ticket, request, now);
         return conclude(ticket, request, now);
     }
+    if (refusedForStop(ticket, request, now))
+        return;
     if (!choice.server)
     {
         const NoServerReason shortage = request.pool->noServerReason(now);
--- a/src/sailpath/balance/BalancerTiming.cpp
+++ b/src/sailpath/balance/BalancerTiming.cpp
@@ -141,6 +141,8 @@
 void Balancer::timeOut(Ticket ticket, Request& request, core::Timestamp now)
 {
     abandonRunning(ticket, request, now);
+    if (request.sends > 0)
+        recordAnswerTime(request, now);
     refuse(ticket, {RefusalReason::TimedOut, request.mayHaveRun,
                     request.mayHaveRun ? core::Duration{} : m_settings.defaultRetryAfter});
     close(ticket);
--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -133,6 +133,8 @@
         case http::ReadState::Head:
             return;
         case http::ReadState::Body:
+            if (refusedForStop())
+                return;
             if (!reserveBody())
                 return refuse(503, "no memory for another body");
             return handleExpect();
@@ -240,19 +242,33 @@
 ////////////////////////////////////////////////////////////
 void CallerConnection::refuse(unsigned status, std::string_view reason)
 {
-    m_events.refusedUnread(m_reader.hasRequest() ? &m_reader.head() : nullptr, status, reason);
+    refuse({status, reason, status == 503 ? core::Duration(refusalRetryAfter) : core::Duration{}});
+}
+
+////////////////////////////////////////////////////////////
+void CallerConnection::refuse(const LocalAnswer& local)
+{
+    m_events.refusedUnread(m_reader.hasRequest() ? &m_reader.head() : nullptr, local.status, local.reason);
     m_requestsEnded = true;
     m_reader.stop();
     PendingAnswer pending;
     pending.keepAlive = false;
     m_reservation = {};
-    pending.answer =
-        makeAnswer({status, reason, status == 503 ? core::Duration(refusalRetryAfter) : core::Duration{}}, false);
+    pending.answer = makeAnswer(local, false);
     pending.answeredAt = core::now();
     m_pendingAnswers.append(std::move(pending));
     writeNext();
 }
 
+////////////////////////////////////////////////////////////
+bool CallerConnection::refusedForStop()
+{
+    if (!m_reader.headComplete() || m_events.mayStillAnswer(m_reader.head(), m_reader.firstByteAt()))
+        return false;
+    refuse(LocalAnswer{503, toString(balance::RefusalReason::Stopping), {}, true});
+    return true;
+}
+
 ////////////////////////////////////////////////////////////
 bool CallerConnection::answer(balance::Ticket ticket, const http::Head& head, std::string body, BodyReservation memory)
 {
@@ -387,6 +403,8 @@
         return close("idle-time");
     if (m_reader.hasRequest() && canReadRequest())
     {
+        if (refusedForStop())
+            return;
         const core::Timestamp readSince = std::max(m_reader.firstByteAt(), m_readResumedAt);
         if (!m_reader.headComplete() && at - readSince > limits.headTime)
             return refuse(408, "the head took too long");
--- a/src/sailpath/gateway/CallerConnection.hpp
+++ b/src/sailpath/gateway/CallerConnection.hpp
@@ -75,6 +75,9 @@
     void                     handleRequest();
     void                     forward(CallerRequest request);
     void                     refuse(unsigned status, std::string_view reason);
+    void                     refuse(const LocalAnswer& local);
+    /// \brief Refuse the request being read if a planned stop leaves no time to answer it
+    [[nodiscard]] bool       refusedForStop();
     [[nodiscard]] bool       setAnswer(PendingAnswer* pending, CallerAnswer answer);
     void                     writeNext();
     void                     handleWritten(bool succeeded);
--- a/src/sailpath/gateway/CallerEvents.hpp
+++ b/src/sailpath/gateway/CallerEvents.hpp
@@ -51,9 +51,11 @@
 
     [[nodiscard]] virtual std::string workspaceOf(const http::Head& head) const = 0; //!< To count its memory for
     [[nodiscard]] virtual bool isRepeatable(const http::Head& head) const = 0; //!< The request may run more than once
-    [[nodiscard]] virtual const deployment::CallerLimits& limits() const = 0;  //!< Limits in force
-    [[nodiscard]] virtual bool configured() const = 0;                         //!< The limits are those of the operator
-    [[nodiscard]] virtual bool closesConnections() const = 0;                  //!< A planned stop has begun
+    /// \brief A request whose body is still to come can be answered before a planned stop ends
+    [[nodiscard]] virtual bool mayStillAnswer(const http::Head& head, core::Timestamp firstByteAt) const = 0;
+    [[nodiscard]] virtual const deployment::CallerLimits& limits() const = 0; //!< Limits in force
+    [[nodiscard]] virtual bool configured() const = 0;                        //!< The limits are those of the operator
+    [[nodiscard]] virtual bool closesConnections() const = 0;                 //!< A planned stop has begun
     [[nodiscard]] virtual bool takesFurtherRequests() const = 0; //!< Requests are read while earlier ones are answered
 };
 
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -582,12 +582,19 @@
 }
 
 ////////////////////////////////////////////////////////////
-void Gateway::startDraining()
+void Gateway::startDraining(core::Timestamp endsAt)
 {
     m_impl->isDraining = true;
+    m_impl->balancer.beginStop(endsAt);
     m_impl->tunnels.stop();
 }
 
+////////////////////////////////////////////////////////////
+core::Timestamp Gateway::earliestArrival()
+{
+    return m_impl->earliestArrival();
+}
+
 ////////////////////////////////////////////////////////////
 void Gateway::closeIdle()
 {
--- a/src/sailpath/gateway/GatewayImpl.hpp
+++ b/src/sailpath/gateway/GatewayImpl.hpp
@@ -82,8 +82,9 @@
     void answerCut(const priv::CallerConnection& caller, std::size_t bytes, std::string_view reason) override;
     void connectionClosed(priv::CallerConnection& caller) override;
     void refusedUnread(const http::Head* head, unsigned status, std::string_view reason) override;
-    [[nodiscard]] std::string                     workspaceOf(const http::Head& head) const override;
-    [[nodiscard]] bool                            isRepeatable(const http::Head& head) const override;
+    [[nodiscard]] std::string workspaceOf(const http::Head& head) const override;
+    [[nodiscard]] bool        isRepeatable(const http::Head& head) const override;
+    [[nodiscard]] bool        mayStillAnswer(const http::Head& head, core::Timestamp firstByteAt) const override;
     [[nodiscard]] const deployment::CallerLimits& limits() const override;
     [[nodiscard]] bool                            configured() const override;
     [[nodiscard]] bool                            closesConnections() const override;
--- a/src/sailpath/gateway/GatewayRequests.cpp
+++ b/src/sailpath/gateway/GatewayRequests.cpp
@@ -184,6 +184,17 @@
     return route != nullptr && route->repeatable;
 }
 
+////////////////////////////////////////////////////////////
+bool Gateway::Impl::mayStillAnswer(const http::Head& head, core::Timestamp firstByteAt) const
+{
+    const deployment::HostRoute* route = balancer.findRoute(head.field("Host"), http::pathOf(head.target));
+    if (route == nullptr)
+        return true;
+    const auto longest =
+        std::min(route->timeout, parseTimeLeft(head.field(dialect.deadlineMs)).value_or(route->timeout));
+    return balancer.mayAnswerBeforeStop(*route, firstByteAt + longest, core::now());
+}
+
 ////////////////////////////////////////////////////////////
 const deployment::CallerLimits& Gateway::Impl::limits() const
 {
--- a/src/sailpath/gateway/StopSchedule.cpp
+++ b/src/sailpath/gateway/StopSchedule.cpp
@@ -34,6 +34,12 @@
 {
 }
 
+////////////////////////////////////////////////////////////
+core::Timestamp StopSchedule::endsAt(core::Timestamp beganAt) const
+{
+    return beganAt + m_grace;
+}
+
 ////////////////////////////////////////////////////////////
 core::Duration StopSchedule::noticeTime() const
 {
