--- a/include/sailpath/balance/Balancer.hpp
+++ b/include/sailpath/balance/Balancer.hpp
@@ -61,6 +61,9 @@
     LossCause                     loss{LossCause::None}; //!< With `Lost`: why
     ConnectFailure connectFailure{ConnectFailure::None}; //!< With `NotSent`: why the connection was not opened
 
+    bool helperStops{
+        false}; //!< With `NotSent`: the node that the request went through stops; the server is not at fault
+
     std::string helper; //!< Address of the node that the connection to the server went through; empty without one
 
     std::optional<deployment::RequestIdentity> identity; //!< Set when `endedByServer`, and while
--- a/include/sailpath/paths/TunnelMessage.hpp
+++ b/include/sailpath/paths/TunnelMessage.hpp
@@ -55,9 +55,10 @@
 ////////////////////////////////////////////////////////////
 enum class TunnelEnd : std::uint8_t
 {
-    Closed, //!< The server closed it in order
-    Reset,  //!< The server reset it
-    Lost    //!< It broke for another reason, which may be the helper's path
+    Closed,   //!< The server closed it in order
+    Reset,    //!< The server reset it
+    Lost,     //!< It broke for another reason, which may be the helper's path
+    NotPassed //!< The helper stops, and passed no byte of the last request to the server
 };
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/adapters/links/TunnelCodec.cpp
+++ b/src/sailpath/adapters/links/TunnelCodec.cpp
@@ -46,8 +46,8 @@
     if (data.size() > 0)
         return std::nullopt;
     // Ends that only a later version knows are no proof of anything.
-    const bool reset = from.getEnd() == static_cast<std::uint8_t>(paths::TunnelEnd::Reset);
-    return paths::TunnelEnded{reset ? paths::TunnelEnd::Reset : paths::TunnelEnd::Lost};
+    const bool known = from.getEnd() <= static_cast<std::uint8_t>(paths::TunnelEnd::NotPassed);
+    return paths::TunnelEnded{known ? static_cast<paths::TunnelEnd>(from.getEnd()) : paths::TunnelEnd::Lost};
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/balance/Balancer.cpp
+++ b/src/sailpath/balance/Balancer.cpp
@@ -223,6 +223,8 @@
     }
     if (outcome.end == AttemptEnd::NotSent)
         --request.sends;
+    if (outcome.helperStops)
+        std::erase(request.triedServers, attempt.server.get());
     if (outcome.end == AttemptEnd::Lost)
         request.mayHaveRun = true;
     if (outcome.end == AttemptEnd::Answered)
@@ -297,7 +299,7 @@
         recordFailure(*request.pool, server, now);
         break;
     case AttemptEnd::NotSent:
-        if (!attempt.pathAtFault)
+        if (!attempt.pathAtFault && !outcome.helperStops)
             server.recordFailure(now);
         break;
     }
--- a/src/sailpath/gateway/Gateway.cpp
+++ b/src/sailpath/gateway/Gateway.cpp
@@ -599,6 +599,7 @@
 void Gateway::closeIdle()
 {
     m_impl->isClosing = true;
+    m_impl->tunnels.refuseFurther();
     asio::error_code ignored;
     m_impl->acceptor.close(ignored);
     const std::vector<std::shared_ptr<CallerConnection>> all(m_impl->callers.begin(), m_impl->callers.end());
--- a/src/sailpath/gateway/ServedTunnel.cpp
+++ b/src/sailpath/gateway/ServedTunnel.cpp
@@ -21,10 +21,11 @@
 constexpr auto     connectTimeout = std::chrono::milliseconds{250}; // Shorter than the other node waits for an answer
 constexpr auto     proofTime = std::chrono::milliseconds{120}; // For another server to show that this node's path works
 constexpr unsigned proofChecks = 6;                            // In that time
+constexpr auto discardTime = std::chrono::seconds{1}; // For the other node to read that its request is not passed on
 // Of a node that is silent; after the last of these the unacknowledged timeout ends the connection, as it counts for
 // keep-alive probes too.
-constexpr int      keepAliveIdleS = 5;
-constexpr int      keepAliveIntervalS = 1;
+constexpr int  keepAliveIdleS = 5;
+constexpr int  keepAliveIntervalS = 1;
 
 ////////////////////////////////////////////////////////////
 void setOption(asio::ip::tcp::socket& socket, int level, int name, int value)
@@ -131,6 +132,9 @@
 ////////////////////////////////////////////////////////////
 void ServedTunnel::send(const paths::TunnelMessage& message, bool last)
 {
+    if (m_endTold)
+        return;
+    m_endTold = last;
     m_toPeer = adapters::links::encodeTunnel(message);
     m_sending = true;
     asio::async_write(m_peer, asio::buffer(m_toPeer),
@@ -153,6 +157,8 @@
                                // The other node closes when its caller has left, so the server has to know at once.
                                if (error)
                                    return self->end();
+                               if (self->refusesRequest())
+                                   return self->refuseRequest();
                                self->m_toServer.assign(self->m_fromPeer.data(), bytes);
                                self->m_awaitsServer = true;
                                self->m_traffic.passToServer(self->m_toServer);
@@ -160,6 +166,38 @@
                            });
 }
 
+////////////////////////////////////////////////////////////
+bool ServedTunnel::refusesRequest() const
+{
+    return m_refusesFurther && !m_sending && m_traffic.isBetweenRequests();
+}
+
+////////////////////////////////////////////////////////////
+void ServedTunnel::refuseRequest()
+{
+    m_endTold = true;
+    m_toPeer = adapters::links::encodeTunnel(paths::TunnelEnded{paths::TunnelEnd::NotPassed});
+    m_timer.expires_after(discardTime);
+    m_timer.async_wait(
+        [self = shared_from_this()](const asio::error_code& error)
+        {
+            if (!error)
+                self->end();
+        });
+    asio::async_write(m_peer, asio::buffer(m_toPeer),
+                      [self = shared_from_this()](const asio::error_code& error, std::size_t)
+                      { return error ? self->end() : self->discardPeer(); });
+}
+
+////////////////////////////////////////////////////////////
+void ServedTunnel::discardPeer()
+{
+    // Closing while a part of the request is unread sends a reset, which can destroy the last message.
+    m_peer.async_read_some(asio::buffer(m_fromPeer),
+                           [self = shared_from_this()](const asio::error_code& error, std::size_t)
+                           { return error || self->m_ended ? self->end() : self->discardPeer(); });
+}
+
 ////////////////////////////////////////////////////////////
 void ServedTunnel::writeServer()
 {
@@ -180,7 +218,7 @@
     m_server.async_read_some(asio::buffer(m_fromServer),
                              [self = shared_from_this()](const asio::error_code& error, std::size_t bytes)
                              {
-                                 if (self->m_ended)
+                                 if (self->m_ended || self->m_endTold)
                                      return;
                                  if (error)
                                      return self->serverEnded(endOf(error));
@@ -221,6 +259,12 @@
            adapters::net::unacknowledgedBytes(m_peer.native_handle()) > 0;
 }
 
+////////////////////////////////////////////////////////////
+void ServedTunnel::refuseFurther()
+{
+    m_refusesFurther = true;
+}
+
 ////////////////////////////////////////////////////////////
 void ServedTunnel::close()
 {
--- a/src/sailpath/gateway/ServedTunnel.hpp
+++ b/src/sailpath/gateway/ServedTunnel.hpp
@@ -45,20 +45,24 @@
 
     void open(const deployment::Instance& instance); //!< Connect to the server, then pass bytes on
     void deny(paths::TunnelStatus status);           //!< Tell the other node that no tunnel is opened, and end
-    void close();                                    //!< Break both connections off
+    void refuseFurther(); //!< Pass no further request on; tell the other node that it has not run
+    void close();         //!< Break both connections off
 
     [[nodiscard]] bool isBusy(); //!< An answer is due, or not all of its bytes have reached the other node
 
 private:
-    void connected(const asio::error_code& error);
-    void connectFailed(bool refused, unsigned asked);
-    void send(const paths::TunnelMessage& message, bool last);
-    void readPeer();
-    void writeServer();
-    void readServer();
-    void serverEnded(paths::TunnelEnd how); //!< Tell the other node how the server's stream ended
-    void recordHeard();
-    void end();
+    void               connected(const asio::error_code& error);
+    void               connectFailed(bool refused, unsigned asked);
+    void               send(const paths::TunnelMessage& message, bool last);
+    void               readPeer();
+    [[nodiscard]] bool refusesRequest() const; //!< What the other node sends now begins a request that is not passed on
+    void               refuseRequest();
+    void               discardPeer(); //!< Read and discard until the other node closes
+    void               writeServer();
+    void               readServer();
+    void               serverEnded(paths::TunnelEnd how); //!< Tell the other node how the server's stream ended
+    void               recordHeard();
+    void               end();
 
     asio::ip::tcp::socket  m_peer;   //!< Connection of the other node
     asio::ip::tcp::socket  m_server; //!< Connection to the server
@@ -66,17 +70,19 @@
     const GatewaySettings& m_settings;
     Events                 m_events;
     deployment::Instance   m_instance;
-    std::string            m_toServer;             //!< Bytes that are being written
-    std::string            m_toPeer;               //!< Message that is being written
-    std::array<char, 8192> m_fromPeer{};           //!< Receive buffer
-    std::array<char, 8192> m_fromServer{};         //!< Receive buffer
-    core::Timestamp        m_openedAt{};           //!< When the server accepted
-    core::Timestamp        m_heardAt{};            //!< Last bytes of the server
-    bool                   m_awaitsServer{false};  //!< The last bytes that passed were for the server
-    bool                   m_sending{false};       //!< A message to the other node is being written
-    bool                   m_writingServer{false}; //!< Bytes for the server are being written
-    ServerStreamEnd        m_streamEnd;            //!< Failed writes, and what an end of file means
-    TunnelTraffic          m_traffic;              //!< Requests and answers that have passed
+    std::string            m_toServer;              //!< Bytes that are being written
+    std::string            m_toPeer;                //!< Message that is being written
+    std::array<char, 8192> m_fromPeer{};            //!< Receive buffer
+    std::array<char, 8192> m_fromServer{};          //!< Receive buffer
+    core::Timestamp        m_openedAt{};            //!< When the server accepted
+    core::Timestamp        m_heardAt{};             //!< Last bytes of the server
+    bool                   m_awaitsServer{false};   //!< The last bytes that passed were for the server
+    bool                   m_sending{false};        //!< A message to the other node is being written
+    bool                   m_writingServer{false};  //!< Bytes for the server are being written
+    ServerStreamEnd        m_streamEnd;             //!< Failed writes, and what an end of file means
+    TunnelTraffic          m_traffic;               //!< Requests and answers that have passed
+    bool                   m_endTold{false};        //!< The last message to the other node is being written
+    bool                   m_refusesFurther{false}; //!< No further request is passed on
     bool                   m_connected{false};
     bool                   m_ended{false};
 };
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -34,6 +34,7 @@
     case paths::TunnelEnd::Reset:
         return balance::LossCause::ResetByServer;
     case paths::TunnelEnd::Lost:
+    case paths::TunnelEnd::NotPassed:
         break;
     }
     return balance::LossCause::PathBroken;
@@ -277,11 +278,23 @@
 ////////////////////////////////////////////////////////////
 void ServerConnection::handleTunnelEnd(paths::TunnelEnd end)
 {
+    if (end == paths::TunnelEnd::NotPassed)
+        return handleNotPassed();
     // The helper passes nothing on any more, so a request that is not written yet does not reach the server whole.
     const bool isCut = end == paths::TunnelEnd::Closed && endCompletesAnswer() && !m_requestWritten;
     handleEnd(isCut ? balance::LossCause::ResetByServer : causeOf(end));
 }
 
+////////////////////////////////////////////////////////////
+void ServerConnection::handleNotPassed()
+{
+    m_paths.helpers.recordFailed(m_helper, paths::HelperFailure::Busy, core::now());
+    // Bytes of an answer would contradict the helper.
+    m_notPassed = m_state == State::Busy && m_reader->state() == http::ReadState::Head && m_unread.empty() &&
+                  m_skippedAnswers == 0;
+    handleEnd(balance::LossCause::PathBroken);
+}
+
 ////////////////////////////////////////////////////////////
 bool ServerConnection::endCompletesAnswer() const
 {
@@ -394,9 +407,11 @@
     if (previous == State::Connecting || previous == State::Busy)
     {
         balance::Outcome outcome;
-        if (previous == State::Busy)
+        const bool       lost = previous == State::Busy && !m_notPassed;
+        outcome.end = lost ? balance::AttemptEnd::Lost : balance::AttemptEnd::NotSent;
+        outcome.helperStops = m_notPassed;
+        if (lost)
             outcome.loss = cause;
-        outcome.end = previous == State::Connecting ? balance::AttemptEnd::NotSent : balance::AttemptEnd::Lost;
         if (previous == State::Connecting)
             outcome.connectFailure = m_connectFailure;
         const DoneCallback onDone = std::move(m_onDone);
--- a/src/sailpath/gateway/ServerConnection.hpp
+++ b/src/sailpath/gateway/ServerConnection.hpp
@@ -125,6 +125,7 @@
     void               handleReadError(const asio::error_code& error);
     void               handleEndOfFile();
     void               handleTunnelEnd(paths::TunnelEnd end);
+    void               handleNotPassed();
     /// \brief Whether a body that lasts until the end of the server's stream is being received
     [[nodiscard]] bool endCompletesAnswer() const;
     void               write();
@@ -173,6 +174,7 @@
     bool                    m_requestWritten{false};                           //!< All of the request is written
     unsigned                m_skippedAnswers{0};     //!< Interim answers and such to other requests, since the send
     bool                    m_noticeReported{false}; //!< The answer's notice is reported
+    bool                    m_notPassed{false};      //!< The helper stops, and the server got none of the request
     bool                    m_notReusable{false};    //!< Got an answer to another request
 };
 
--- a/src/sailpath/gateway/TunnelServer.cpp
+++ b/src/sailpath/gateway/TunnelServer.cpp
@@ -96,6 +96,13 @@
     return std::nullopt;
 }
 
+////////////////////////////////////////////////////////////
+void TunnelServer::refuseFurther()
+{
+    for (const auto& tunnel : m_tunnels)
+        tunnel->refuseFurther();
+}
+
 ////////////////////////////////////////////////////////////
 void TunnelServer::stop()
 {
--- a/src/sailpath/gateway/TunnelServer.hpp
+++ b/src/sailpath/gateway/TunnelServer.hpp
@@ -39,6 +39,7 @@
     TunnelServer& operator=(const TunnelServer&) = delete;
 
     void serve(adapters::links::TunnelRequest request); //!< Open a tunnel, or tell why not
+    void refuseFurther();                               //!< Pass no further requests on through open tunnels
     void stop();                                        //!< Open no further tunnels; those that are open stay
 
     [[nodiscard]] std::size_t   open() const;   //!< Tunnels that are open or being opened
--- a/src/sailpath/gateway/TunnelTraffic.cpp
+++ b/src/sailpath/gateway/TunnelTraffic.cpp
@@ -74,6 +74,12 @@
     return m_toServer.unread.size() + m_fromServer.unread.size();
 }
 
+////////////////////////////////////////////////////////////
+bool TunnelTraffic::isBetweenRequests() const
+{
+    return !m_isUnreadable && !isAnswerDue() && m_toServer.unread.empty();
+}
+
 ////////////////////////////////////////////////////////////
 bool TunnelTraffic::isRequestUnfinished() const
 {
--- a/src/sailpath/gateway/TunnelTraffic.hpp
+++ b/src/sailpath/gateway/TunnelTraffic.hpp
@@ -23,6 +23,7 @@
     void passFromServer(std::string_view bytes); //!< Bytes of the server
 
     [[nodiscard]] bool        isAnswerDue() const; //!< A byte of a request has passed, and not yet its whole answer
+    [[nodiscard]] bool        isBetweenRequests() const;   //!< Nothing has passed since the last whole answer
     [[nodiscard]] bool        isRequestUnfinished() const; //!< A byte of a request has passed, and not yet all of it
     [[nodiscard]] std::size_t heldBytes() const;           //!< Bytes of unfinished lines that are kept
 
--- a/test/adapters/Tunnels.test.cpp
+++ b/test/adapters/Tunnels.test.cpp
@@ -28,7 +28,8 @@
                                                      paths::TunnelData{},
                                                      paths::TunnelEnded{paths::TunnelEnd::Closed},
                                                      paths::TunnelEnded{paths::TunnelEnd::Reset},
-                                                     paths::TunnelEnded{paths::TunnelEnd::Lost}};
+                                                     paths::TunnelEnded{paths::TunnelEnd::Lost},
+                                                     paths::TunnelEnded{paths::TunnelEnd::NotPassed}};
     std::string                             stream;
     for (const auto& message : messages)
         stream += encodeTunnel(message);
@@ -90,7 +91,7 @@
 // without a length would look whole.
 BOOST_AUTO_TEST_CASE(ANodeOfTheVersionBeforeReadsAResetAsNoBytes)
 {
-    for (const auto how : {paths::TunnelEnd::Reset, paths::TunnelEnd::Lost})
+    for (const auto how : {paths::TunnelEnd::Reset, paths::TunnelEnd::Lost, paths::TunnelEnd::NotPassed})
     {
         const std::string        bytes = encodeTunnel(paths::TunnelEnded{how});
         std::vector<capnp::word> words((bytes.size() - 4) / sizeof(capnp::word));
