Calls of the store skip interim answers

A node took the answer to one call of the store for the answer to the next when the store sent an interim answer before the first.

Cause: HttpCaller took an interim answer for the final one and kept the connection; the final answer came when the next call waited.

Change: a status that is not final is skipped, within the time of the call.

--- a/src/sailpath/adapters/calls/HttpCaller.cpp
+++ b/src/sailpath/adapters/calls/HttpCaller.cpp
@@ -35,7 +35,7 @@
     {
         ++calls;
         const std::uint64_t callNumber = calls;
-        reader = std::make_unique<http::MessageReader>(http::MessageKind::Answer, maxHeadBytes, maxBodyBytes);
+        startReader();
         idleTimeout = timeout;
         startedAt = core::now();
         startIdleTimer(callNumber);
@@ -58,6 +58,11 @@
                              });
     }
 
+    void startReader()
+    {
+        reader = std::make_unique<http::MessageReader>(http::MessageKind::Answer, maxHeadBytes, maxBodyBytes);
+    }
+
     // The timer restarts with every received byte: a long response over a slow link may exceed the idle timeout as a
     // whole, as long as its bytes keep arriving.
     void startIdleTimer(std::uint64_t callNumber)
@@ -99,6 +104,12 @@
     {
         unread.append({buffer.data(), bytes});
         reader->read(unread);
+        // Interim answers precede the answer to the call.
+        while (reader->state() == http::ReadState::Done && !http::isFinalStatus(reader->head().status))
+        {
+            startReader();
+            reader->read(unread);
+        }
         const http::ReadState state = reader->state();
         const bool            unfinished = state == http::ReadState::Head || state == http::ReadState::Body;
         if (unfinished && core::now() - startedAt < idleTimeout + maxTransferTime)
--- a/test/platform/HttpCaller.test.cpp
+++ b/test/platform/HttpCaller.test.cpp
@@ -75,4 +75,29 @@
     }
 }
 
+// Guards against a copy of the store that takes the answer to one call for the answer to the next.
+BOOST_AUTO_TEST_CASE(AnInterimAnswerIsSkipped)
+{
+    support::ScriptedServer store(
+        [](const std::string& request)
+        {
+            const std::string body = request.starts_with("GET /first") ? "1" : "2";
+            const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + body;
+            return body == "1" ? support::Script{"HTTP/1.1 100 Continue\r\n\r\n", 0ms, false, false, false, whole, 50ms}
+                               : support::Script{whole};
+        });
+    asio::io_context            context;
+    adapters::calls::HttpCaller caller(context, {"127.0.0.1", store.port()});
+    for (const std::string name : {"first", "second"})
+    {
+        std::optional<adapters::calls::CallAnswer> answer;
+        caller.get("/" + name, 30s, [&](adapters::calls::CallAnswer given) { answer = std::move(given); });
+        for (int i = 0; i < 200 && !answer; ++i)
+            context.run_one_for(50ms);
+        BOOST_REQUIRE(answer.has_value());
+        BOOST_TEST(answer->status == 200U);
+        BOOST_TEST(answer->body == (name == "first" ? "1" : "2"));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
