Entry of the product on its own: bound the framing of an answer's body

A faulty server that sends a chunk size, chunk extension or trailer line without end fills the memory of `sailpath-entry`, and the requests of all other callers end with the process.

Cause: BackendStream bounded the head only; the library keeps a line until it is whole, and bytes that keep coming reach no timeout.

Change: BackendStream counts what is read after the head and what the library delivers of the body. The difference is framing, and gets the limit that MessageReader has.

--- a/src/sailpath/adapters/http/BackendClient.cpp
+++ b/src/sailpath/adapters/http/BackendClient.cpp
@@ -178,6 +178,7 @@
     ////////////////////////////////////////////////////////////
     bool deliverBody(std::string_view data)
     {
+        m_stream.recordBody(data.size());
         m_sinkRefused = !m_sink.body(data);
         return !m_sinkRefused;
     }
--- a/src/sailpath/adapters/http/BackendStream.cpp
+++ b/src/sailpath/adapters/http/BackendStream.cpp
@@ -9,6 +9,10 @@
 {
 constexpr std::size_t readBufferBytes = 16UL * 1024;
 constexpr std::size_t maxHeadBytes = 64UL * 1024;
+// Chunk sizes, chunk extensions and the trailer: as much as a head, and some for each byte of the body, so that small
+// chunks are read whatever their number. A chunk of one byte takes five.
+constexpr std::size_t maxFramingBytes = 64UL * 1024;
+constexpr std::size_t framingPerBodyByte = 16;
 
 } // namespace
 
@@ -51,6 +55,12 @@
     m_headComplete = true;
 }
 
+////////////////////////////////////////////////////////////
+void BackendStream::recordBody(std::size_t bytes)
+{
+    m_bodyBytes += bytes;
+}
+
 ////////////////////////////////////////////////////////////
 bool BackendStream::hasUnconsumedBytes() const
 {
@@ -87,12 +97,16 @@
     const std::size_t count = std::min(size, m_end - m_next);
     std::memcpy(ptr, m_buffer.data() + m_next, count);
     m_next += count;
-    if (!m_headComplete)
+    if (m_headComplete)
     {
-        if (m_head.size() + count > maxHeadBytes)
-            return -1;
-        m_head.append(ptr, count);
+        // The library keeps a line until it is whole.
+        m_bytesAfterHead += count;
+        const bool exceedsFraming = m_bytesAfterHead > maxFramingBytes + (1 + framingPerBodyByte) * m_bodyBytes;
+        return exceedsFraming ? -1 : static_cast<ssize_t>(count);
     }
+    if (m_head.size() + count > maxHeadBytes)
+        return -1;
+    m_head.append(ptr, count);
     return static_cast<ssize_t>(count);
 }
 
--- a/src/sailpath/adapters/http/BackendStream.hpp
+++ b/src/sailpath/adapters/http/BackendStream.hpp
@@ -57,6 +57,11 @@
     ////////////////////////////////////////////////////////////
     void headComplete();
 
+    ////////////////////////////////////////////////////////////
+    /// \brief Count bytes of the body that the library took; what exceeds them is framing, which is bounded
+    ////////////////////////////////////////////////////////////
+    void recordBody(std::size_t bytes);
+
     ////////////////////////////////////////////////////////////
     /// \brief Whether received bytes remain that the library has not consumed
     ////////////////////////////////////////////////////////////
@@ -81,6 +86,8 @@
     std::size_t           m_end{0};              //!< End of the received bytes in the buffer
     std::string           m_head;                //!< Recorded head of the answer
     bool                  m_headComplete{false}; //!< Whether the head is complete
+    std::size_t           m_bytesAfterHead{0};   //!< Read after the head, framing included
+    std::size_t           m_bodyBytes{0};        //!< Of the body, as far as the library took it
     bool                  m_sent{false};         //!< Whether any byte may have reached the server
     bool                  m_received{false};     //!< Whether any byte was received
     bool                  m_timedOut{false};     //!< Whether a read or write timed out
--- a/test/adapters/BackendClient.test.cpp
+++ b/test/adapters/BackendClient.test.cpp
@@ -134,4 +134,24 @@
     }
 }
 
+// Guards against memory that grows with a chunk size line, chunk extension or trailer that does not end.
+BOOST_AUTO_TEST_CASE(FramingWithoutEndIsNotKept)
+{
+    constexpr std::size_t endless = 64UL << 20U;
+    for (const std::string beginning : {"5;", "0000000000", "5\r\nhello\r\n0\r\nX-Sum: ", ""})
+    {
+        const bool        head = beginning.empty();
+        const std::string framing = head ? "X-Long: " : "Transfer-Encoding: chunked\r\n\r\n" + beginning;
+        const EarlyServer server(
+            [&](const std::string&) {
+                return EarlyScript{"HTTP/1.1 200 OK\r\n" + framing + std::string(endless, '0'),
+                                   EarlyEnd::ReadThenClose};
+            });
+        const Received received = exchangeWith(server, 0);
+        BOOST_TEST((received.end != ExchangeEnd::Whole), beginning);
+        BOOST_TEST(received.body.size() <= 5U, beginning);
+        BOOST_TEST(server.sent() < endless, beginning << ": all of it was received");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/support/EarlyServer.cpp
+++ b/test/support/EarlyServer.cpp
@@ -107,7 +107,7 @@
         return;
     left -= first;
     asio::error_code error;
-    asio::write(socket, asio::buffer(script.answer), error);
+    m_sent += asio::write(socket, asio::buffer(script.answer), error);
     std::this_thread::sleep_for(script.delay);
     const bool halfCloses = script.end == EarlyEnd::HalfCloseThenReset || script.end == EarlyEnd::HalfCloseThenRead;
     const bool reads = script.end == EarlyEnd::HalfCloseThenRead || script.end == EarlyEnd::ReadThenClose ||
@@ -138,4 +138,10 @@
     return m_served;
 }
 
+////////////////////////////////////////////////////////////
+std::size_t EarlyServer::sent() const
+{
+    return m_sent;
+}
+
 } // namespace sailpath::support
--- a/test/support/EarlyServer.hpp
+++ b/test/support/EarlyServer.hpp
@@ -57,6 +57,7 @@
 
     [[nodiscard]] std::uint16_t port() const;   //!< On 127.0.0.1
     [[nodiscard]] std::size_t   served() const; //!< Requests whose head was read
+    [[nodiscard]] std::size_t   sent() const;   //!< Bytes of answers that the system took
 
 private:
     void serve(asio::ip::tcp::socket& socket);
@@ -66,6 +67,7 @@
     asio::ip::tcp::acceptor                             m_acceptor;        //!< Listening socket
     std::atomic<bool>                                   m_stopping{false}; //!< Set by the destructor
     std::atomic<std::size_t>                            m_served{0};       //!< Requests whose head was read
+    std::atomic<std::size_t>                            m_sent{0};         //!< Bytes of answers that the system took
     std::mutex                                          m_mutex;           //!< Guards `m_sockets`
     std::vector<std::shared_ptr<asio::ip::tcp::socket>> m_sockets;         //!< Sockets of all connections
     std::vector<std::thread>                            m_threads;         //!< One for each connection
