An end of file after a write that failed for the path is no end of the server

When the bytes of a request were never acknowledged, the write took the timeout and the read that followed an end of file. The attempt ended as closed by the server, which is evidence that the request ends servers.

Cause: as with parts of answers: the read was believed to report the failure.

The body of an upload is checked against a stop only while there is one.

--- a/src/sailpath/gateway/CallerConnection.cpp
+++ b/src/sailpath/gateway/CallerConnection.cpp
@@ -263,7 +263,8 @@
 ////////////////////////////////////////////////////////////
 bool CallerConnection::refusedForStop()
 {
-    if (!m_reader.headComplete() || m_events.mayStillAnswer(m_reader.head(), m_reader.firstByteAt()))
+    if (!m_events.closesConnections() || !m_reader.headComplete() ||
+        m_events.mayStillAnswer(m_reader.head(), m_reader.firstByteAt()))
         return false;
     refuse(LocalAnswer{503, toString(balance::RefusalReason::Stopping), {}, true});
     return true;
--- a/src/sailpath/gateway/ServedTunnel.cpp
+++ b/src/sailpath/gateway/ServedTunnel.cpp
@@ -33,15 +33,6 @@
     ::setsockopt(socket.native_handle(), level, name, &value, sizeof value);
 }
 
-////////////////////////////////////////////////////////////
-paths::TunnelEnd endOf(const asio::error_code& error)
-{
-    if (error == asio::error::eof)
-        return paths::TunnelEnd::Closed;
-    const bool reset = error == asio::error::connection_reset || error == asio::error::broken_pipe;
-    return reset ? paths::TunnelEnd::Reset : paths::TunnelEnd::Lost;
-}
-
 } // namespace
 
 ////////////////////////////////////////////////////////////
@@ -206,7 +197,7 @@
                       [self = shared_from_this()](const asio::error_code& error, std::size_t)
                       {
                           self->m_writingServer = false;
-                          self->m_streamEnd.recordWrite(!error);
+                          self->m_streamEnd.recordWrite(error);
                           if (!self->m_ended)
                               self->readPeer();
                       });
@@ -236,8 +227,7 @@
     // The other node may have written all of its request, so it does not see that the server did not take it.
     m_streamEnd.decide(
         m_server, [this] { return m_writingServer || m_traffic.isRequestUnfinished(); },
-        [self = shared_from_this()](bool isComplete)
-        { self->send(paths::TunnelEnded{isComplete ? paths::TunnelEnd::Closed : paths::TunnelEnd::Reset}, true); });
+        [self = shared_from_this()](paths::TunnelEnd end) { self->send(paths::TunnelEnded{end}, true); });
 }
 
 ////////////////////////////////////////////////////////////
--- a/src/sailpath/gateway/ServerConnection.cpp
+++ b/src/sailpath/gateway/ServerConnection.cpp
@@ -178,7 +178,7 @@
                       [self, head, body](const asio::error_code& error, std::size_t)
                       {
                           self->m_requestWritten = !error;
-                          self->m_streamEnd.recordWrite(!error);
+                          self->m_streamEnd.recordWrite(error);
                       });
 }
 
@@ -260,17 +260,15 @@
         return handleEnd(balance::LossCause::PathBroken);
     if (error == asio::error::eof)
         return handleEndOfFile();
-    const bool reset = error == asio::error::connection_reset || error == asio::error::broken_pipe;
-    handleEnd(reset ? balance::LossCause::ResetByServer : balance::LossCause::PathBroken);
+    handleEnd(causeOf(endOf(error)));
 }
 
 ////////////////////////////////////////////////////////////
 void ServerConnection::handleEndOfFile()
 {
-    const auto report = [self = shared_from_this()](bool isComplete)
-    { self->handleEnd(isComplete ? balance::LossCause::ClosedByServer : balance::LossCause::ResetByServer); };
+    const auto report = [self = shared_from_this()](paths::TunnelEnd end) { self->handleEnd(causeOf(end)); };
     if (!endCompletesAnswer())
-        return report(!m_streamEnd.hasFailed());
+        return report(m_streamEnd.reportedEnd());
     m_streamEnd.decide(
         *m_socket, [this] { return !m_requestWritten; }, report);
 }
--- a/src/sailpath/gateway/ServerStreamEnd.cpp
+++ b/src/sailpath/gateway/ServerStreamEnd.cpp
@@ -15,6 +15,15 @@
 
 } // namespace
 
+////////////////////////////////////////////////////////////
+paths::TunnelEnd endOf(const asio::error_code& error)
+{
+    if (error == asio::error::eof)
+        return paths::TunnelEnd::Closed;
+    const bool reset = error == asio::error::connection_reset || error == asio::error::broken_pipe;
+    return reset ? paths::TunnelEnd::Reset : paths::TunnelEnd::Lost;
+}
+
 ////////////////////////////////////////////////////////////
 ServerStreamEnd::ServerStreamEnd(asio::io_context& context, core::Duration longestWait) :
 m_timer(context),
@@ -23,9 +32,10 @@
 }
 
 ////////////////////////////////////////////////////////////
-void ServerStreamEnd::recordWrite(bool succeeded)
+void ServerStreamEnd::recordWrite(const asio::error_code& error)
 {
-    m_hasFailed = m_hasFailed || !succeeded;
+    if (!m_writeError)
+        m_writeError = error;
 }
 
 ////////////////////////////////////////////////////////////
@@ -41,14 +51,17 @@
 ////////////////////////////////////////////////////////////
 void ServerStreamEnd::check()
 {
-    const StreamEnd end = m_hasFailed ? StreamEnd::Failed : adapters::net::examineStreamEnd(m_socket->native_handle());
+    if (m_writeError)
+        return finish(endOf(m_writeError));
+    const StreamEnd end = adapters::net::examineStreamEnd(m_socket->native_handle());
     if (end == StreamEnd::Failed)
-        return finish(false);
+        return finish(paths::TunnelEnd::Reset);
     if (end == StreamEnd::Complete && !m_isSending())
-        return finish(true);
+        return finish(paths::TunnelEnd::Closed);
     if (core::now() - m_endedAt > m_longestWait)
-        return finish(false);
+        return finish(paths::TunnelEnd::Lost);
     m_timer.expires_after(checkInterval);
+    // The handler keeps the owner alive.
     m_timer.async_wait(
         [this, held = m_handler](const asio::error_code& error)
         {
@@ -58,11 +71,11 @@
 }
 
 ////////////////////////////////////////////////////////////
-void ServerStreamEnd::finish(bool isComplete)
+void ServerStreamEnd::finish(paths::TunnelEnd end)
 {
     m_isSending = nullptr;
     if (const Handler handler = std::exchange(m_handler, nullptr))
-        handler(isComplete);
+        handler(end);
 }
 
 ////////////////////////////////////////////////////////////
@@ -74,9 +87,9 @@
 }
 
 ////////////////////////////////////////////////////////////
-bool ServerStreamEnd::hasFailed() const
+paths::TunnelEnd ServerStreamEnd::reportedEnd() const
 {
-    return m_hasFailed;
+    return m_writeError ? endOf(m_writeError) : paths::TunnelEnd::Closed;
 }
 
 } // namespace sailpath::gateway::priv
--- a/src/sailpath/gateway/ServerStreamEnd.hpp
+++ b/src/sailpath/gateway/ServerStreamEnd.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <sailpath/core/Time.hpp>
+#include <sailpath/paths/TunnelMessage.hpp>
 
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
@@ -9,6 +10,11 @@
 
 namespace sailpath::gateway::priv
 {
+////////////////////////////////////////////////////////////
+/// \brief Return how a connection to a server ended by the error that an operation reported
+////////////////////////////////////////////////////////////
+[[nodiscard]] paths::TunnelEnd endOf(const asio::error_code& error);
+
 ////////////////////////////////////////////////////////////
 /// \brief Decides whether an end of file from a server is the end of its answer
 ///
@@ -18,15 +24,15 @@
 class ServerStreamEnd
 {
 public:
-    using IsSending = std::function<bool()>;              //!< Whether bytes for the server are still to be written
-    using Handler = std::function<void(bool isComplete)>; //!< False when the connection has failed
+    using IsSending = std::function<bool()>;                   //!< Whether bytes for the server are still to be written
+    using Handler = std::function<void(paths::TunnelEnd end)>; //!< `Closed` only for the end of the server's stream
 
     ////////////////////////////////////////////////////////////
     /// \param longestWait Time after the end of file in which the server has to take the rest of the request
     ////////////////////////////////////////////////////////////
     ServerStreamEnd(asio::io_context& context, core::Duration longestWait);
 
-    void recordWrite(bool succeeded); //!< A write to the server has ended
+    void recordWrite(const asio::error_code& error); //!< A write to the server has ended
 
     ////////////////////////////////////////////////////////////
     /// \brief Decide after an end of file was read; the handler is called once, perhaps at once
@@ -37,19 +43,20 @@
 
     void cancel(); //!< Drop the handler
 
-    [[nodiscard]] bool hasFailed() const; //!< A write has failed
+    /// \brief How the connection ended if nothing depends on whether its end was in order: a failed write says it
+    [[nodiscard]] paths::TunnelEnd reportedEnd() const;
 
 private:
     void check();
-    void finish(bool isComplete);
-
-    asio::steady_timer     m_timer;            //!< Next check
-    core::Duration         m_longestWait;      //!< From the end of file until the request counts as not taken
-    core::Timestamp        m_endedAt{};        //!< When the end of file was read
-    asio::ip::tcp::socket* m_socket{nullptr};  //!< Connection to the server
-    IsSending              m_isSending;        //!< Whether bytes for the server are still to be written
-    Handler                m_handler;          //!< Empty unless a decision is pending
-    bool                   m_hasFailed{false}; //!< A write has failed
+    void finish(paths::TunnelEnd end);
+
+    asio::steady_timer     m_timer;           //!< Next check
+    core::Duration         m_longestWait;     //!< From the end of file until the request counts as not taken
+    core::Timestamp        m_endedAt{};       //!< When the end of file was read
+    asio::ip::tcp::socket* m_socket{nullptr}; //!< Connection to the server
+    IsSending              m_isSending;       //!< Whether bytes for the server are still to be written
+    Handler                m_handler;         //!< Empty unless a decision is pending
+    asio::error_code       m_writeError;      //!< First error of a write
 };
 
 } // namespace sailpath::gateway::priv
