Tests: servers that answer early hold no more of an upload than they may

Cause, by a trace of what the stand-in's system holds at that end: of 16 such ends, in the failing one alone all 3,000,000 bytes left were held, and so acknowledged; 80,080 to 1,179,625 in the others. Whether it occurs depends on how far the system lets the receive buffer grow.

Change: the stand-in bounds its receive buffer, so that the rest of the upload is never held whole and each way shows what it is meant to. No check changed.

Measured, beside eleven busy processes: EarlyAnswersTest three times and BackendClientTest once, no errors.

--- a/test/support/EarlyServer.cpp
+++ b/test/support/EarlyServer.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 constexpr std::chrono::milliseconds resetDelay{20};
+// Of each connection. Without a bound the system may hold, and acknowledge, all of an upload that the server does not
+// read; an end in order is then that of a whole answer by all signs, whatever follows it.
+constexpr int                       receiveBufferBytes = 64 * 1024;
 constexpr std::string_view          headEnd = "\r\n\r\n";
 
 ////////////////////////////////////////////////////////////
@@ -58,6 +61,7 @@
 m_thread(
     [this]
     {
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
         while (!m_stopping)
         {
             auto             socket = std::make_shared<asio::ip::tcp::socket>(m_context);
