--- a/test/gateway/EarlyAnswers.test.cpp
+++ b/test/gateway/EarlyAnswers.test.cpp
@@ -160,13 +160,24 @@
 
 BOOST_AUTO_TEST_CASE(AnAnswerWithALengthIsWholeWhateverBecomesOfItsConnection)
 {
-    EarlyFixture fixture([](const std::string& head)
-                         { return EarlyScript{Fixture::okAnswer(fieldOf(head, "X-Id"), answerBody())}; });
-    for (const std::string path : {"/read/1", "/pay/1"})
+    for (const bool throughHelper : {false, true})
     {
-        const std::string answer = upload(fixture, path, path.substr(1, 3));
-        BOOST_TEST(statusOf(answer) == 200, path << ": " << answer.substr(0, 60));
-        BOOST_TEST(answer.ends_with("\r\n\r\n" + answerBody()));
+        for (const EarlyEnd end : {EarlyEnd::Reset, EarlyEnd::ReadThenClose})
+        {
+            EarlyFixture fixture(
+                [end](const std::string& head) {
+                    return EarlyScript{Fixture::okAnswer(fieldOf(head, "X-Id"), answerBody()), end, 0, 20ms};
+                });
+            Helper helper(fixture);
+            if (throughHelper)
+                losePath(fixture, {&helper});
+            for (const std::string path : {"/read/1", "/pay/1"})
+            {
+                const std::string answer = upload(fixture, path, path.substr(1, 3));
+                BOOST_TEST(statusOf(answer) == 200, path << ": " << answer.substr(0, 60));
+                BOOST_TEST(answer.ends_with("\r\n\r\n" + answerBody()));
+            }
+        }
     }
 }
 
